--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -81,12 +81,9 @@
 	for _, p := range s.Peers {
 		links[p.HostName] = peer.Dial(ctx, p.Endpoint)
 	}
-	// Every controller keeps to an equal part of the state service's limits;
-	// a tenth stays unused, as clocks differ.
-	share := 0.9 / float64(max(s.Cluster.InitialSize, len(links)+1))
 	core := controller.New(s, controller.Defaults(), logger, uint64(time.Now().UnixMilli()))
 	n := node.New(core, logger,
-		statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, share),
+		statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, max(s.Cluster.InitialSize, len(links)+1)),
 		cloud.New(s.External.Cloud, s.Cluster.Cloud.RPS, 0.8), links)
 	go n.Run(ctx)
 	go peer.Serve(ctx, peers, logger, n.Peer)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,7 +24,7 @@
 
 // Defaults are the starting values.
 func Defaults() Params {
-	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 150}
+	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100}
 }
 
 const (
@@ -71,7 +71,16 @@
 	ended      map[string]wire.EndRecord
 	endedOrder []string
 	verify     verifier
-	writing    int // ends and progress records under way
+	writing    int             // ends under way
+	ending     map[string]bool // jobs whose end is to be stored
+
+	// The pages of completed tasks, see progress.go.
+	pages     []*page
+	pageOf    map[string]*page  // by entry
+	facts     map[string][]byte // what the pages say, by entry
+	pageReads uint64            // readings of all pages begun
+	pagesBusy bool
+	pagesNext time.Time
 
 	types     map[string]wire.MachineType
 	typesAt   time.Time
@@ -79,6 +88,7 @@
 
 	// The lease value and this controller's rights under it.
 	lease        wire.LeaseRecord
+	owners       map[string]string // machine -> controller, by the lease value
 	leaseVersion uint64
 	leaseSeen    time.Time
 	leaseBusy    bool
@@ -99,8 +109,18 @@
 	peers    map[string]*peerState
 	classes  map[string]*classStats
 	placeDue bool
-	pingAt   time.Time
-	progress map[string]*peerpb.Progress
+	placedAt time.Time
+	choices  []choice   // reused by placeTasks
+	order    []*machine // the block by name, see machineOrder
+	orderDue bool
+	// hurried are machines with commands that should go out at once.
+	hurried   map[string]bool
+	strangers map[string]bool // machines to be asked for their tasks
+	asking    int             // such questions under way
+	preemptAt time.Time
+	pingAt    time.Time
+	spare     float64 // processors free here beyond what waits
+	progress  map[string]*peerpb.Progress
 }
 
 // peerState is what is known of another controller.
@@ -108,6 +128,7 @@
 	area    string
 	heard   time.Time
 	stateOK bool
+	spare   float64 // processors free beyond what waits
 }
 
 // New returns the core of the controller described by cfg. incarnation must
@@ -117,12 +138,18 @@
 		waiting:     map[uint64]func(Completed){},
 		jobs:        map[string]*job{},
 		ended:       map[string]wire.EndRecord{},
+		ending:      map[string]bool{},
+		pageOf:      map[string]*page{},
+		facts:       map[string][]byte{},
 		types:       map[string]wire.MachineType{},
 		renewalSent: map[uint64]time.Time{},
+		owners:      map[string]string{},
 		homes:       map[string]uint64{},
 		machines:    map[string]*machine{},
 		used:        map[string]sched.Amount{},
 		stopping:    map[string]sched.Amount{},
+		hurried:     map[string]bool{},
+		strangers:   map[string]bool{},
 		guests:      map[string]*guest{},
 		peers:       map[string]*peerState{},
 		classes:     map[string]*classStats{},
@@ -162,10 +189,7 @@
 	default:
 		c.log.Error("unknown event", "type", fmt.Sprintf("%T", ev))
 	}
-	if c.placeDue {
-		c.placeDue = false
-		c.place()
-	}
+	c.placeSoon()
 	c.sendCommands()
 	return c.out
 }
@@ -207,9 +231,12 @@
 	c.elect()
 	c.renew()
 	c.ping()
-	c.flushJobs()
+	c.readPages()
+	c.endJobs()
+	c.flushPages()
 	c.runVerify()
 	c.checkMachines()
+	c.askWorkers()
 	c.leadTick()
 	c.placeDue = true
 }
@@ -247,8 +274,11 @@
 	}
 	c.pingAt = c.now.Add(time.Second)
 	f := &peerpb.Frame{From: c.me, Incarnation: c.inc, StateOk: c.now.Sub(c.stateOK) < 4*time.Second}
+	busy, size := c.measure()
+	c.spare = size - busy
+	f.SpareCpus = c.spare
 	for _, j := range c.jobs {
-		if _, mine := c.homes[j.rec.Team]; mine && j.shown != [2]int{j.doneCount, j.running()} {
+		if c.owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
 			j.shown = [2]int{j.doneCount, j.running()}
 			f.Progress = append(f.Progress, &peerpb.Progress{Id: j.rec.ID, Done: int32(j.doneCount), Running: int32(j.running())})
 		}
@@ -265,11 +295,20 @@
 		return
 	}
 	p.heard, p.stateOK = c.now, f.GetStateOk()
+	if f.GetRenewal() == nil {
+		p.spare = f.GetSpareCpus()
+	}
 	for _, g := range f.GetProgress() {
 		if j := c.jobs[g.GetId()]; j != nil {
 			j.told = [2]int{int(g.GetDone()), int(g.GetRunning())}
 		}
 	}
+	for _, k := range f.GetKnown() {
+		if m := c.machines[k.GetName()]; m != nil {
+			c.introduce(m, k.GetEndpoint(), k.GetSession())
+		}
+	}
+	c.askWorkers()
 	if r := f.GetRenewal(); r != nil && r.GetNode() == f.GetFrom() {
 		c.onRenewal(r)
 	}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -24,6 +24,12 @@
 	// times, before a spot machine or an ordinary one is rented for it.
 	cheapPatience = 0.2
 	dearPatience  = 1.5
+	// judgeEvery spaces the looks at who holds what, which go over the whole
+	// fleet.
+	judgeEvery = 400 * time.Millisecond
+	// rentMost bounds the machines asked for in one decision, which is a few
+	// requests' worth; the answers tell how to go on.
+	rentMost = 150
 	// planEvery spaces the decisions on renting.
 	planEvery = time.Second
 )
@@ -38,6 +44,7 @@
 	listAt    time.Time
 	listed    bool // one whole list has been read since leading
 	planAt    time.Time
+	judgedAt  time.Time
 	renting   int
 	requests  uint64
 	refused   map[offerKey]time.Time
@@ -53,7 +60,8 @@
 	offerKey
 	rentedAt time.Time
 	listedAt time.Time
-	inBlock  bool
+	endpoint string
+	session  uint64 // last heard of; 0: unknown
 }
 
 func (f *fleet) init() {
@@ -64,9 +72,12 @@
 
 // seen notes a machine that has reported.
 func (f *fleet) seen(c *Core, s *peerpb.Seen) {
-	if f.machines[s.GetName()] == nil {
-		f.machines[s.GetName()] = &rented{offerKey: offerKey{s.GetType(), s.GetZone(), s.GetSpot()}, rentedAt: c.now}
+	r := f.machines[s.GetName()]
+	if r == nil {
+		r = &rented{offerKey: offerKey{s.GetType(), s.GetZone(), s.GetSpot()}, rentedAt: c.now}
+		f.machines[s.GetName()] = r
 	}
+	r.endpoint, r.session = s.GetEndpoint(), s.GetSession()
 }
 
 // runFleet rents, lists and returns machines. Only the leader does.
@@ -76,7 +87,11 @@
 		return
 	}
 	c.listMachines()
-	c.judge()
+	if c.now.Sub(l.fleet.judgedAt) >= judgeEvery {
+		l.fleet.judgedAt = c.now
+		c.judge()
+		c.introduceOwn()
+	}
 	c.release()
 	// The picture is rebuilt first: the machine list, and a renewal of every
 	// controller or the time that one takes.
@@ -143,7 +158,7 @@
 		r = &rented{offerKey: offerKey{m.Type, m.Zone, m.Spot}, rentedAt: c.now.Add(-config.Seconds(m.AgeS))}
 		f.machines[m.Name] = r
 	}
-	r.listedAt = c.now
+	r.listedAt, r.endpoint = c.now, m.Endpoint
 	switch {
 	case m.State == wire.MachineFailed:
 		f.leaving[m.Name] = true
@@ -325,6 +340,7 @@
 	for _, node := range sortedKeys(l.renewals) {
 		waiting = append(waiting, demands(l.renewals[node])...)
 	}
+	waiting = sched.Merge(waiting)
 	if len(waiting) == 0 || !c.roomForMore() {
 		return
 	}
@@ -359,13 +375,13 @@
 	}
 	// Machines are rented for the work that the fleet does not get done by
 	// itself soon; dear ones only for what would wait much longer.
-	for _, o := range sched.Rent(beyond(left, work, have, cheapPatience*soon), c.offers(true), 40) {
+	for _, o := range sched.Rent(beyond(left, work, have, cheapPatience*soon), c.offers(true), rentMost) {
 		c.rent(o)
 	}
 	if f.renting > 0 {
 		return // the answers tell what else is needed
 	}
-	for _, o := range sched.Rent(beyond(left, work, have, dearPatience*soon), c.offers(false), 40) {
+	for _, o := range sched.Rent(beyond(left, work, have, dearPatience*soon), c.offers(false), rentMost) {
 		c.rent(o)
 	}
 }
@@ -374,13 +390,13 @@
 // them stand in one value, whose size the state service limits.
 func (c *Core) roomForMore() bool {
 	b, err := wire.Encode(c.lease)
-	// As JSON, in which sizes are counted, names take a few bytes more;
-	// machines on their way need room as well.
+	// As JSON, in which sizes are counted, it takes a little more; machines
+	// on their way need room as well.
 	coming := len(c.lead.fleet.machines)
 	for _, block := range c.lease.Blocks {
 		coming -= len(block.Machines) + len(block.Old)
 	}
-	if size := len(b)*5/4 + 24*max(0, coming); err != nil || float64(size) > 0.9*1024*c.cfg.Cluster.State.ValueKB {
+	if size := len(b)*5/4 + 4*max(0, coming); err != nil || float64(size) > 0.9*1024*c.cfg.Cluster.State.ValueKB {
 		c.log.Error("no room for more machines in the lease value", "bytes", len(b), "err", err)
 		return false
 	}
@@ -425,13 +441,23 @@
 	return out
 }
 
+// rent asks for an order's machines, a request for each MaxRent of them.
 func (c *Core) rent(o sched.Order) {
+	for ; o.Number > wire.MaxRent; o.Number -= wire.MaxRent {
+		part := o
+		part.Number = wire.MaxRent
+		c.request(part)
+	}
+	c.request(o)
+}
+
+func (c *Core) request(o sched.Order) {
 	l := c.lead
 	f := &l.fleet
 	f.requests++
 	f.renting++
 	key := offerKey{o.Type, o.Zone, o.Spot}
-	req := wire.Rent{Request: fmt.Sprintf("r-%d-%d", l.term, f.requests), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: min(o.Number, wire.MaxRent)}
+	req := wire.Rent{Request: fmt.Sprintf("r-%d-%d", l.term, f.requests), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: o.Number}
 	asked := c.now
 	c.emit(CloudRent{Rent: req, ID: c.call(func(d Completed) {
 		f.renting--
--- /dev/null
+++ b/internal/controller/homes.go
@@ -0,0 +1,168 @@
+package controller
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/wire"
+)
+
+// A home is the controller that owns jobs and places their tasks. A team with
+// a limit or a guarantee has one home for all its jobs, as only somebody who
+// sees all of a team's tasks can keep its limit. The jobs of any other team
+// may be parted: once the fleet is large each controller is home to a part,
+// and the controller that accepts a job files it under the part with most
+// room. The part stands in the job's record and never changes.
+
+// partMark parts a team's name from the number of a part.
+const partMark = " #"
+
+// partsMost bounds the parts of a team, in parts per controller: one that was
+// given up for dead and is back gets a new one, as its old one has moved.
+const partsMost = 8
+
+// partable tells whether a team's jobs may have several homes.
+func partable(t config.Team) bool {
+	return t.CPUs <= 0 && t.CPUsMax <= 0 && t.GPUs <= 0 && t.GPUsMax <= 0
+}
+
+// parts lists the parts of a team by name.
+func parts(homes map[string]string, team string) []string {
+	var out []string
+	for home := range homes {
+		if strings.HasPrefix(home, team+partMark) {
+			out = append(out, home)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// fileUnder chooses the part of its team that a new job goes to: that of the
+// controller with most processors to spare. It returns "" when the team has
+// one home.
+func (c *Core) fileUnder(j *wire.Job) string {
+	best, bestSpare := "", 0.0
+	for _, t := range c.cfg.Cluster.Teams {
+		if t.Name != j.Team || !partable(t) {
+			continue
+		}
+		for _, part := range parts(c.lease.Homes, t.Name) {
+			node := c.lease.Homes[part]
+			spare := c.spare
+			if node != c.me {
+				if !c.linkUp(node) {
+					continue
+				}
+				spare = c.peers[node].spare
+			}
+			if best == "" || spare > bestSpare {
+				best, bestSpare = part, spare
+			}
+		}
+	}
+	// Until the controller tells its new figure the job counts against it.
+	if cpus := float64(j.Tasks) * j.CPUs; best == "" {
+	} else if node := c.lease.Homes[best]; node == c.me {
+		c.spare -= cpus
+	} else {
+		c.peers[node].spare -= cpus
+	}
+	return best
+}
+
+// measure returns the processors that this controller's tasks use or wait
+// for, and those of its block.
+func (c *Core) measure() (busy, size float64) {
+	for _, m := range c.machines {
+		if m.lost || m.bad || m.gave {
+			continue
+		}
+		size += m.size.CPUs
+	}
+	for _, j := range c.jobs {
+		if c.owns(j) && !j.over {
+			busy += float64(len(j.runs)+len(j.queue)) * j.rec.CPUs
+		}
+	}
+	return busy, size
+}
+
+// large tells whether the fleet is, or is meant to be, so large that parting
+// it costs less than one controller for all of it (see docs/measurements.md).
+func (c *Core) large() bool {
+	biggest, most := 0.0, 0.0
+	for _, t := range c.types {
+		biggest = max(biggest, t.CPUs)
+	}
+	for _, t := range c.cfg.Cluster.Teams {
+		most += max(t.CPUs, t.CPUsMax)
+	}
+	return len(c.lead.fleet.machines) >= c.par.Pack || (biggest > 0 && most/biggest >= float64(c.par.Pack))
+}
+
+// settleHomes gives every team a home, and large fleets the parts of teams
+// that may be parted.
+func (c *Core) settleHomes(rec *wire.LeaseRecord) {
+	l := c.lead
+	large := c.large()
+	// After a start the others get a moment to show up, and the machine list
+	// to tell the size of the fleet.
+	early := c.now.Sub(l.since) < 3*time.Second
+	if early && (len(c.types) == 0 || !l.fleet.listed || (large && len(l.renewals) < c.nodes())) {
+		return
+	}
+	live := []string{}
+	for _, node := range sortedKeys(rec.Blocks) {
+		if l.alive(c, node) {
+			live = append(live, node)
+		}
+	}
+	// The weight of a controller is the guarantees it is home to.
+	weight := map[string]float64{}
+	weigh := func(t config.Team) float64 { return 1 + t.CPUs }
+	teams := slices.Clone(c.cfg.Cluster.Teams)
+	slices.SortStableFunc(teams, func(a, b config.Team) int { return cmp.Compare(weigh(b), weigh(a)) })
+	for _, t := range teams {
+		weight[rec.Homes[t.Name]] += weigh(t)
+	}
+	for _, t := range teams {
+		if _, ok := rec.Blocks[rec.Homes[t.Name]]; ok {
+			continue
+		}
+		best := c.me
+		for _, node := range live {
+			// Parting a small fleet leaves room unused on every part.
+			if (large && weight[node] < weight[best]) || (!large && weight[node] > weight[best]) {
+				best = node
+			}
+		}
+		rec.Homes[t.Name] = best
+		weight[best] += weigh(t)
+	}
+	if !large {
+		return
+	}
+	for _, t := range teams {
+		if !partable(t) {
+			continue
+		}
+		own := parts(rec.Homes, t.Name)
+		has := map[string]bool{}
+		for _, part := range own {
+			has[rec.Homes[part]] = true
+		}
+		for _, node := range live {
+			if has[node] || len(own) >= partsMost*c.nodes() {
+				continue
+			}
+			part := fmt.Sprintf("%s%s%d", t.Name, partMark, len(own)+1)
+			own = append(own, part)
+			rec.Homes[part] = node
+		}
+	}
+}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -1,10 +1,7 @@
 package controller
 
 import (
-	"encoding/base64"
 	"fmt"
-	"maps"
-	"math/bits"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,26 +12,20 @@
 )
 
 // Keys of the state service. All that every controller watches is below
-// root; progress has a prefix of its own, since only the owner reads it.
+// root; pages of completed tasks have a prefix of their own, since only those
+// who take up jobs read them.
 const (
 	root       = "fc/"
 	jobPrefix  = root + "j/"
 	endPrefix  = root + "t/"
 	renPrefix  = root + "r/"
 	leaseKey   = root + "lease"
-	donePrefix = "fd/"
-	// chunk is how many tasks one progress record covers; as base64 that is
-	// well below the smallest value limit met so far.
-	chunk = 4096
+	pagePrefix = "fp/"
 	// endedMost bounds the memory for jobs that are over.
 	endedMost = 20000
-	// flushEvery spaces the progress records of one job. Until completions
-	// are stored the workers keep them, so this only has to keep reports
-	// short and lost machines cheap; writes are the scarcest thing there is.
-	flushEvery = 5 * time.Second
-	// writesAtOnce bounds the ends and progress records under way, so that
-	// submissions and cancellations find room in the write limit.
-	writesAtOnce = 3
+	// writesAtOnce bounds the ends under way, so that submissions and
+	// cancellations find room in the write limit.
+	writesAtOnce = 4
 )
 
 // job is a job that is not over, or whose tasks are not all gone yet.
@@ -47,18 +38,16 @@
 	shown   [2]int // counts last sent to the peers
 
 	// The owner's part.
-	ready     bool // progress is read
-	reading   bool
+	ready     bool // what earlier owners stored is known
+	reading   bool // waits for a reading of the pages
 	done      []uint64
 	doneCount int
 	queue     []int // tasks that wait, lowest number first
 	runs      map[int]*run
-	chunks    map[int]uint64 // version of each progress record
-	dirty     map[int]bool   // chunks with completed tasks not yet stored
-	stored    map[int]bool   // completed tasks whose completion is stored
-	busy      bool           // a write is under way
+	stored    []uint64 // completed tasks whose completion is stored
+	readFrom  uint64   // the first reading of the pages that will do
+	busy      bool     // a write is under way
 	nextWrite time.Time
-	dirtyAt   time.Time // since when a completion waits to be stored
 	notBefore time.Time // back-off after errors
 	failures  int
 	failedOn  map[string]bool
@@ -80,6 +69,24 @@
 	return n
 }
 
+// home is the key in the lease value at which the job's owner stands: its
+// team, or the part of the team's jobs that it was filed under.
+func (j *job) home() string {
+	if j.rec.Part != "" {
+		return j.rec.Part
+	}
+	return j.rec.Team
+}
+
+// owns tells whether this controller places the job's tasks.
+func (c *Core) owns(j *job) bool {
+	_, mine := c.homes[j.home()]
+	return mine
+}
+
+// isStored tells whether the completion of task i is stored.
+func (j *job) isStored(i int) bool { return j.stored != nil && j.stored[i/64]&(1<<(i%64)) != 0 }
+
 func (j *job) isDone(i int) bool { return j.done != nil && j.done[i/64]&(1<<(i%64)) != 0 }
 
 func taskName(id string, i int) string { return id + "/" + strconv.Itoa(i) }
@@ -272,13 +279,14 @@
 func (c *Core) jobOver(j *job) {
 	if !j.over {
 		j.over = true
+		c.dropEntries(j)
 		j.queue = nil
 		for _, r := range j.runs {
 			if r.state == runQueued {
 				c.dropRun(r)
 			} else {
 				r.stop = true
-				r.m.urgent = true
+				c.hurry(r.m)
 			}
 		}
 		c.placeDue = true
@@ -292,77 +300,20 @@
 
 // adopt makes the job ready for placing when this controller is its home.
 func (c *Core) adopt(j *job) {
-	since, mine := c.homes[j.rec.Team]
-	if !mine || j.ready || j.over {
+	since, mine := c.homes[j.home()]
+	if !mine || j.ready || j.reading || j.over {
 		return
 	}
 	if j.runs == nil {
 		j.runs = map[int]*run{}
-		j.done = make([]uint64, (j.rec.Tasks+63)/64)
-		j.chunks, j.dirty, j.stored = map[int]uint64{}, map[int]bool{}, map[int]bool{}
+		j.done, j.stored = make([]uint64, (j.rec.Tasks+63)/64), make([]uint64, (j.rec.Tasks+63)/64)
 	}
 	if j.first > since {
 		c.jobReady(j) // accepted under this ownership: nothing can have run
 		return
 	}
-	c.readProgress(j)
-}
-
-// readProgress reads what earlier owners stored of the job.
-func (c *Core) readProgress(j *job) {
-	if j.reading || c.now.Before(j.nextWrite) {
-		return
-	}
-	j.reading = true
-	prefix := donePrefix + j.rec.ID + "/"
-	var page func(after string)
-	page = func(after string) {
-		c.emit(StateRange{Prefix: prefix, After: after, ID: c.call(func(d Completed) {
-			if d.Status != 200 {
-				j.reading = false
-				j.nextWrite = c.now.Add(500 * time.Millisecond)
-				return
-			}
-			for _, p := range d.Page.Pairs {
-				c.mergeProgress(j, strings.TrimPrefix(p.Key, prefix), p.Value, p.Version)
-				after = p.Key
-			}
-			if d.Page.More && len(d.Page.Pairs) > 0 {
-				page(after)
-				return
-			}
-			j.reading = false
-			if _, mine := c.homes[j.rec.Team]; mine && !j.over {
-				c.jobReady(j)
-			}
-		})})
-	}
-	page("")
-}
-
-func (c *Core) mergeProgress(j *job, num string, value []byte, version uint64) {
-	k, err := strconv.Atoi(num)
-	var rec wire.DoneRecord
-	if err == nil {
-		err = wire.Decode(value, &rec)
-	}
-	var raw []byte
-	if err == nil {
-		raw, err = base64.StdEncoding.DecodeString(rec.Bits)
-	}
-	if err != nil || k < 0 || k*chunk >= j.rec.Tasks || j.done == nil {
-		c.log.Error("progress record", "job", j.rec.ID, "chunk", num, "err", err)
-		return
-	}
-	j.chunks[k] = version
-	for b, v := range raw {
-		for ; v != 0; v &= v - 1 {
-			if i := k*chunk + b*8 + bits.TrailingZeros8(v); i < j.rec.Tasks {
-				j.stored[i] = true
-				c.markDone(j, i)
-			}
-		}
-	}
+	// A reading that is under way may have passed the page already.
+	j.reading, j.readFrom = true, c.pageReads+1
 }
 
 func (c *Core) jobReady(j *job) {
@@ -382,104 +333,38 @@
 	}
 	j.done[i/64] |= 1 << (i % 64)
 	j.doneCount++
-	if !j.stored[i] {
-		if len(j.dirty) == 0 {
-			j.dirtyAt = c.now
-		}
-		j.dirty[i/chunk] = true
+	if j.doneCount == j.rec.Tasks {
+		c.ending[j.rec.ID] = true
+	} else if !j.isStored(i) {
+		c.noteDone(j, i)
 	}
 	if k, ok := slices.BinarySearch(j.queue, i); ok {
 		j.queue = slices.Delete(j.queue, k, k+1)
 	}
 }
 
-// flushJobs stores completions: the end of a job at once, progress at
-// intervals.
-func (c *Core) flushJobs() {
-	for _, id := range sortedKeys(c.jobs) {
+// endJobs stores the ends of jobs whose tasks are all completed.
+func (c *Core) endJobs() {
+	if len(c.ending) == 0 {
+		return
+	}
+	for _, id := range sortedKeys(c.ending) {
 		j := c.jobs[id]
-		if _, mine := c.homes[j.rec.Team]; !mine || j.over {
+		if j == nil || j.over || !c.owns(j) {
+			delete(c.ending, id)
 			continue
 		}
-		if !j.ready {
-			c.readProgress(j)
+		if c.writing >= writesAtOnce {
+			return
+		}
+		if j.busy || !j.ready || c.now.Before(j.nextWrite) {
 			continue
 		}
-		c.flushJob(j)
-	}
-}
-
-func (c *Core) flushJob(j *job) {
-	if j.busy || j.over || !j.ready || c.now.Before(j.nextWrite) || c.writing >= writesAtOnce {
-		return
-	}
-	if j.rec.Shape != wire.Daemon && j.doneCount == j.rec.Tasks {
 		c.writing++
 		c.endJob(j, wire.Done, 0, func(bool) { c.writing-- })
-		return
-	}
-	if len(j.dirty) > 0 && c.now.Sub(j.dirtyAt) >= flushEvery {
-		c.storeProgress(j, slices.Min(slices.Collect(maps.Keys(j.dirty))))
 	}
 }
 
-// storeProgress writes one stretch of completed tasks. Only then may the
-// workers forget them.
-func (c *Core) storeProgress(j *job, k int) {
-	from, to := k*chunk, min(j.rec.Tasks, (k+1)*chunk)
-	raw := make([]byte, (to-from+7)/8)
-	var included []int
-	for i := from; i < to; i++ {
-		if j.isDone(i) {
-			raw[(i-from)/8] |= 1 << ((i - from) % 8)
-			if !j.stored[i] {
-				included = append(included, i)
-			}
-		}
-	}
-	key := donePrefix + j.rec.ID + "/" + strconv.Itoa(k)
-	j.busy = true
-	c.writing++
-	delete(j.dirty, k)
-	c.emit(StateTxn{
-		// The record under the version it was based on: a late transaction
-		// of an earlier owner, or of an earlier try, cannot take anything
-		// back. The job's record too, since progress of a job that is over
-		// would stay behind for good.
-		Txn: wire.Txn{
-			If: []wire.Cond{{Key: key, Version: j.chunks[k]}, {Key: jobPrefix + j.rec.ID, Version: j.version}},
-			Then: []wire.Op{{Put: key, Value: wire.DoneRecord{
-				Bits: base64.StdEncoding.EncodeToString(raw)}}},
-		},
-		ID: c.call(func(d Completed) {
-			j.busy = false
-			c.writing--
-			j.nextWrite = c.now.Add(time.Second)
-			if d.Status == 200 && j.chunks != nil {
-				j.chunks[k] = d.Txn.Revision
-				for _, i := range included {
-					j.stored[i] = true
-				}
-				return
-			}
-			if j.dirty == nil {
-				return // no longer this controller's
-			}
-			j.dirty[k] = true
-			if d.Status != 409 {
-				return
-			}
-			// Somebody else, or an earlier try, was first: read and merge.
-			c.emit(StateGet{Key: key, ID: c.call(func(d Completed) {
-				if d.Status == 200 && j.done != nil {
-					c.mergeProgress(j, strconv.Itoa(k), d.Pair.Value, d.Pair.Version)
-				}
-			})})
-			c.refresh(j.rec.ID, nil)
-		}),
-	})
-}
-
 // endJob decides a job's end by a compare on the version of its record, so
 // that of a completion and a cancellation exactly one wins. then is told
 // whether the end is stored; tries bounds the repeats.
@@ -493,11 +378,6 @@
 		If:   []wire.Cond{{Key: jobPrefix + id, Version: j.version}, {Key: endPrefix + id}},
 		Then: []wire.Op{{Delete: jobPrefix + id}, {Put: endPrefix + id, Value: rec}},
 	}
-	for k := range j.chunks {
-		if len(txn.Then) < c.cfg.Cluster.State.TxnOps {
-			txn.Then = append(txn.Then, wire.Op{Delete: donePrefix + id + "/" + strconv.Itoa(k)})
-		}
-	}
 	j.busy = true
 	c.emit(StateTxn{Txn: txn, ID: c.call(func(d Completed) {
 		j.busy = false
@@ -563,7 +443,7 @@
 
 func (c *Core) jobAnswer(j *job) wire.JobAnswer {
 	a := wire.JobAnswer{ID: j.rec.ID, State: wire.Pending, Done: j.told[0], Running: j.told[1]}
-	if _, mine := c.homes[j.rec.Team]; mine {
+	if c.owns(j) {
 		a.Done, a.Running = j.doneCount, j.running()
 	}
 	if a.Running > 0 {
@@ -809,7 +689,11 @@
 		})
 		return
 	}
-	rec := wire.JobRecord{Job: e.Job, Owner: c.homeOf(e.Job.Team), AtMs: c.now.UnixMilli()}
+	rec := wire.JobRecord{Job: e.Job, Part: c.fileUnder(&e.Job), AtMs: c.now.UnixMilli()}
+	rec.Owner = c.homeOf(rec.Team)
+	if rec.Part != "" {
+		rec.Owner = c.homeOf(rec.Part)
+	}
 	c.emit(StateTxn{
 		Txn: wire.Txn{
 			If:   []wire.Cond{{Key: jobPrefix + id}, {Key: endPrefix + id}},
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -37,6 +37,7 @@
 	if version <= c.leaseVersion {
 		return
 	}
+	c.indexOwners(c.lease.Blocks, rec.Blocks)
 	c.lease, c.leaseVersion, c.leaseSeen = rec, version, c.now
 	if rec.Leader == c.me && rec.Incarnation == c.inc {
 		if c.lead == nil || c.lead.term != rec.Term {
@@ -75,9 +76,13 @@
 		m := &machine{name: name, runs: map[runKey]*run{}, heard: c.now, idle: c.now,
 			dirty: dirty, fence: c.grant << 24}
 		c.machines[name] = m
+		c.orderDue = true
 		if g := c.guests[name]; g != nil && !dirty {
 			m.kind, m.zone, m.spot = g.rep.Type, g.rep.Zone, g.rep.Spot
 		}
+		if g := c.guests[name]; g != nil {
+			c.introduce(m, g.rep.Endpoint, g.rep.Session)
+		}
 	}
 	for _, name := range b.Machines {
 		take(name, false)
@@ -95,43 +100,75 @@
 			m.recall = recalled[name]
 		case m.gave:
 			delete(c.machines, name)
+			c.orderDue = true
 		default:
 			// A machine leaves a block without being given back only when
 			// the cloud has confirmed that it is gone.
 			c.machineGone(m)
 		}
 	}
-	for team := range c.homes {
-		if rec.Homes[team] != c.me {
-			delete(c.homes, team)
+	for home := range c.homes {
+		if rec.Homes[home] != c.me {
+			delete(c.homes, home)
 		}
 	}
-	for _, team := range sortedKeys(rec.Homes) {
-		node := rec.Homes[team]
-		if _, known := c.homes[team]; node != c.me || known {
-			continue
+	gained := map[string]bool{}
+	for home, node := range rec.Homes {
+		if _, known := c.homes[home]; node == c.me && !known {
+			c.homes[home], gained[home] = version, true
 		}
-		c.homes[team] = version
+	}
+	if len(gained) > 0 {
 		for _, id := range sortedKeys(c.jobs) {
-			if j := c.jobs[id]; j.rec.Team == team {
+			if j := c.jobs[id]; gained[j.home()] {
 				c.adopt(j)
 			}
 		}
+		c.readPages()
 	}
 	c.placeDue = true
 	c.releaseGuests(false)
 }
 
+// indexOwners keeps track of who holds which machine. Blocks that did not
+// change cost a comparison only: the value is written often and is long.
+func (c *Core) indexOwners(before, after map[string]wire.Block) {
+	same := func(node string) bool {
+		a, b := before[node], after[node]
+		return slices.Equal(a.Machines, b.Machines) && slices.Equal(a.Old, b.Old)
+	}
+	for node, b := range before {
+		if same(node) {
+			continue
+		}
+		for _, names := range [][]string{b.Machines, b.Old} {
+			for _, name := range names {
+				delete(c.owners, name)
+			}
+		}
+	}
+	for node, b := range after {
+		if same(node) {
+			continue
+		}
+		for _, names := range [][]string{b.Machines, b.Old} {
+			for _, name := range names {
+				c.owners[name] = node
+			}
+		}
+	}
+}
+
 // loseBlock forgets all that the right to a block was the ground of.
 func (c *Core) loseBlock() {
 	c.grant, c.right = 0, time.Time{}
 	clear(c.machines)
+	c.orderDue = true
 	clear(c.used)
 	clear(c.homes)
 	clear(c.renewalSent)
 	for id, j := range c.jobs {
-		j.ready, j.reading, j.runs, j.done, j.doneCount, j.queue = false, false, nil, nil, 0, nil
-		j.chunks, j.dirty, j.stored = nil, nil, nil
+		j.ready, j.reading, j.runs, j.done, j.stored, j.doneCount, j.queue = false, false, nil, nil, nil, 0, nil
 		if j.over {
 			delete(c.jobs, id)
 		}
@@ -150,6 +187,9 @@
 		case m.lost:
 			r.Lost = append(r.Lost, name)
 		}
+		if m.endpoint == "" && !m.gave {
+			r.Unknown = append(r.Unknown, name)
+		}
 		u := &peerpb.Use{Name: name, Bad: m.bad, Going: !m.gone.IsZero()}
 		if !m.idle.IsZero() && m.session != 0 {
 			u.IdleS = c.now.Sub(m.idle).Seconds()
@@ -165,13 +205,13 @@
 		}
 		if c.ownerOf(name) == "" {
 			r.Seen = append(r.Seen, &peerpb.Seen{Name: name, Endpoint: g.rep.Endpoint,
-				Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot})
+				Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot, Session: g.rep.Session})
 		} else {
 			r.Heard = append(r.Heard, name)
 		}
 	}
 	for _, j := range c.jobs {
-		if _, mine := c.homes[j.rec.Team]; !mine || j.over || len(j.queue) == 0 {
+		if !c.owns(j) || j.over || len(j.queue) == 0 {
 			continue
 		}
 		for kind, t := range c.types {
@@ -183,6 +223,7 @@
 		}
 	}
 	r.Demand = c.demand()
+	r.BusyCpus, _ = c.measure()
 	return r
 }
 
@@ -401,6 +442,7 @@
 		return // late, from before this controller led
 	}
 	l.renewals[r.GetNode()], l.heardAt[r.GetNode()] = r, c.now
+	c.tellKnown(r)
 	c.log.Debug("renewal", "node", r.GetNode(), "number", r.GetNumber(), "heard", len(r.GetHeard()), "demand", len(r.GetDemand()))
 	if b, ok := c.lease.Blocks[r.GetNode()]; !ok || b.Incarnation != r.GetIncarnation() ||
 		len(r.GetGave())+len(r.GetLost())+len(r.GetSeen()) > 0 {
@@ -484,19 +526,19 @@
 		}
 		c.log.Info("lease lapsed", "node", node, "successor", to, "machines", len(dead.Machines)+len(dead.Old))
 	}
-	for _, t := range c.cfg.Cluster.Teams {
-		if _, ok := rec.Blocks[rec.Homes[t.Name]]; !ok {
-			if home := c.newHome(&rec); home != "" {
-				rec.Homes[t.Name] = home
-			}
-		}
-	}
+	c.settleHomes(&rec)
 	// Machines that are gone or given back leave their blocks.
-	placed := map[string]bool{}
+	recalls := map[string][]string{}
+	for _, n := range sortedKeys(l.recalls) {
+		recalls[c.ownerOf(n)] = append(recalls[c.ownerOf(n)], n)
+	}
 	var free []string
 	for _, node := range sortedKeys(rec.Blocks) {
 		b := rec.Blocks[node]
 		keep := func(names []string) []string {
+			if !slices.ContainsFunc(names, func(n string) bool { return l.gone[n] || gave[node][n] }) {
+				return names
+			}
 			var out []string
 			for _, n := range names {
 				switch {
@@ -505,20 +547,21 @@
 					free = append(free, n)
 				default:
 					out = append(out, n)
-					placed[n] = true
 				}
 			}
 			return out
 		}
 		b.Machines, b.Old = keep(b.Machines), keep(b.Old)
-		b.Recall = nil
-		for _, n := range sortedKeys(l.recalls) {
-			if slices.Contains(b.Machines, n) || slices.Contains(b.Old, n) {
-				b.Recall = append(b.Recall, n)
-			}
-		}
+		b.Recall = recalls[node]
 		rec.Blocks[node] = b
 	}
+	joined := map[string]map[string]bool{}
+	join := func(node, n string) {
+		if joined[node] == nil {
+			joined[node] = map[string]bool{}
+		}
+		joined[node][n] = true
+	}
 	// What was given back goes to the controller it was recalled for, under a
 	// new and higher grant, or back to the cloud.
 	for _, n := range free {
@@ -528,28 +571,32 @@
 			l.fleet.leaving[n] = true
 			continue
 		}
-		b.Machines = append(slices.Clone(b.Machines), n)
-		slices.Sort(b.Machines)
-		b.Grant = nextGrant(&rec)
-		rec.Blocks[to] = b
-		placed[n] = true
+		if joined[to] == nil {
+			b.Grant = nextGrant(&rec)
+			rec.Blocks[to] = b
+		}
+		join(to, n)
 	}
 	// Machines that reported and are in no block join one.
+	choose := c.joiner(&rec)
+	fresh := map[string]bool{}
 	for _, node := range nodes {
 		for _, s := range l.renewals[node].GetSeen() {
 			n := s.GetName()
-			if placed[n] || l.gone[n] || l.fleet.leaving[n] {
+			if fresh[n] || c.ownerOf(n) != "" || l.gone[n] || l.fleet.leaving[n] {
 				continue
 			}
-			to := c.blockFor(&rec, s)
-			b := rec.Blocks[to]
-			b.Machines = append(slices.Clone(b.Machines), n)
-			slices.Sort(b.Machines)
-			rec.Blocks[to] = b
-			placed[n] = true
+			fresh[n] = true
+			join(choose(s), n)
 			l.fleet.seen(c, s)
 		}
 	}
+	for node, names := range joined {
+		b := rec.Blocks[node]
+		b.Machines = append(slices.Clone(b.Machines), sortedKeys(names)...)
+		slices.Sort(b.Machines)
+		rec.Blocks[node] = b
+	}
 	rec.Waiting = map[string]int{}
 	for _, node := range nodes {
 		if r := l.renewals[node]; r != nil {
@@ -580,62 +627,56 @@
 	return len(b.Machines) + len(b.Old)
 }
 
-// newHome chooses a home for a team: the controller with the fewest; but
-// while the fleet is small, the one with most, or the leader. Parting a small
-// fleet leaves room unused on every part (see docs/measurements.md).
-func (c *Core) newHome(rec *wire.LeaseRecord) string {
-	count, fleet := map[string]int{}, 0
-	for _, home := range rec.Homes {
-		count[home]++
-	}
-	for node := range rec.Blocks {
-		fleet += load(rec, node)
-	}
-	if fleet >= c.par.Pack && len(c.lead.renewals) < c.nodes() && c.now.Sub(c.lead.since) < 2*time.Second {
-		return "" // the others get a moment to show up
-	}
-	best := c.me
-	for _, node := range sortedKeys(rec.Blocks) {
-		better := count[node] < count[best]
-		if fleet < c.par.Pack {
-			better = count[node] > count[best]
-		}
-		if c.lead.alive(c, node) && better {
-			best = node
-		}
-	}
-	return best
-}
-
-// blockFor chooses the block that a new machine joins: the one with most
-// waiting work for its size, among equals one in the machine's zone.
-func (c *Core) blockFor(rec *wire.LeaseRecord, s *peerpb.Seen) string {
-	best, bestNeed := "", -1.0
+// joiner returns a function that chooses the block a new machine joins: that
+// of the controller with most work, waiting or running, for the processors it
+// has; among equals one in the machine's zone.
+func (c *Core) joiner(rec *wire.LeaseRecord) func(s *peerpb.Seen) string {
+	l := c.lead
+	busy, size := map[string]float64{}, map[string]float64{}
+	var live []string
 	for _, node := range sortedKeys(rec.Blocks) {
-		if !c.lead.alive(c, node) {
+		if !l.alive(c, node) {
 			continue
 		}
-		need := 0.0
-		for _, d := range c.lead.renewals[node].GetDemand() {
-			need += float64(d.GetCount()) * max(d.GetCpus(), 0.1)
-		}
+		live = append(live, node)
+		busy[node] = l.renewals[node].GetBusyCpus()
 		for _, home := range rec.Homes {
 			if home == node {
-				need += 0.01
+				busy[node]++ // where work will come
+			}
+		}
+		b := rec.Blocks[node]
+		for _, names := range [][]string{b.Machines, b.Old} {
+			for _, n := range names {
+				size[node] += c.cpusOf(n)
 			}
 		}
-		need /= float64(1 + load(rec, node))
-		if area := c.areaOf(node); area == s.GetZone() {
-			need *= 1.01
+	}
+	return func(s *peerpb.Seen) string {
+		best, bestNeed := "", -1.0
+		for _, node := range live {
+			need := busy[node] / (8 + size[node])
+			if c.areaOf(node) == s.GetZone() {
+				need *= 1.01
+			}
+			if need > bestNeed {
+				best, bestNeed = node, need
+			}
 		}
-		if need > bestNeed {
-			best, bestNeed = node, need
+		if best == "" {
+			return c.me
 		}
+		size[best] += max(1, c.types[s.GetType()].CPUs)
+		return best
 	}
-	if best == "" {
-		return c.me
+}
+
+// cpusOf is the size of a rented machine, as the leader knows it.
+func (c *Core) cpusOf(name string) float64 {
+	if r := c.lead.fleet.machines[name]; r != nil {
+		return c.types[r.kind].CPUs
 	}
-	return best
+	return 0
 }
 
 func (c *Core) areaOf(node string) string {
@@ -648,25 +689,45 @@
 	return ""
 }
 
-// demand groups the tasks without a place, for the leader.
+// demandMost bounds the groups of waiting tasks that a renewal carries.
+const demandMost = 80
+
+// demand groups the tasks without a place, for the leader, best first.
 func (c *Core) demand() []*peerpb.Demand {
-	var out []*peerpb.Demand
+	var list []sched.Demand
 	for _, j := range c.readyJobs() {
 		n := c.allowance(j, len(j.queue))
 		if n == 0 {
 			continue
 		}
-		if len(out) >= 60 {
+		list = append(list, sched.Demand{Rank: j.rec.Rank(), Need: c.coarse(j), Types: j.rec.Types,
+			Zone: j.rec.Zone, Spot: j.rec.Spot, Count: n, RunS: c.runSeconds(j),
+			Whole: j.rec.Shape != wire.Array || c.now.Sub(j.waitSince) > starved})
+	}
+	var out []*peerpb.Demand
+	for _, d := range sched.Merge(list) {
+		if len(out) == demandMost {
 			break
 		}
-		d := &peerpb.Demand{Rank: int32(j.rec.Rank()), Cpus: j.rec.CPUs, Cards: j.rec.Cards,
-			MemoryGb: j.rec.MemoryGB, Types: j.rec.Types, Zone: j.rec.Zone, Spot: j.rec.Spot,
-			Count: int32(n), RunS: c.runSeconds(j), Image: j.rec.Image, Whole: j.rec.Shape != wire.Array || c.now.Sub(j.waitSince) > starved}
-		out = append(out, d)
+		out = append(out, &peerpb.Demand{Rank: int32(d.Rank), Cpus: d.Need.CPUs, Cards: d.Need.Cards,
+			MemoryGb: d.Need.MemoryGB, Types: d.Types, Zone: d.Zone, Spot: d.Spot,
+			Count: int32(d.Count), RunS: d.RunS, Whole: d.Whole})
 	}
 	return out
 }
 
+// coarse is what a task of the job needs, rounded up unless that would keep
+// it from every machine it may use.
+func (c *Core) coarse(j *job) sched.Amount {
+	rough := sched.Coarse(j.need())
+	for kind, t := range c.types {
+		if (len(j.rec.Types) == 0 || slices.Contains(j.rec.Types, kind)) && j.need().Fits(sizeOf(t)) && !rough.Fits(sizeOf(t)) {
+			return j.need()
+		}
+	}
+	return rough
+}
+
 // allowance is how many of n tasks the team's limit leaves room for.
 func (c *Core) allowance(j *job, n int) int {
 	limit := c.limitOf(j.rec.Team)
@@ -674,9 +735,13 @@
 		return n
 	}
 	used, need := c.used[j.rec.Team], j.need()
-	for n > 0 && !limit.Allows(used, sched.Amount{}.Add(need, float64(n))) {
-		n--
+	room := func(limit, used, need float64) {
+		if limit > 0 && need > 0 {
+			n = min(n, int(max(0, (limit-used+1e-6)/need)))
+		}
 	}
+	room(limit.CPUs, used.CPUs, need.CPUs)
+	room(limit.Cards, used.Cards, need.Cards)
 	return n
 }
 
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -1,8 +1,10 @@
 package controller
 
 import (
+	"cmp"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"fawncove/internal/config"
@@ -23,7 +25,7 @@
 	}
 	var list []entry
 	for _, j := range c.jobs {
-		if _, mine := c.homes[j.rec.Team]; !mine || !j.ready || j.over || len(j.queue) == 0 || c.now.Before(j.notBefore) {
+		if !c.owns(j) || !j.ready || j.over || len(j.queue) == 0 || c.now.Before(j.notBefore) {
 			continue
 		}
 		list = append(list, entry{j, sched.Ready{
@@ -108,10 +110,49 @@
 
 // spot is a usable machine with its room, while places are chosen.
 type spot struct {
-	m    *machine
-	free sched.Amount
-	soon sched.Amount // with what is being stopped there
-	dear float64
+	m       *machine
+	free    sched.Amount
+	soon    sched.Amount // with what is being stopped there
+	dear    float64
+	running []*run // what could be stopped there, listed when first asked for
+	listed  bool
+}
+
+// choice is a spot where a job's next task fits, with its cost.
+type choice struct {
+	s    *spot
+	cost float64
+}
+
+const (
+	// placeGap spaces the looks at all jobs and machines. Reports come by the
+	// hundred each second on a large fleet, and one look serves them all.
+	placeGap = 100 * time.Millisecond
+	// preemptGap spaces the looks for work to stop, which go over every task
+	// on every machine.
+	preemptGap = 500 * time.Millisecond
+)
+
+// placeSoon places what waits, unless that was done a moment ago; then the
+// next event or tick after the gap does it.
+func (c *Core) placeSoon() {
+	if c.placeDue && c.now.Sub(c.placedAt) >= placeGap {
+		c.placeDue, c.placedAt = false, c.now
+		c.place()
+	}
+}
+
+// machineOrder lists the block's machines by name.
+func (c *Core) machineOrder() []*machine {
+	if len(c.order) != len(c.machines) || c.orderDue {
+		c.orderDue = false
+		c.order = c.order[:0]
+		for _, m := range c.machines {
+			c.order = append(c.order, m)
+		}
+		slices.SortFunc(c.order, func(a, b *machine) int { return strings.Compare(a.name, b.name) })
+	}
+	return c.order
 }
 
 // place starts waiting tasks where there is room.
@@ -130,7 +171,8 @@
 	clear(c.stopping)
 	var hidden sched.Amount
 	var spots []*spot
-	for _, m := range c.machines {
+	dear := c.dearness()
+	for _, m := range c.machineOrder() {
 		if m.dirty || m.orphans > 0 {
 			unknown = true
 			size := m.size
@@ -142,7 +184,7 @@
 			hidden = hidden.Add(size, 1)
 		}
 		if c.usable(m) {
-			s := &spot{m: m, free: m.free(), dear: c.dear(m)}
+			s := &spot{m: m, free: m.free(), dear: dear(m)}
 			s.soon = s.free
 			for _, r := range m.runs {
 				if r.stop && r.j != nil && !r.over() {
@@ -153,26 +195,63 @@
 			spots = append(spots, s)
 		}
 	}
-	slices.SortFunc(spots, func(a, b *spot) int {
-		if a.m.name < b.m.name {
-			return -1
-		}
-		return 1
-	})
+	preempt := c.now.Sub(c.preemptAt) >= preemptGap
+	if preempt {
+		c.preemptAt = c.now
+	}
 	for _, j := range jobs {
-		if unknown && j.first <= c.homes[j.rec.Team] {
+		if unknown && j.first <= c.homes[j.home()] {
 			continue
 		}
 		if j.rec.Shape == wire.Group {
 			c.placeGang(j, spots, hidden)
 			continue
 		}
+		c.placeTasks(j, spots, hidden)
+		if preempt {
+			c.preempt(j, spots, hidden)
+		}
+	}
+}
+
+// placeTasks places as many of the job's waiting tasks as there is room for.
+func (c *Core) placeTasks(j *job, spots []*spot, hidden sched.Amount) {
+	if j.rec.SamePlace || j.rec.Scatter {
+		// Where the next one may go depends on where the last one went.
 		for len(j.queue) > 0 && c.placeOne(j, spots, hidden) != nil {
 		}
-		c.preempt(j, spots, hidden)
+		return
+	}
+	need, limit := j.need(), c.limitOf(j.rec.Team)
+	c.choices = c.choices[:0]
+	for _, s := range spots {
+		if need.Fits(s.free) && c.allowed(j, s.m) {
+			c.choices = append(c.choices, choice{s, c.costOf(j, s)})
+		}
+	}
+	for len(j.queue) > 0 && len(c.choices) > 0 && limit.Allows(c.used[j.rec.Team].Add(hidden, 1), need) {
+		best := 0
+		for i := range c.choices {
+			if c.choices[i].cost < c.choices[best].cost {
+				best = i
+			}
+		}
+		s := c.choices[best].s
+		s.free, s.soon = s.free.Add(need, -1), s.soon.Add(need, -1)
+		c.start(j, s.m)
+		if need.Fits(s.free) {
+			c.choices[best].cost = c.costOf(j, s)
+		} else {
+			c.choices = slices.Delete(c.choices, best, best+1)
+		}
 	}
 }
 
+func (c *Core) costOf(j *job, s *spot) float64 {
+	return sched.Cost(j.need(), sched.Place{Free: s.free, Size: s.m.size,
+		FetchS: s.m.fetchSeconds(j, c.types[s.m.kind].FetchGBPS), Dear: s.dear}, j.rec.Rank() <= 1)
+}
+
 const (
 	// preemptMost bounds the tasks that one look at a job makes room for.
 	preemptMost = 40
@@ -184,10 +263,18 @@
 	lostOwed   = 3.0
 )
 
+// eviction is what would have to be stopped on one machine for a task.
+type eviction struct {
+	s    *spot
+	stop []*run
+	lost float64
+}
+
 // preempt makes room for the waiting tasks of a job by stopping others: work
 // of lower priority for urgent jobs, and for a team within its guarantee what
 // other teams run beyond theirs. Work of the same or a higher priority is
-// otherwise left alone.
+// otherwise left alone. Each machine is looked at once; the next look finds
+// what else it could give.
 func (c *Core) preempt(j *job, spots []*spot, hidden sched.Amount) {
 	if len(j.queue) == 0 || j.rec.Shape == wire.Group {
 		return
@@ -196,75 +283,99 @@
 	used := c.used[j.rec.Team].Add(hidden, 1)
 	limit := c.limitOf(j.rec.Team)
 	within := c.guarantee(j.rec.Team)
-	var stopped []*job
-	defer func() {
-		for _, v := range stopped {
-			v.spared = c.now.Add(sparedFor)
-		}
-	}()
-	for range min(len(j.queue), preemptMost) {
-		if !limit.Allows(used, need) {
-			return
+	owed := within.Any() && within.Allows(used, need)
+	if j.rec.Rank() > 1 && !owed {
+		return
+	}
+	most := lostOwed
+	if j.rec.Rank() <= 1 {
+		most = lostUrgent
+	}
+	left := min(len(j.queue), preemptMost)
+	// next tells whether one more task may be made room for, and counts it.
+	next := func() bool {
+		owed = within.Any() && within.Allows(used, need)
+		if left == 0 || !limit.Allows(used, need) || (j.rec.Rank() > 1 && !owed) {
+			return false
 		}
-		owed := within.Any() && within.Allows(used, need)
+		left--
 		used = used.Add(need, 1)
-		if j.rec.Rank() > 1 && !owed {
-			return
+		return true
+	}
+	var found []eviction
+	for _, s := range spots {
+		if !c.allowed(j, s.m) {
+			continue
 		}
-		most := lostOwed
-		if j.rec.Rank() <= 1 {
-			most = lostUrgent
+		// Room that is being made already serves first.
+		for need.Fits(s.soon) {
+			if !next() {
+				return
+			}
+			s.soon = s.soon.Add(need, -1)
 		}
-		var best *spot
-		var bestStop []*run
-		bestLost := 0.0
-		for _, s := range spots {
-			if !c.allowed(j, s.m) {
+		var runs []*run
+		var victims []sched.Victim
+		for _, r := range s.runs() {
+			if r.stop || !c.mayStop(j, r, owed) {
 				continue
 			}
-			if need.Fits(s.soon) {
-				// Room is being made already.
-				best, bestStop, bestLost = s, nil, 0
-				break
-			}
-			var runs []*run
-			var victims []sched.Victim
-			for _, key := range sortedRuns(s.m) {
-				r := s.m.runs[key]
-				if r.stop || r.j == nil || r.over() || r.state == runQueued || !c.mayStop(j, r, owed) {
-					continue
+			lost := 0.0
+			if r.state == wire.TaskRunning {
+				lost = c.now.Sub(r.started).Seconds()
+				if r.j.rec.CheckpointS > 0 {
+					lost = r.j.rec.SaveS
 				}
-				lost := 0.0
-				if r.state == wire.TaskRunning {
-					lost = c.now.Sub(r.started).Seconds()
-					if r.j.rec.CheckpointS > 0 {
-						lost = r.j.rec.SaveS
-					}
-				}
-				victims = append(victims, sched.Victim{Index: len(runs), Frees: r.j.need(), Lost: lost * r.j.rec.CPUs})
-				runs = append(runs, r)
-			}
-			stop, lost := sched.Evict(need, s.soon, victims)
-			if len(stop) == 0 || lost > most*need.CPUs || (best != nil && lost >= bestLost) {
-				continue
-			}
-			best, bestLost, bestStop = s, lost, nil
-			for _, v := range stop {
-				bestStop = append(bestStop, runs[v.Index])
 			}
+			victims = append(victims, sched.Victim{Index: len(runs), Frees: r.j.need(), Lost: lost * r.j.rec.CPUs})
+			runs = append(runs, r)
 		}
-		if best == nil {
-			return
+		stop, lost := sched.Evict(need, s.soon, victims)
+		if len(stop) == 0 || lost > most*need.CPUs {
+			continue
+		}
+		e := eviction{s: s, lost: lost}
+		for _, v := range stop {
+			e.stop = append(e.stop, runs[v.Index])
+		}
+		found = append(found, e)
+	}
+	slices.SortStableFunc(found, func(a, b eviction) int { return cmp.Compare(a.lost, b.lost) })
+	var stopped []*job
+	for _, e := range found {
+		// What was stopped a moment ago may have used up what the other team
+		// runs beyond its guarantee.
+		if slices.ContainsFunc(e.stop, func(r *run) bool { return !c.mayStop(j, r, owed) }) {
+			continue
 		}
-		for _, r := range bestStop {
+		if !next() {
+			break
+		}
+		for _, r := range e.stop {
 			r.stop = true
 			stopped = append(stopped, r.j)
 			c.stopping[r.j.rec.Team] = c.stopping[r.j.rec.Team].Add(r.j.need(), 1)
-			r.m.urgent = true
-			best.soon = best.soon.Add(r.j.need(), 1)
+			c.hurry(r.m)
+			e.s.soon = e.s.soon.Add(r.j.need(), 1)
+		}
+		e.s.soon = e.s.soon.Add(need, -1)
+	}
+	for _, v := range stopped {
+		v.spared = c.now.Add(sparedFor)
+	}
+}
+
+// runs lists what could be stopped on the machine, oldest attempt first.
+func (s *spot) runs() []*run {
+	if !s.listed {
+		s.listed = true
+		for _, key := range sortedRuns(s.m) {
+			if r := s.m.runs[key]; r.j != nil && !r.over() && r.state != runQueued {
+				s.running = append(s.running, r)
+			}
 		}
-		best.soon = best.soon.Add(need, -1)
 	}
+	return s.running
 }
 
 // mayStop tells whether the attempt may be stopped for the sake of the job.
@@ -317,8 +428,7 @@
 		if !need.Fits(s.free) || !c.allowed(j, s.m) {
 			continue
 		}
-		cost := sched.Cost(need, sched.Place{Free: s.free, Size: s.m.size,
-			FetchS: s.m.fetchSeconds(j, c.types[s.m.kind].FetchGBPS), Dear: s.dear}, j.rec.Rank() <= 1)
+		cost := c.costOf(j, s)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -339,7 +449,7 @@
 	if len(j.runs) > 0 {
 		for _, r := range j.runs {
 			r.stop = true
-			r.m.urgent = true
+			c.hurry(r.m)
 		}
 		return
 	}
@@ -369,9 +479,9 @@
 	}
 }
 
-// dear is the price of a processor on the machine as a multiple of the
-// cheapest there is.
-func (c *Core) dear(m *machine) float64 {
+// dearness returns a function that tells the price of a processor on a
+// machine as a multiple of the cheapest there is.
+func (c *Core) dearness() func(m *machine) float64 {
 	cheapest := 0.0
 	for _, t := range c.types {
 		for _, p := range []float64{t.Price, t.SpotPrice} {
@@ -380,15 +490,17 @@
 			}
 		}
 	}
-	t := c.types[m.kind]
-	price := t.Price
-	if m.spot {
-		price = t.SpotPrice
-	}
-	if price <= 0 || cheapest <= 0 {
-		return 1
+	return func(m *machine) float64 {
+		t := c.types[m.kind]
+		price := t.Price
+		if m.spot {
+			price = t.SpotPrice
+		}
+		if price <= 0 || cheapest <= 0 {
+			return 1
+		}
+		return price / t.CPUs / cheapest
 	}
-	return price / t.CPUs / cheapest
 }
 
 // allowed tells whether the job's constraints let its next task start there,
@@ -420,33 +532,40 @@
 	return true
 }
 
-// fetchSeconds estimates how long the job's image takes to get there.
+// fetchSeconds estimates how long the job's image takes to get there. Images
+// that no task has run from yet are taken to be on their way.
 func (m *machine) fetchSeconds(j *job, rate float64) float64 {
 	if rate <= 0 || j.rec.ImageGB <= 0 {
 		return 0
 	}
-	fetching := map[string]bool{}
-	for _, r := range m.runs {
-		if r.j != nil && (r.state == wire.TaskFetching || r.state == "" || r.state == runQueued) {
-			fetching[r.j.rec.Image] = true
-		}
-	}
 	s := j.rec.ImageGB / rate
-	for _, img := range m.images {
-		if img.name == j.rec.Image {
-			if fetching[img.name] {
-				return s / 2
-			}
+	coming := 0
+	for i := range m.images {
+		img := &m.images[i]
+		switch {
+		case img.name == j.rec.Image && img.there:
 			return 0
+		case img.name == j.rec.Image:
+			return s / 2
+		case !img.there:
+			coming++
 		}
 	}
-	return s * float64(1+len(fetching))
+	return s * float64(1+coming)
 }
 
-// keep notes that the machine fetches or uses an image.
-func (m *machine) keep(name string, gb, cache float64) {
-	m.images = slices.DeleteFunc(m.images, func(i image) bool { return i.name == name })
-	m.images = append([]image{{name, gb}}, m.images...)
+// keep notes that the machine fetches or uses an image; there says that it
+// has it.
+func (m *machine) keep(name string, gb, cache float64, there bool) {
+	if len(m.images) > 0 && m.images[0].name == name {
+		m.images[0].there = m.images[0].there || there
+		return
+	}
+	if i := slices.IndexFunc(m.images, func(i image) bool { return i.name == name }); i >= 0 {
+		there = there || m.images[i].there
+		m.images = slices.Delete(m.images, i, i+1)
+	}
+	m.images = slices.Insert(m.images, 0, image{name, gb, there})
 	total := 0.0
 	for k, i := range m.images {
 		if total += i.gb; total > cache && k > 0 {
@@ -468,8 +587,8 @@
 	m.runs[runKey{r.task, r.attempt}] = r
 	j.runs[i] = r
 	c.count(r, 1)
-	m.keep(j.rec.Image, j.rec.ImageGB, c.types[m.kind].CacheGB)
+	m.keep(j.rec.Image, j.rec.ImageGB, c.types[m.kind].CacheGB, false)
 	m.idle = time.Time{}
-	m.urgent = true
+	c.hurry(m)
 	return r
 }
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"fawncove/internal/config"
+	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
 	"fawncove/internal/wire"
 )
@@ -69,9 +70,9 @@
 	gave     bool      // given back; not to be used any more
 	bad      bool      // fails its tasks
 	lost     bool
-	calling  bool // a direct call is under way
+	calling  bool   // a direct call is under way
+	guess    uint64 // its session, as far as others know
 	noDirect time.Time
-	urgent   bool // commands should go out at once
 	pauseTo  time.Time
 	runs     map[runKey]*run
 	images   []image
@@ -82,8 +83,9 @@
 }
 
 type image struct {
-	name string
-	gb   float64
+	name  string
+	gb    float64
+	there bool // a task has run from it
 }
 
 // guest is a machine of another block, or of none, that reports here.
@@ -136,7 +138,7 @@
 	delete(c.guests, r.Machine)
 	c.observe(m, r, true)
 	m.asking = true
-	c.place()
+	c.placeSoon()
 	m.asking = false
 	until := c.answerUntil()
 	cmds := c.commandsFor(m, viaAnswer)
@@ -150,9 +152,17 @@
 // commandsFor collects what the worker is to do and marks starts as sent.
 func (c *Core) commandsFor(m *machine, how via) []wire.Command {
 	cmds := []wire.Command{}
-	m.urgent = false
+	delete(c.hurried, m.name)
+	todo := false
+	for _, r := range m.runs {
+		todo = todo || r.over() || r.stop || r.state == runQueued
+	}
+	if !todo {
+		return cmds
+	}
 	grace := 0.0
-	for _, key := range sortedRuns(m) {
+	keys := sortedRuns(m)
+	for _, key := range keys {
 		r := m.runs[key]
 		switch {
 		case r.over():
@@ -172,7 +182,7 @@
 	if !c.mayStart() || m.gave {
 		return cmds
 	}
-	for _, key := range sortedRuns(m) {
+	for _, key := range keys {
 		r := m.runs[key]
 		if r.state != runQueued || len(cmds) > 200 {
 			continue
@@ -216,7 +226,7 @@
 	if r.via == viaDirect && (r.flying || (r.fence != 0 && r.m.token < r.fence)) {
 		return false
 	}
-	return r.j == nil || r.j.over || !r.j.isDone(r.i) || r.j.stored[r.i]
+	return r.j == nil || r.j.over || !r.j.isDone(r.i) || r.j.isStored(r.i)
 }
 
 // observe takes a report into the picture. full is true for a real report,
@@ -249,7 +259,7 @@
 			for _, a := range m.runs {
 				if a.j != nil && !a.over() && a.state != runQueued && (a.j.rec.CheckpointS > 0 || a.j.rec.Shape == wire.Daemon) {
 					a.stop = true
-					m.urgent = true
+					c.hurry(m)
 				}
 			}
 		}
@@ -279,6 +289,9 @@
 		}
 		if t.State == wire.TaskRunning && a.state != wire.TaskRunning {
 			a.started = c.now
+			if a.j != nil {
+				m.keep(a.j.rec.Image, a.j.rec.ImageGB, c.types[m.kind].CacheGB, true)
+			}
 		}
 		a.state = t.State
 		c.log.Debug("task", "task", t.Task, "attempt", t.Attempt, "machine", m.name, "state", t.State, "why", t.Why)
@@ -400,7 +413,7 @@
 	}
 	c.detach(r, true)
 	if j.doneCount == j.rec.Tasks {
-		c.flushJob(j)
+		c.endJobs()
 	}
 }
 
@@ -554,26 +567,28 @@
 
 // ownerOf names the controller that holds a machine.
 func (c *Core) ownerOf(name string) string {
-	if m := c.machines[name]; m != nil {
+	if c.machines[name] != nil {
 		return c.me
 	}
-	for node, b := range c.lease.Blocks {
-		if slices.Contains(b.Machines, name) || slices.Contains(b.Old, name) {
-			return node
-		}
-	}
-	return ""
+	return c.owners[name]
 }
 
+// hurry notes that a machine has commands that should go out at once.
+func (c *Core) hurry(m *machine) { c.hurried[m.name] = true }
+
 // sendCommands sends starts that wait straight to their workers: waiting for
 // the next report would cost a task seconds.
 func (c *Core) sendCommands() {
-	if !c.mayStart() {
+	if len(c.hurried) == 0 || !c.mayStart() {
 		return
 	}
-	for _, name := range sortedKeys(c.machines) {
+	for _, name := range sortedKeys(c.hurried) {
 		m := c.machines[name]
-		if !m.urgent || m.calling || m.asking || m.gave || m.endpoint == "" || m.session == 0 || c.now.Before(m.noDirect) {
+		if m == nil {
+			delete(c.hurried, name)
+			continue
+		}
+		if m.calling || m.asking || m.gave || m.endpoint == "" || m.session == 0 || c.now.Before(m.noDirect) {
 			continue
 		}
 		cmds := c.commandsFor(m, viaDirect)
@@ -629,6 +644,89 @@
 	c.touchIdle(m)
 }
 
+// ---- machines that this controller has not heard yet
+
+// asksAtOnce bounds the questions to workers under way, so that a takeover of
+// hundreds of machines does not use up processor and sockets at one stroke.
+const asksAtOnce = 24
+
+// introduce notes how a machine can be reached whose report has not come yet.
+// It is then asked: after a takeover every job that may have been started
+// before waits until the last machine has been heard, and the next reports
+// may be seconds away.
+func (c *Core) introduce(m *machine, endpoint string, session uint64) {
+	if endpoint == "" || m.endpoint != "" {
+		return
+	}
+	m.endpoint, m.guess = endpoint, max(1, session) // sessions start at 1
+	c.strangers[m.name] = true
+}
+
+// askWorkers asks machines that were introduced for their tasks, by commands
+// that name none. The answer counts as a report; the token that comes with
+// the question rules out commands of an earlier holder.
+func (c *Core) askWorkers() {
+	if len(c.strangers) == 0 || !c.mayStart() {
+		return
+	}
+	for _, name := range sortedKeys(c.strangers) {
+		m := c.machines[name]
+		if m == nil || m.gave || m.lost || (m.session != 0 && !m.dirty) {
+			delete(c.strangers, name)
+			continue
+		}
+		if c.asking >= asksAtOnce {
+			return
+		}
+		if m.calling || c.now.Before(m.noDirect) {
+			continue
+		}
+		session := m.session
+		if session == 0 {
+			session = m.guess
+		}
+		m.calling = true
+		c.asking++
+		c.emit(Direct{Endpoint: m.endpoint, Until: c.right,
+			Body: wire.Commands{Token: c.tokenFor(m), Session: session, Commands: []wire.Command{}},
+			ID: c.call(func(d Completed) {
+				c.asking--
+				c.directDone(m, nil, d)
+				if d.Status == 409 && m.session != 0 && m.session != session {
+					m.noDirect = time.Time{} // the wrong session; now it is known
+				}
+				if d.Status == 200 {
+					c.placeDue = true
+				}
+				c.askWorkers()
+			})})
+	}
+}
+
+// tellKnown tells a controller how to reach machines of its block.
+func (c *Core) tellKnown(r *peerpb.Renewal) {
+	var known []*peerpb.Seen
+	for _, name := range r.GetUnknown() {
+		if m := c.lead.fleet.machines[name]; m != nil && m.endpoint != "" && c.owners[name] == r.GetNode() {
+			known = append(known, &peerpb.Seen{Name: name, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: m.session})
+		}
+	}
+	if len(known) > 0 {
+		c.emit(PeerSend{To: r.GetNode(), Frame: &peerpb.Frame{From: c.me, Incarnation: c.inc,
+			StateOk: c.now.Sub(c.stateOK) < 4*time.Second, SpareCpus: c.spare, Known: known}})
+	}
+}
+
+// introduceOwn is tellKnown for the leader's own block.
+func (c *Core) introduceOwn() {
+	for name, m := range c.machines {
+		if r := c.lead.fleet.machines[name]; m.endpoint == "" && r != nil {
+			c.introduce(m, r.endpoint, r.session)
+		}
+	}
+	c.askWorkers()
+}
+
 // cutPatience is how much longer machines may be silent that fell silent with
 // half of their zone.
 const cutPatience = 25 * time.Second
@@ -678,6 +776,7 @@
 // machineGone removes a machine that the cloud has surely ended.
 func (c *Core) machineGone(m *machine) {
 	delete(c.machines, m.name)
+	c.orderDue = true
 	for _, r := range m.runs {
 		c.detach(r, true)
 	}
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -1,6 +1,10 @@
 package sched
 
-import "slices"
+import (
+	"math"
+	"slices"
+	"strings"
+)
 
 // Demand is a group of like tasks that wait.
 type Demand struct {
@@ -57,6 +61,42 @@
 	return took, cpus
 }
 
+// Merge adds up groups that differ in nothing but their count, so that the
+// choice of machines does not depend on how many controllers asked.
+func Merge(list []Demand) []Demand {
+	type key struct {
+		rank  int
+		need  Amount
+		types string
+		zone  string
+		spot  bool
+		whole bool
+	}
+	at := map[key]int{}
+	var out []Demand
+	for _, d := range list {
+		k := key{d.Rank, d.Need, strings.Join(d.Types, "\x00"), d.Zone, d.Spot, d.Whole}
+		i, ok := at[k]
+		if !ok {
+			at[k] = len(out)
+			out = append(out, d)
+			continue
+		}
+		o := &out[i]
+		if n := o.Count + d.Count; n > 0 {
+			o.RunS = (o.RunS*float64(o.Count) + d.RunS*float64(d.Count)) / float64(n)
+			o.Count = n
+		}
+	}
+	return out
+}
+
+// Coarse rounds an amount up, so that jobs of about the same size count as
+// one group.
+func Coarse(a Amount) Amount {
+	return Amount{CPUs: math.Ceil(a.CPUs*2) / 2, Cards: a.Cards, MemoryGB: math.Ceil(a.MemoryGB)}
+}
+
 // Absorb packs waiting tasks into machines that are on their way and returns
 // what is left.
 func Absorb(waiting []Demand, coming []Offer) []Demand {
@@ -76,7 +116,7 @@
 	left = slices.Clone(left)
 	slices.SortStableFunc(left, func(a, b Demand) int { return a.Rank - b.Rank })
 	var orders []Order
-	for ; most > 0; most-- {
+	for most > 0 {
 		best, bestWorth := -1, 0.0
 		var bestTook []int
 		for i := range offers {
@@ -91,15 +131,24 @@
 		if best < 0 {
 			break
 		}
+		// The same fill again and again while there is enough of everything:
+		// a large fleet is rented by the dozen.
+		times := most
 		for k, n := range bestTook {
-			left[k].Count -= n
+			if n > 0 {
+				times = min(times, left[k].Count/n)
+			}
+		}
+		for k, n := range bestTook {
+			left[k].Count -= n * times
 		}
+		most -= times
 		if i := slices.IndexFunc(orders, func(o Order) bool {
 			return o.Type == offers[best].Type && o.Zone == offers[best].Zone && o.Spot == offers[best].Spot
 		}); i >= 0 {
-			orders[i].Number++
+			orders[i].Number += times
 		} else {
-			orders = append(orders, Order{offers[best], 1})
+			orders = append(orders, Order{offers[best], times})
 		}
 	}
 	return orders
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -32,17 +32,22 @@
 	control budget
 }
 
-// controlPart of a controller's share is set apart for leases and leadership,
-// so that no burst of jobs delays them.
-const controlPart = 0.15
-
-// New returns a client for the service at addr that keeps within share of its
-// limits.
-func New(addr string, rps, writeRPS, share float64) *Store {
-	rps, writeRPS = rps*share, writeRPS*share
+// Every controller keeps to an equal part of workPart of the limits. The lease
+// value has a part of its own, so that no burst of jobs delays it; only one
+// controller leads, so it is not divided. What is left over absorbs that
+// clocks differ and that renewals come this way when zones are apart.
+const (
+	workPart    = 0.8
+	controlPart = 0.12
+)
+
+// New returns a client for the service at addr that keeps within this
+// controller's part of its limits, one of controllers.
+func New(addr string, rps, writeRPS float64, controllers int) *Store {
+	share := workPart / float64(max(1, controllers))
 	return &Store{base: "http://" + addr,
 		calls: client.New(8, maxAnswer), watches: client.New(2, maxAnswer),
-		work:    newBudget(rps*(1-controlPart), writeRPS*(1-controlPart)),
+		work:    newBudget(rps*share, writeRPS*share),
 		control: newBudget(rps*controlPart, writeRPS*controlPart)}
 }
 
--- /dev/null
+++ b/internal/wire/nameset.go
@@ -0,0 +1,173 @@
+package wire
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// NameSet is a set of machine names in order. It is stored as one short text,
+// since a whole fleet stands in one value of the state service: names that
+// share a form (letters, then a number of so many digits) become the gaps
+// between their numbers, which is little more than a character a machine.
+type NameSet []string
+
+// The text is the base64 of, for each form: the length of the letters and the
+// letters, the number of digits, how many names, and the gaps. A form of no
+// digits has one name, its letters.
+
+// maxDigits keeps numbers within an int64.
+const maxDigits = 18
+
+// form parts a name into letters and a number. Numbers with more digits than
+// fit are left in the letters, where they are safe.
+func form(name string) (letters string, digits int, number uint64) {
+	i := len(name)
+	for i > 0 && name[i-1] >= '0' && name[i-1] <= '9' && len(name)-i < maxDigits {
+		i--
+	}
+	if i == len(name) {
+		return name, 0, 0
+	}
+	number, err := strconv.ParseUint(name[i:], 10, 64)
+	if err != nil {
+		return name, 0, 0 // cannot be: at most maxDigits digits
+	}
+	return name[:i], len(name) - i, number
+}
+
+// packNames writes names, which must be in order and without repeats, as one
+// text.
+func packNames(names []string) string {
+	raw := make([]byte, 0, len(names)+32)
+	// Names of one form need not stand together: "a10" sorts between "a1"
+	// and "a2".
+	type key struct {
+		letters string
+		digits  int
+	}
+	forms := map[key][]uint64{}
+	var order []key
+	for _, name := range names {
+		letters, digits, number := form(name)
+		k := key{letters, digits}
+		if forms[k] == nil {
+			order = append(order, k)
+		}
+		forms[k] = append(forms[k], number)
+	}
+	for _, k := range order {
+		raw = binary.AppendUvarint(raw, uint64(len(k.letters)))
+		raw = append(raw, k.letters...)
+		raw = binary.AppendUvarint(raw, uint64(k.digits))
+		if k.digits == 0 {
+			continue
+		}
+		raw = binary.AppendUvarint(raw, uint64(len(forms[k])))
+		last := uint64(0)
+		for _, n := range forms[k] {
+			raw = binary.AppendUvarint(raw, n-last)
+			last = n
+		}
+	}
+	return base64.RawStdEncoding.EncodeToString(raw)
+}
+
+var errNames = errors.New("names: cut short or damaged")
+
+// unpackNames reads what packNames wrote.
+func unpackNames(text string) ([]string, error) {
+	raw, err := base64.RawStdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, fmt.Errorf("names: %w", err)
+	}
+	next := func() (uint64, bool) {
+		v, n := binary.Uvarint(raw)
+		if n <= 0 {
+			return 0, false
+		}
+		raw = raw[n:]
+		return v, true
+	}
+	var names []string
+	for len(raw) > 0 {
+		size, ok := next()
+		if !ok || size > uint64(len(raw)) {
+			return nil, errNames
+		}
+		letters := string(raw[:size])
+		raw = raw[size:]
+		digits, ok := next()
+		if !ok || digits > maxDigits {
+			return nil, errNames
+		}
+		if digits == 0 {
+			names = append(names, letters)
+			continue
+		}
+		count, ok := next()
+		if !ok || count > uint64(len(raw)) { // a gap takes a byte at least
+			return nil, errNames
+		}
+		number := uint64(0)
+		for range count {
+			gap, ok := next()
+			if !ok {
+				return nil, errNames
+			}
+			number += gap
+			num := strconv.FormatUint(number, 10)
+			if len(num) > int(digits) {
+				return nil, errNames
+			}
+			names = append(names, letters+strings.Repeat("0", int(digits)-len(num))+num)
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (s NameSet) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return enc.EncodeString(packNames(s))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder. It also reads the plain list
+// of an earlier version. Anything else is an error: a value that cannot be
+// read must never pass for an empty one.
+func (s *NameSet) DecodeMsgpack(dec *msgpack.Decoder) error {
+	v, err := dec.DecodeInterface()
+	if err != nil {
+		return err
+	}
+	switch v := v.(type) {
+	case nil:
+		*s = nil
+	case string:
+		names, err := unpackNames(v)
+		if err != nil {
+			return err
+		}
+		*s = names
+	case []any:
+		names := make([]string, 0, len(v))
+		for _, x := range v {
+			name, ok := x.(string)
+			if !ok {
+				return fmt.Errorf("names: %T in the list", x)
+			}
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		*s = names
+	default:
+		return fmt.Errorf("names: neither text nor list but %T", v)
+	}
+	return nil
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -59,6 +59,8 @@
 type JobRecord struct {
 	Job   `msgpack:",inline"`
 	Owner string `msgpack:"owner"`
+	// Part is set when the jobs of its team are parted over controllers.
+	Part string `msgpack:"part,omitempty"`
 	// AtMs is the time of day of the submission, in milliseconds.
 	AtMs int64 `msgpack:"at_ms"`
 }
@@ -70,12 +72,6 @@
 	Done  int    `msgpack:"done"`
 }
 
-// DoneRecord holds the completed tasks of one stretch of a job, as base64 of
-// a bit a task.
-type DoneRecord struct {
-	Bits string `msgpack:"bits"`
-}
-
 // LeaseRecord is the one value that holds leadership and all block leases.
 type LeaseRecord struct {
 	Term        uint64            `msgpack:"term"`
@@ -92,11 +88,11 @@
 // Block is what one controller holds. Old machines came to it from a holder
 // that ended without giving them up, so they may run tasks it knows nothing of.
 type Block struct {
-	Grant       uint64   `msgpack:"grant"`
-	Incarnation uint64   `msgpack:"inc"`
-	Renewal     uint64   `msgpack:"renewal"`
-	Machines    []string `msgpack:"machines"`
-	Old         []string `msgpack:"old"`
+	Grant       uint64  `msgpack:"grant"`
+	Incarnation uint64  `msgpack:"inc"`
+	Renewal     uint64  `msgpack:"renewal"`
+	Machines    NameSet `msgpack:"machines"`
+	Old         NameSet `msgpack:"old"`
 	// Recall names machines the leader wants back once they are empty.
-	Recall []string `msgpack:"recall,omitempty"`
+	Recall NameSet `msgpack:"recall,omitempty"`
 }
