A machine taken over is given back only once it is known to be empty

The leader took it off the block, and the tasks it still ran were started elsewhere before its release was confirmed. Ruled out: the direct question to workers (its answer lists what runs), the lease value (written under its version), late starts (refused by token). Now a machine must have been heard under the present grant to count as empty; a test of the core covers it. Recalls of busy machines made it show.

--- /dev/null
+++ b/internal/controller/controller_test.go
@@ -0,0 +1,106 @@
+package controller
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/wire"
+)
+
+// newCore returns a core that has read an empty state and holds machines that
+// came from a holder that ended.
+func newCore(t *testing.T, teams []config.Team, rec wire.LeaseRecord) (*Core, time.Time) {
+	t.Helper()
+	s := &config.Settings{HostName: "n0", Area: "x", Peers: []config.Peer{{HostName: "n1", Area: "y"}},
+		Cluster: config.Cluster{InitialSize: 2, Zones: []string{"x", "y"}, Teams: teams,
+			Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
+			State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+			Cloud:   config.Cloud{RPS: 5, ListLagS: 4}}}
+	c := New(s, Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	c.now, c.fresh, c.loaded = now, now, true
+	c.types["s4"] = wire.MachineType{Name: "s4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 6, Zones: []string{"x", "y"}}
+	c.applyLease(rec, 5)
+	return c, now
+}
+
+// TestUnheardMachineIsNotGivenBack guards against a machine being given back
+// as empty that a restarted controller has not heard yet: its tasks were then
+// started elsewhere while it still ran them.
+func TestUnheardMachineIsNotGivenBack(t *testing.T) {
+	c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Old: wire.NameSet{"host-000001"}, Recall: wire.NameSet{"host-000001"}}},
+		Homes:  map[string]string{"free": "n0"}})
+	m := c.machines["host-000001"]
+	if m == nil || !m.dirty || !m.recall {
+		t.Fatalf("not taken over as it should: %+v", m)
+	}
+	c.Step(now.Add(time.Second), Tick{})
+	if m.gave {
+		t.Fatal("given back before it was heard")
+	}
+	r := wire.Report{Machine: m.name, Endpoint: "10.1.0.1:9000", Type: "s4", Zone: "x", Session: 1, Seq: 3}
+	c.Step(now.Add(2*time.Second), ReportIn{Req: 1, Report: r}) // from before it saw our token
+	c.Step(now.Add(2100*time.Millisecond), Tick{})
+	if m.gave {
+		t.Fatal("given back before it had seen the new token")
+	}
+	r.Seq, r.Token = 4, c.tokenFor(m)
+	c.fresh = now.Add(2 * time.Second)
+	c.Step(now.Add(3*time.Second), ReportIn{Req: 2, Report: r})
+	c.Step(now.Add(3200*time.Millisecond), Tick{})
+	if !m.gave {
+		t.Error("not given back though it is known to be empty")
+	}
+}
+
+// TestPagesHoldManyJobs stores the completed tasks of many jobs in one page,
+// and finds them again in another controller's hands.
+func TestPagesHoldManyJobs(t *testing.T) {
+	lease := wire.LeaseRecord{Term: 3, Leader: "n1", Homes: map[string]string{"free": "n0"},
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}}
+	job := func(i int) wire.JobRecord {
+		return wire.JobRecord{Job: wire.Job{ID: fmt.Sprintf("wk-%06d", i), Team: "free", Shape: wire.Array,
+			Priority: "standard", Tasks: 100 + 3000*(i%3), CPUs: 1}}
+	}
+	a, now := newCore(t, []config.Team{{Name: "free"}}, lease)
+	for i := range 40 {
+		a.applyJob(job(i), uint64(10+i))
+		for k := 0; k < a.jobs[job(i).ID].rec.Tasks; k += 7 + i {
+			a.markDone(a.jobs[job(i).ID], k)
+		}
+	}
+	stored := map[string]any{}
+	for _, e := range a.Step(now.Add(flushEvery+time.Second), Tick{}) {
+		if txn, ok := e.(StateTxn); ok {
+			for _, op := range txn.Txn.Then {
+				body, err := wire.Encode(op.Value)
+				if err != nil || len(body) > 8<<10 {
+					t.Fatalf("%s: %d bytes, %v", op.Put, len(body), err)
+				}
+				stored[op.Put] = body
+			}
+		}
+	}
+	if len(stored) == 0 || len(stored) > 6 {
+		t.Fatalf("%d writes for forty jobs", len(stored))
+	}
+	b, _ := newCore(t, []config.Team{{Name: "free"}}, lease)
+	for i := range 40 {
+		b.applyJob(job(i), uint64(3)) // before the lease: taken over
+	}
+	for key, body := range stored {
+		b.readPage(key, body.([]byte))
+	}
+	for i := range 40 {
+		j := b.jobs[job(i).ID]
+		b.takeFacts(j)
+		if want := a.jobs[j.rec.ID].doneCount; j.doneCount != want || want == 0 {
+			t.Errorf("%s: %d tasks known to be completed, want %d", j.rec.ID, j.doneCount, want)
+		}
+	}
+}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -45,6 +46,10 @@
 	listed    bool // one whole list has been read since leading
 	planAt    time.Time
 	judgedAt  time.Time
+	gaugedAt  time.Time
+	load      float64 // processors used or waited for, averaged
+	spot      float64 // processors of spot machines, coming ones included
+	target    float64 // what spot should be
 	renting   int
 	requests  uint64
 	refused   map[offerKey]time.Time
@@ -174,6 +179,7 @@
 // recalling them from their blocks.
 func (c *Core) judge() {
 	l := c.lead
+	c.gauge()
 	heard := map[string]bool{}
 	for node, r := range l.renewals {
 		if c.now.Sub(l.heardAt[node]) < 2*c.par.Publish {
@@ -212,6 +218,7 @@
 			l.fleet.leaving[name] = true
 		}
 	}
+	c.retire()
 	c.balance()
 	for n := range l.recalls {
 		if owner := c.ownerOf(n); l.gone[n] || owner == "" || owner == l.moves[n] {
@@ -221,6 +228,62 @@
 	}
 }
 
+// spareShare is the part of the fleet that stays free on spot machines when
+// ordinary ones are recalled, so that nothing waits for it.
+const spareShare = 0.03
+
+// retire recalls ordinary machines while spot machines that are up have room
+// for their work: they cost a multiple and would otherwise stay busy for as
+// long as there is any work.
+func (c *Core) retire() {
+	l := c.lead
+	f := &l.fleet
+	free := 0.0
+	kept := map[string]bool{}
+	for _, node := range sortedKeys(l.renewals) {
+		r := l.renewals[node]
+		for _, d := range r.GetDemand() {
+			if !d.GetSpot() {
+				return // ordinary machines are what is wanted
+			}
+		}
+		for _, n := range r.GetBound() {
+			kept[n] = true
+		}
+		free += r.GetFreeSpotCpus()
+	}
+	var dear []string
+	for name, r := range f.machines {
+		cpus := c.types[r.kind].CPUs
+		if c.ownerOf(name) == "" || f.leaving[name] {
+			continue
+		}
+		free -= spareShare * cpus
+		if l.recalls[name] && !r.spot {
+			free -= cpus // what it runs goes on elsewhere
+		} else if !r.spot && !kept[name] {
+			dear = append(dear, name)
+		}
+	}
+	if free <= 0 || len(dear) == 0 {
+		return
+	}
+	perCPU := func(name string) float64 {
+		t := c.types[f.machines[name].kind]
+		return t.Price / max(t.CPUs, 1)
+	}
+	slices.SortFunc(dear, func(a, b string) int {
+		return cmp.Or(cmp.Compare(perCPU(b), perCPU(a)), cmp.Compare(a, b))
+	})
+	for _, name := range dear {
+		if cpus := c.types[f.machines[name].kind].CPUs; cpus <= free {
+			l.recalls[name] = true
+			l.dirty = true
+			free -= cpus
+		}
+	}
+}
+
 // balance recalls idle machines for controllers whose waiting tasks they
 // would take. A machine stays where its holder has work for it, so that none
 // goes to and fro.
@@ -288,7 +351,12 @@
 			boot = t.BootS
 		}
 	}
-	if bad || idleS > share*boot {
+	cpus := 0.0
+	if r := l.fleet.machines[name]; r != nil && r.spot {
+		cpus = c.types[r.kind].CPUs
+	}
+	if bad || (idleS > share*boot && (cpus == 0 || l.fleet.spot-cpus >= l.fleet.target)) {
+		l.fleet.spot -= cpus
 		l.recalls[name] = true
 		l.dirty = true
 	}
@@ -341,7 +409,11 @@
 		waiting = append(waiting, demands(l.renewals[node])...)
 	}
 	waiting = sched.Merge(waiting)
-	if len(waiting) == 0 || !c.roomForMore() {
+	if !c.roomForMore() {
+		return
+	}
+	c.cover()
+	if len(waiting) == 0 || f.renting > 0 {
 		return
 	}
 	var coming []sched.Offer
@@ -386,6 +458,70 @@
 	}
 }
 
+// marketPause is how long after a refusal the spot market is not asked for
+// machines that would only make the fleet cheaper.
+const marketPause = 60 * time.Second
+
+// headroom is the part by which the spot machines of a large fleet exceed its
+// load, so that what comes next finds room at once.
+const headroom = 0.1
+
+// loadMemory is how long the load is averaged over. Machines are kept while
+// the load dips for less.
+const loadMemory = 60 * time.Second
+
+// gauge sums up the fleet: what its tasks use or wait for, averaged, and the
+// processors of the spot machines that are up or coming.
+func (c *Core) gauge() {
+	l := c.lead
+	f := &l.fleet
+	busy := 0.0
+	for _, r := range l.renewals {
+		busy += r.GetBusyCpus()
+	}
+	if f.gaugedAt.IsZero() {
+		f.load = busy
+	} else {
+		f.load += (busy - f.load) * min(1, c.now.Sub(f.gaugedAt).Seconds()/loadMemory.Seconds())
+	}
+	f.gaugedAt = c.now
+	f.spot = 0
+	for name, r := range f.machines {
+		t := c.types[r.kind]
+		if r.spot && !f.leaving[name] && !l.recalls[name] && (c.ownerOf(name) != "" || c.now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS)) {
+			f.spot += t.CPUs
+		}
+	}
+	f.target = 0
+	if c.large() {
+		// On a small fleet one job is a large part of the load, and the
+		// average says little about what comes next.
+		f.target = max(busy, f.load) * (1 + headroom)
+	}
+}
+
+// cover rents spot machines until they alone cover the load, if the market
+// has them; retire recalls the ordinary ones once these are up.
+func (c *Core) cover() {
+	f := &c.lead.fleet
+	var offers []sched.Offer
+	for _, o := range c.offers(true) {
+		if c.now.Sub(f.refused[offerKey{o.Type, o.Zone, o.Spot}]) > marketPause-refusedFor {
+			offers = append(offers, o)
+		}
+	}
+	slices.SortStableFunc(offers, func(a, b sched.Offer) int {
+		return cmp.Compare(a.Price/a.Size.CPUs, b.Price/b.Size.CPUs)
+	})
+	if len(offers) == 0 {
+		return
+	}
+	o := offers[0]
+	if want := f.target - f.spot; want >= o.Size.CPUs {
+		c.rent(sched.Order{Offer: o, Number: min(int(want/o.Size.CPUs), wire.MaxRent)})
+	}
+}
+
 // roomForMore tells whether the lease value can name more machines. All of
 // them stand in one value, whose size the state service limits.
 func (c *Core) roomForMore() bool {
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -190,6 +190,12 @@
 		if m.endpoint == "" && !m.gave {
 			r.Unknown = append(r.Unknown, name)
 		}
+		if m.spot && c.usable(m) {
+			r.FreeSpotCpus += max(0, m.free().CPUs)
+		}
+		if !m.spot && m.bound() {
+			r.Bound = append(r.Bound, name)
+		}
 		u := &peerpb.Use{Name: name, Bad: m.bad, Going: !m.gone.IsZero()}
 		if !m.idle.IsZero() && m.session != 0 {
 			u.IdleS = c.now.Sub(m.idle).Seconds()
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -88,6 +88,16 @@
 	there bool // a task has run from it
 }
 
+// bound tells whether the machine runs tasks that may not run on a spot one.
+func (m *machine) bound() bool {
+	for _, r := range m.runs {
+		if r.j != nil && !r.over() && !r.j.rec.Spot {
+			return true
+		}
+	}
+	return false
+}
+
 // guest is a machine of another block, or of none, that reports here.
 type guest struct {
 	rep     wire.Report
@@ -761,7 +771,9 @@
 			c.renewSoon = true
 			c.log.Info("machine lost", "machine", m.name, "silent", silent)
 		}
-		if m.recall && !m.gave && len(m.runs) == 0 && !m.calling {
+		// A machine that has not been heard since it was taken over may run
+		// tasks that are not known yet: empty means known to be empty.
+		if m.recall && !m.gave && len(m.runs) == 0 && !m.calling && !m.dirty && m.session != 0 && m.orphans == 0 {
 			m.gave = true
 			c.renewSoon = true
 		}
