Urgent tasks go where their image is; packing and price count little for them

Cause: an empty machine cost as much as six seconds of fetching, so urgent tasks fetched on fuller machines while others had their image.

--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -111,17 +111,23 @@
 	// leftS weighs the share of a machine that stays free, which keeps other
 	// machines empty for return.
 	leftS = 6.0
+	// leftUrgentS is the same for urgent tasks, for which a second of
+	// fetching counts more than machines that could be returned.
+	leftUrgentS = 1.0
+	// dearUrgentS only decides between places that are equal otherwise.
+	dearUrgentS = 0.2
 )
 
 // Cost rates a place for a task that takes need: lower is better. For urgent
-// tasks the price does not count.
+// tasks the price hardly counts.
 func Cost(need Amount, p Place, urgent bool) float64 {
-	cost := p.FetchS
-	if p.Size.CPUs > 0 {
-		cost += leftS * (p.Free.CPUs - need.CPUs) / p.Size.CPUs
+	left, dear := leftS, dearS
+	if urgent {
+		left, dear = leftUrgentS, dearUrgentS
 	}
-	if !urgent {
-		cost += dearS * (p.Dear - 1)
+	cost := p.FetchS + dear*(p.Dear-1)
+	if p.Size.CPUs > 0 {
+		cost += left * (p.Free.CPUs - need.CPUs) / p.Size.CPUs
 	}
 	return cost
 }
