--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -193,6 +193,8 @@
 			heard[n] = true
 		}
 	}
+	// What stands empty here may be what somebody else waits for.
+	c.balance()
 	own := l.renewals[c.me]
 	for node, r := range l.renewals {
 		for _, n := range r.GetLost() {
@@ -219,7 +221,6 @@
 		}
 	}
 	c.retire()
-	c.balance()
 	for n := range l.recalls {
 		if owner := c.ownerOf(n); l.gone[n] || owner == "" || owner == l.moves[n] {
 			delete(l.recalls, n)
@@ -417,7 +418,7 @@
 		return
 	}
 	var coming []sched.Offer
-	have := 0.0
+	have, soonHave := 0.0, 0.0
 	for _, name := range sortedKeys(f.machines) {
 		r := f.machines[name]
 		t, ok := c.types[r.kind]
@@ -429,6 +430,7 @@
 		} else if c.now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS) {
 			// Slower ones may never come and count as absent.
 			coming = append(coming, sched.Offer{Type: r.kind, Zone: r.zone, Spot: r.spot, Size: sizeOf(t)})
+			soonHave += t.CPUs
 		}
 	}
 	left := sched.Absorb(waiting, coming)
@@ -446,14 +448,15 @@
 		}
 	}
 	// Machines are rented for the work that the fleet does not get done by
-	// itself soon; dear ones only for what would wait much longer.
+	// itself soon; dear ones only for what would wait much longer, with the
+	// machines that are on their way at work as well.
 	for _, o := range sched.Rent(beyond(left, work, have, cheapPatience*soon), c.offers(true), rentMost) {
 		c.rent(o)
 	}
 	if f.renting > 0 {
 		return // the answers tell what else is needed
 	}
-	for _, o := range sched.Rent(beyond(left, work, have, dearPatience*soon), c.offers(false), rentMost) {
+	for _, o := range sched.Rent(beyond(left, work, have+soonHave, dearPatience*soon), c.offers(false), rentMost) {
 		c.rent(o)
 	}
 }
@@ -468,7 +471,7 @@
 
 // loadMemory is how long the load is averaged over. Machines are kept while
 // the load dips for less.
-const loadMemory = 60 * time.Second
+const loadMemory = 20 * time.Second
 
 // gauge sums up the fleet: what its tasks use or wait for, averaged, and the
 // processors of the spot machines that are up or coming.
@@ -476,8 +479,18 @@
 	l := c.lead
 	f := &l.fleet
 	busy := 0.0
+	starving := false
+	going := map[string]bool{} // about to be taken: what replaces them can be rented now
 	for _, r := range l.renewals {
 		busy += r.GetBusyCpus()
+		for _, d := range r.GetDemand() {
+			starving = starving || d.GetWhole()
+		}
+		for _, u := range r.GetUse() {
+			if u.GetGoing() {
+				going[u.GetName()] = true
+			}
+		}
 	}
 	if f.gaugedAt.IsZero() {
 		f.load = busy
@@ -488,12 +501,14 @@
 	f.spot = 0
 	for name, r := range f.machines {
 		t := c.types[r.kind]
-		if r.spot && !f.leaving[name] && !l.recalls[name] && (c.ownerOf(name) != "" || c.now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS)) {
+		if r.spot && !f.leaving[name] && !l.recalls[name] && !going[name] && (c.ownerOf(name) != "" || c.now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS)) {
 			f.spot += t.CPUs
 		}
 	}
 	f.target = 0
-	if c.large() {
+	if c.large() && !starving {
+		// Work that cannot use what stands empty may wait for the room that
+		// it takes up in the market; then nothing is kept.
 		// On a small fleet one job is a large part of the load, and the
 		// average says little about what comes next.
 		f.target = max(busy, f.load) * (1 + headroom)
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -634,11 +634,13 @@
 }
 
 // joiner returns a function that chooses the block a new machine joins: that
-// of the controller with most work, waiting or running, for the processors it
-// has; among equals one in the machine's zone.
+// of a controller with waiting work that would fill it, among those the one
+// with most work, waiting or running, for the processors it has, and then one
+// in the machine's zone.
 func (c *Core) joiner(rec *wire.LeaseRecord) func(s *peerpb.Seen) string {
 	l := c.lead
-	busy, size := map[string]float64{}, map[string]float64{}
+	busy, size, given := map[string]float64{}, map[string]float64{}, map[string]float64{}
+	waits := map[string][]sched.Demand{}
 	var live []string
 	for _, node := range sortedKeys(rec.Blocks) {
 		if !l.alive(c, node) {
@@ -646,9 +648,10 @@
 		}
 		live = append(live, node)
 		busy[node] = l.renewals[node].GetBusyCpus()
+		waits[node] = demands(l.renewals[node])
 		for _, home := range rec.Homes {
 			if home == node {
-				busy[node]++ // where work will come
+				busy[node] += 0.01 // where work will come
 			}
 		}
 		b := rec.Blocks[node]
@@ -659,20 +662,32 @@
 		}
 	}
 	return func(s *peerpb.Seen) string {
-		best, bestNeed := "", -1.0
+		best, bestFill, bestNeed := "", -1.0, -1.0
+		kind := c.types[s.GetType()]
 		for _, node := range live {
+			fill := -given[node]
+			for i := range waits[node] {
+				if d := &waits[node][i]; d.Allows(s.GetType(), s.GetZone(), s.GetSpot()) && d.Need.Fits(sizeOf(kind)) {
+					fill += float64(d.Count) * d.Need.CPUs
+				}
+			}
+			// Half full is as good as full: the load decides then.
+			if fill = max(0, fill); fill >= kind.CPUs/2 {
+				fill = kind.CPUs
+			}
 			need := busy[node] / (8 + size[node])
 			if c.areaOf(node) == s.GetZone() {
 				need *= 1.01
 			}
-			if need > bestNeed {
-				best, bestNeed = node, need
+			if fill > bestFill || (fill == bestFill && need > bestNeed) {
+				best, bestFill, bestNeed = node, fill, need
 			}
 		}
 		if best == "" {
 			return c.me
 		}
-		size[best] += max(1, c.types[s.GetType()].CPUs)
+		size[best] += max(1, kind.CPUs)
+		given[best] += kind.CPUs
 		return best
 	}
 }
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -264,6 +264,7 @@
 	if r.NoticeS != nil {
 		if m.gone.IsZero() {
 			m.gone = c.now.Add(config.Seconds(*r.NoticeS))
+			c.renewSoon = true // another can be rented meanwhile
 			// What can be saved is saved now and goes on elsewhere, and
 			// replicas move. The rest runs on: it may still complete.
 			for _, a := range m.runs {
