--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -703,6 +703,7 @@
 			switch d.Status {
 			case 200:
 				c.applyJob(rec, d.Txn.Revision)
+				c.log.Debug("accepted", "job", id, "class", rec.Class, "tasks", rec.Tasks, "image", rec.Image, "owner", rec.Owner)
 				c.answer(e.Req, 201, wire.JobAnswer{ID: id, State: wire.Pending})
 			case 409:
 				c.refresh(id, func(ok bool) {
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -590,5 +590,6 @@
 	m.keep(j.rec.Image, j.rec.ImageGB, c.types[m.kind].CacheGB, false)
 	m.idle = time.Time{}
 	c.hurry(m)
+	c.log.Debug("placed", "task", r.task, "attempt", r.attempt, "machine", m.name)
 	return r
 }
