Teams with limits have no more homes than the fleet's size asks for

Cause: every team's room was apart from the others', so urgent work waited on one controller while another had room.

--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -92,9 +92,9 @@
 	return busy, size
 }
 
-// large tells whether the fleet is, or is meant to be, so large that parting
-// it costs less than one controller for all of it (see docs/measurements.md).
-func (c *Core) large() bool {
+// fleetSize is how many machines there are, or are meant to be by what the
+// teams may use, whichever is more.
+func (c *Core) fleetSize() int {
 	biggest, most := 0.0, 0.0
 	for _, t := range c.types {
 		biggest = max(biggest, t.CPUs)
@@ -102,9 +102,19 @@
 	for _, t := range c.cfg.Cluster.Teams {
 		most += max(t.CPUs, t.CPUsMax)
 	}
-	return len(c.lead.fleet.machines) >= c.par.Pack || (biggest > 0 && most/biggest >= float64(c.par.Pack))
+	return max(len(c.lead.fleet.machines), int(most/max(1, biggest)))
 }
 
+// large tells whether the fleet is so large that parting it costs less than
+// one controller for all of it (see docs/measurements.md).
+func (c *Core) large() bool { return c.fleetSize() >= c.par.Pack }
+
+// machinesPerHome is how many machines make it worth another controller that
+// is home to teams with limits. Each team's room is apart from the others'
+// where their homes are, so fewer homes waste less; a controller copes with
+// a few hundred machines.
+const machinesPerHome = 150
+
 // settleHomes gives every team a home, and large fleets the parts of teams
 // that may be parted.
 func (c *Core) settleHomes(rec *wire.LeaseRecord) {
@@ -130,17 +140,32 @@
 	for _, t := range teams {
 		weight[rec.Homes[t.Name]] += weigh(t)
 	}
+	homes := 0
+	for _, node := range live {
+		if weight[node] > 0 {
+			homes++
+		}
+	}
 	for _, t := range teams {
 		if _, ok := rec.Blocks[rec.Homes[t.Name]]; ok {
 			continue
 		}
-		best := c.me
+		more := large && homes*machinesPerHome < c.fleetSize()
+		best := ""
 		for _, node := range live {
 			// Parting a small fleet leaves room unused on every part.
-			if (large && weight[node] < weight[best]) || (!large && weight[node] > weight[best]) {
+			switch {
+			case !more && homes > 0 && weight[node] == 0:
+			case best == "", large && weight[node] < weight[best], !large && weight[node] > weight[best]:
 				best = node
 			}
 		}
+		if best == "" {
+			best = c.me
+		}
+		if weight[best] == 0 {
+			homes++
+		}
 		rec.Homes[t.Name] = best
 		weight[best] += weigh(t)
 	}
