A controller that the state service refuses alone gives its block up

It kept renewing through the leader, so its lease never lapsed, but could not read what it was granted: a fifth of the jobs stood still, and ordinary machines were rented for the backlog. Now it resigns after 7 s, as a process that ended, when others say that the service answers them; its block goes to a successor at once.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -211,6 +211,9 @@
 	return true
 }
 
+// Holds tells how many machines are in this controller's block.
+func (c *Core) Holds() int { return len(c.machines) }
+
 func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 // call registers f for the completion of an effect and returns its id.
@@ -228,6 +231,7 @@
 		return
 	}
 	c.watch()
+	c.resign()
 	c.elect()
 	c.renew()
 	c.ping()
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -156,6 +156,7 @@
 			// Parting a small fleet leaves room unused on every part.
 			switch {
 			case !more && homes > 0 && weight[node] == 0:
+			case !large && homes == 0 && node != c.me:
 			case best == "", large && weight[node] < weight[best], !large && weight[node] > weight[best]:
 				best = node
 			}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -233,6 +233,42 @@
 	return r
 }
 
+// refusedAfter is how long the state service must have been silent before a
+// controller that others tell of its answers takes itself for the only one
+// without it. It is longer than their word may be old, so that an outage for
+// all is not mistaken for one.
+const refusedAfter = 7 * time.Second
+
+// refusedAlone tells whether the state service answers others but not this
+// controller.
+func (c *Core) refusedAlone() bool {
+	if c.now.Sub(c.stateOK) < refusedAfter {
+		return false
+	}
+	for _, p := range c.peers {
+		if c.now.Sub(p.heard) < linkDead && p.stateOK {
+			return true
+		}
+	}
+	return false
+}
+
+// resign gives up block, homes and lead when the state service refuses this
+// controller alone. It could start nothing soon anyway, and store nothing; by
+// saying so it spares its jobs the time until its lease has lapsed. From here
+// on it is a new process to everybody, its own included: machines it gets back
+// are machines it knows nothing of.
+func (c *Core) resign() {
+	if !c.loaded || (c.grant == 0 && c.lead == nil) || !c.refusedAlone() {
+		return
+	}
+	c.log.Info("resigned, the state service refuses this controller alone", "machines", len(c.machines), "led", c.lead != nil)
+	c.inc++
+	c.lead = nil
+	c.loseBlock()
+	c.renewSoon = true
+}
+
 // renew asks for a renewal of the block lease: straight from the leader where
 // it can be reached, else through the state service, which no cut between
 // zones touches.
@@ -252,6 +288,7 @@
 	c.renewSoon = false
 	c.renewAt = c.now.Add(c.par.Publish)
 	r := c.renewal()
+	r.Resigned = c.grant == 0 && c.refusedAlone()
 	c.renewalSent[r.Number] = c.now
 	if direct {
 		c.emit(PeerSend{To: c.lease.Leader, Frame: &peerpb.Frame{From: c.me, Incarnation: c.inc,
@@ -451,7 +488,7 @@
 	c.tellKnown(r)
 	c.log.Debug("renewal", "node", r.GetNode(), "number", r.GetNumber(), "heard", len(r.GetHeard()), "demand", len(r.GetDemand()))
 	if b, ok := c.lease.Blocks[r.GetNode()]; !ok || b.Incarnation != r.GetIncarnation() ||
-		len(r.GetGave())+len(r.GetLost())+len(r.GetSeen()) > 0 {
+		r.GetResigned() || len(r.GetGave())+len(r.GetLost())+len(r.GetSeen()) > 0 {
 		l.dirty = true
 	}
 	c.leadTick()
@@ -478,6 +515,9 @@
 // alive tells whether a controller renewed lately.
 func (l *leader) alive(c *Core, node string) bool {
 	at, ok := l.heardAt[node]
+	if l.renewals[node].GetResigned() {
+		return false
+	}
 	return node == c.me || (ok && c.now.Sub(at) < 2*c.par.Publish+time.Second)
 }
 
@@ -494,7 +534,7 @@
 	gave := map[string]map[string]bool{} // by controller
 	for _, node := range nodes {
 		r := l.renewals[node]
-		if node != c.me {
+		if node != c.me && !r.GetResigned() {
 			if old, ok := rec.Blocks[node]; !ok || old.Incarnation != r.GetIncarnation() {
 				// A controller whose lease lapsed and that is back begins
 				// anew; by its old date it would lapse again at once.
@@ -513,12 +553,17 @@
 	// Blocks whose leases have lapsed go to one successor, machines and homes
 	// together, since tasks are only ever on their owner's machines.
 	for _, node := range sortedKeys(rec.Blocks) {
-		if node == c.me || c.now.Sub(l.renewedAt[node]) <= stretch(c.par.Lease) {
+		dead := rec.Blocks[node]
+		// Who resigned did so as a later incarnation than the block was
+		// granted to, so nothing has to lapse.
+		resigned := l.renewals[node].GetResigned() && l.renewals[node].GetIncarnation() > dead.Incarnation
+		if node == c.me || (!resigned && c.now.Sub(l.renewedAt[node]) <= stretch(c.par.Lease)) {
 			continue
 		}
-		dead := rec.Blocks[node]
 		delete(rec.Blocks, node)
-		delete(l.renewals, node)
+		if !resigned {
+			delete(l.renewals, node)
+		}
 		to := c.successor(&rec, node)
 		b := rec.Blocks[to]
 		b.Old = append(append(slices.Clone(b.Old), dead.Machines...), dead.Old...)
@@ -530,7 +575,7 @@
 				rec.Homes[team] = to
 			}
 		}
-		c.log.Info("lease lapsed", "node", node, "successor", to, "machines", len(dead.Machines)+len(dead.Old))
+		c.log.Info("lease lapsed", "node", node, "resigned", resigned, "successor", to, "machines", len(dead.Machines)+len(dead.Old))
 	}
 	c.settleHomes(&rec)
 	// Machines that are gone or given back leave their blocks.
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -139,6 +139,10 @@
 		c.unavailable(e.Req)
 		return
 	}
+	if c.grant == 0 && c.refusedAlone() {
+		c.unavailable(e.Req) // others know who owns the machine by now
+		return
+	}
 	m := c.machines[r.Machine]
 	// A higher token than ours means that somebody else has taken over.
 	if m == nil || c.grant == 0 || r.Token > c.tokenFor(m) {
