--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -393,7 +393,11 @@
 		for _, n := range names {
 			l.gone[n] = true
 			delete(f.leaving, n)
-			delete(f.machines, n)
+			if r := f.machines[n]; r != nil {
+				// Whatever was refused before, there is room again.
+				delete(f.refused, r.offerKey)
+				delete(f.machines, n)
+			}
 		}
 		l.dirty = true
 		c.leadTick()
@@ -465,10 +469,6 @@
 	}
 }
 
-// marketPause is how long after a refusal the spot market is not asked for
-// machines that would only make the fleet cheaper.
-const marketPause = 60 * time.Second
-
 // headroom is the part by which the spot machines of a large fleet exceed its
 // load, so that what comes next finds room at once.
 const headroom = 0.1
@@ -523,21 +523,20 @@
 // has them; retire recalls the ordinary ones once these are up.
 func (c *Core) cover() {
 	f := &c.lead.fleet
-	var offers []sched.Offer
-	for _, o := range c.offers(true) {
-		if c.now.Sub(f.refused[offerKey{o.Type, o.Zone, o.Spot}]) > marketPause-refusedFor {
-			offers = append(offers, o)
-		}
-	}
+	offers := c.offers(true)
 	slices.SortStableFunc(offers, func(a, b sched.Offer) int {
 		return cmp.Compare(a.Price/a.Size.CPUs, b.Price/b.Size.CPUs)
 	})
-	if len(offers) == 0 {
-		return
-	}
-	o := offers[0]
-	if want := f.target - f.spot; want >= o.Size.CPUs {
-		c.rent(sched.Order{Offer: o, Number: min(int(want/o.Size.CPUs), wire.MaxRent)})
+	// Asked of each market in turn, as a wave of losses leaves room in all.
+	left := rentMost
+	for _, o := range offers {
+		n := min(int((f.target-f.spot)/o.Size.CPUs), wire.MaxRent, left)
+		if n <= 0 {
+			continue
+		}
+		c.rent(sched.Order{Offer: o, Number: n})
+		f.spot += float64(n) * o.Size.CPUs
+		left -= n
 	}
 }
 
