Hundreds of machines are asked for at once, from several markets

Cause: growth by a thousand machines took 25 s, as a decision asked for 150 of mostly one market, and the next one waited for the answers.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -34,7 +34,7 @@
 	judgeEvery = 400 * time.Millisecond
 	// rentMost bounds the machines asked for in one decision, which is a few
 	// requests' worth; the answers tell how to go on.
-	rentMost = 150
+	rentMost = 400
 	// planEvery spaces the decisions on renting.
 	planEvery = time.Second
 )
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -110,18 +110,23 @@
 	return left
 }
 
+// perOffer bounds the machines of one offer in one choice: nobody knows what a
+// market has, and asking several at once finds out sooner.
+const perOffer = 100
+
 // Rent chooses machines for the waiting tasks, at each step the offer that
 // takes most work for its price. most bounds the number of machines.
 func Rent(left []Demand, offers []Offer, most int) []Order {
 	left = slices.Clone(left)
 	slices.SortStableFunc(left, func(a, b Demand) int { return a.Rank - b.Rank })
 	var orders []Order
+	number := make([]int, len(offers))
 	for most > 0 {
 		best, bestWorth := -1, 0.0
 		var bestTook []int
 		for i := range offers {
 			took, cpus := fill(&offers[i], left)
-			if cpus <= 0 || offers[i].Price <= 0 {
+			if cpus <= 0 || offers[i].Price <= 0 || number[i] >= perOffer {
 				continue
 			}
 			if worth := cpus / offers[i].Price; worth > bestWorth {
@@ -133,7 +138,7 @@
 		}
 		// The same fill again and again while there is enough of everything:
 		// a large fleet is rented by the dozen.
-		times := most
+		times := min(most, perOffer-number[best])
 		for k, n := range bestTook {
 			if n > 0 {
 				times = min(times, left[k].Count/n)
@@ -143,6 +148,7 @@
 			left[k].Count -= n * times
 		}
 		most -= times
+		number[best] += times
 		if i := slices.IndexFunc(orders, func(o Order) bool {
 			return o.Type == offers[best].Type && o.Zone == offers[best].Zone && o.Spot == offers[best].Spot
 		}); i >= 0 {
