--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -278,7 +278,7 @@
 	}
 	c.pingAt = c.now.Add(time.Second)
 	f := &peerpb.Frame{From: c.me, Incarnation: c.inc, StateOk: c.now.Sub(c.stateOK) < 4*time.Second}
-	busy, size := c.measure()
+	busy, _, size := c.measure()
 	c.spare = size - busy
 	f.SpareCpus = c.spare
 	for _, j := range c.jobs {
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -187,7 +187,7 @@
 	heard := map[string]bool{}
 	for node, r := range l.renewals {
 		if c.now.Sub(l.heardAt[node]) < 2*c.par.Publish {
-			for _, n := range r.GetHeard() {
+			for _, n := range c.unpack(r.GetHeard()) {
 				heard[n] = true
 			}
 		}
@@ -201,7 +201,7 @@
 	c.balance()
 	own := l.renewals[c.me]
 	for node, r := range l.renewals {
-		for _, n := range r.GetLost() {
+		for _, n := range c.unpack(r.GetLost()) {
 			// Somebody else may hear what its holder does not.
 			if !heard[n] && !l.gone[n] && c.ownerOf(n) == node {
 				l.fleet.leaving[n] = true
@@ -252,7 +252,7 @@
 				return // ordinary machines are what is wanted
 			}
 		}
-		for _, n := range r.GetBound() {
+		for _, n := range c.unpack(r.GetBound()) {
 			kept[n] = true
 		}
 		free += r.GetFreeSpotCpus()
@@ -425,12 +425,33 @@
 	if len(waiting) == 0 || f.renting > 0 {
 		return
 	}
+	// Work that may not use spot machines counts on ordinary ones only.
+	anywhere, ordinary := waiting, []sched.Demand(nil)
+	if slices.ContainsFunc(waiting, func(d sched.Demand) bool { return !d.Spot }) {
+		anywhere = nil
+		for _, d := range waiting {
+			if d.Spot {
+				anywhere = append(anywhere, d)
+			} else {
+				ordinary = append(ordinary, d)
+			}
+		}
+	}
+	c.planFor(anywhere, true)
+	c.planFor(ordinary, false)
+}
+
+// planFor rents machines for waiting tasks that may use spot machines, or for
+// those that may not.
+func (c *Core) planFor(waiting []sched.Demand, spot bool) {
+	l := c.lead
+	f := &l.fleet
 	var coming []sched.Offer
 	have, soonHave := 0.0, 0.0
 	for _, name := range sortedKeys(f.machines) {
 		r := f.machines[name]
 		t, ok := c.types[r.kind]
-		if !ok || f.leaving[name] || l.recalls[name] {
+		if !ok || f.leaving[name] || l.recalls[name] || (r.spot && !spot) {
 			continue
 		}
 		if c.ownerOf(name) != "" {
@@ -458,13 +479,20 @@
 	// Machines are rented for the work that the fleet does not get done by
 	// itself soon; dear ones only for what would wait much longer, with the
 	// machines that are on their way at work as well.
-	for _, o := range sched.Rent(beyond(left, work, have, cheapPatience*soon), c.offers(true), rentMost) {
-		c.rent(o)
+	if spot {
+		before := f.renting
+		for _, o := range sched.Rent(beyond(left, work, have, cheapPatience*soon), c.offers(true), rentMost) {
+			c.rent(o)
+		}
+		if f.renting > before {
+			return // the answers tell what else is needed
+		}
 	}
-	if f.renting > 0 {
-		return // the answers tell what else is needed
+	patience := dearPatience
+	if !spot {
+		patience = cheapPatience // there is nothing cheaper to wait for
 	}
-	for _, o := range sched.Rent(beyond(left, work, have+soonHave, dearPatience*soon), c.offers(false), rentMost) {
+	for _, o := range sched.Rent(beyond(left, work, have+soonHave, patience*soon), c.offers(false), rentMost) {
 		c.rent(o)
 	}
 }
@@ -486,7 +514,7 @@
 	starving := false
 	going := map[string]bool{} // about to be taken: what replaces them can be rented now
 	for _, r := range l.renewals {
-		busy += r.GetBusyCpus()
+		busy += r.GetBusySpotCpus()
 		for _, d := range r.GetDemand() {
 			starving = starving || d.GetWhole()
 		}
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -76,8 +76,8 @@
 }
 
 // measure returns the processors that this controller's tasks use or wait
-// for, and those of its block.
-func (c *Core) measure() (busy, size float64) {
+// for, the part of them that may be on spot machines, and those of its block.
+func (c *Core) measure() (busy, spot, size float64) {
 	for _, m := range c.machines {
 		if m.lost || m.bad || m.gave {
 			continue
@@ -86,10 +86,14 @@
 	}
 	for _, j := range c.jobs {
 		if c.owns(j) && !j.over {
-			busy += float64(len(j.runs)+len(j.queue)) * j.rec.CPUs
+			n := float64(len(j.runs)+len(j.queue)) * j.rec.CPUs
+			busy += n
+			if j.rec.Spot {
+				spot += n
+			}
 		}
 	}
-	return busy, size
+	return busy, spot, size
 }
 
 // fleetSize is how many machines there are, or are meant to be by what the
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -178,23 +178,24 @@
 // renewal describes this controller to the leader.
 func (c *Core) renewal() *peerpb.Renewal {
 	c.renewals++
+	var gave, lost, heard, unknown, bound []string
 	r := &peerpb.Renewal{Node: c.me, Incarnation: c.inc, Number: c.renewals, Waiting: map[string]int32{}}
 	for _, name := range sortedKeys(c.machines) {
 		m := c.machines[name]
 		switch {
 		case m.gave:
-			r.Gave = append(r.Gave, name)
+			gave = append(gave, name)
 		case m.lost:
-			r.Lost = append(r.Lost, name)
+			lost = append(lost, name)
 		}
 		if m.endpoint == "" && !m.gave {
-			r.Unknown = append(r.Unknown, name)
+			unknown = append(unknown, name)
 		}
 		if m.spot && c.usable(m) {
 			r.FreeSpotCpus += max(0, m.free().CPUs)
 		}
 		if !m.spot && m.bound() {
-			r.Bound = append(r.Bound, name)
+			bound = append(bound, name)
 		}
 		u := &peerpb.Use{Name: name, Bad: m.bad, Going: !m.gone.IsZero()}
 		if !m.idle.IsZero() && m.session != 0 {
@@ -213,9 +214,11 @@
 			r.Seen = append(r.Seen, &peerpb.Seen{Name: name, Endpoint: g.rep.Endpoint,
 				Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot, Session: g.rep.Session})
 		} else {
-			r.Heard = append(r.Heard, name)
+			heard = append(heard, name)
 		}
 	}
+	r.Gave, r.Lost, r.Heard = wire.PackNames(gave), wire.PackNames(lost), wire.PackNames(heard)
+	r.Unknown, r.Bound = wire.PackNames(unknown), wire.PackNames(bound)
 	for _, j := range c.jobs {
 		if !c.owns(j) || j.over || len(j.queue) == 0 {
 			continue
@@ -229,7 +232,7 @@
 		}
 	}
 	r.Demand = c.demand()
-	r.BusyCpus, _ = c.measure()
+	r.BusyCpus, r.BusySpotCpus, _ = c.measure()
 	return r
 }
 
@@ -295,6 +298,8 @@
 			StateOk: c.now.Sub(c.stateOK) < 4*time.Second, Renewal: r}})
 		return
 	}
+	// As base64 in a value of limited size.
+	trim(r, int(0.9*1024*c.cfg.Cluster.State.ValueKB*3/4)-64)
 	b, err := proto.Marshal(r)
 	if err != nil {
 		c.log.Error("renewal", "err", err)
@@ -305,6 +310,34 @@
 			"pb": base64.StdEncoding.EncodeToString(b)}}}}})
 }
 
+// trim shortens a renewal to a size. What is left out comes with a later one,
+// once the leader has acted on the first part.
+func trim(r *peerpb.Renewal, most int) {
+	r.Unknown = "" // would be answered on the link that is down
+	for proto.Size(r) > most {
+		use, seen, demand := 12*len(r.Use), 50*len(r.Seen), 36*len(r.Demand)
+		switch {
+		case use+seen+demand == 0:
+			return
+		case seen >= use && seen >= demand:
+			r.Seen = r.Seen[:len(r.Seen)/2]
+		case use >= demand:
+			r.Use = r.Use[:len(r.Use)/2]
+		default:
+			r.Demand = r.Demand[:len(r.Demand)/2]
+		}
+	}
+}
+
+// unpack reads a set of machines from a renewal.
+func (c *Core) unpack(text string) []string {
+	names, err := wire.UnpackNames(text)
+	if err != nil {
+		c.log.Error("names in a renewal", "err", err)
+	}
+	return names
+}
+
 // applyStoredRenewal reads a renewal that came through the state service.
 func (c *Core) applyStoredRenewal(value []byte) {
 	if c.lead == nil {
@@ -546,7 +579,7 @@
 			rec.Blocks[node] = b
 		}
 		gave[node] = map[string]bool{}
-		for _, name := range r.GetGave() {
+		for _, name := range c.unpack(r.GetGave()) {
 			gave[node][name] = true
 		}
 	}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -721,7 +721,7 @@
 // tellKnown tells a controller how to reach machines of its block.
 func (c *Core) tellKnown(r *peerpb.Renewal) {
 	var known []*peerpb.Seen
-	for _, name := range r.GetUnknown() {
+	for _, name := range c.unpack(r.GetUnknown()) {
 		if m := c.lead.fleet.machines[name]; m != nil && m.endpoint != "" && c.owners[name] == r.GetNode() {
 			known = append(known, &peerpb.Seen{Name: name, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: m.session})
 		}
--- a/internal/simtest/actors.go
+++ b/internal/simtest/actors.go
@@ -87,17 +87,18 @@
 		switch t.state {
 		case wire.TaskFetching:
 			if u.doneTasks[t.name] {
-				t.state, t.why = wire.TaskEnded, wire.WhyDone
+				k.set(t, wire.TaskEnded)
+				t.why = wire.WhyDone
 				continue
 			}
 			k.w.started(k, t, u)
-			t.state = wire.TaskRunning
+			k.set(t, wire.TaskRunning)
 			t.until = k.w.now + time.Duration(1000+k.w.rng.IntN(15000))*time.Millisecond
 			if u.job.Shape == wire.Daemon {
 				t.until = k.w.now + time.Hour
 			}
 		case wire.TaskRunning:
-			t.state = wire.TaskEnded
+			k.set(t, wire.TaskEnded)
 			if k.sick || u.faulty {
 				t.why = wire.WhyError
 			} else {
@@ -109,7 +110,8 @@
 				}
 			}
 		case wire.TaskFlushing:
-			t.state, t.why = wire.TaskEnded, wire.WhyStopped
+			k.set(t, wire.TaskEnded)
+			t.why = wire.WhyStopped
 		}
 	}
 	every := config.Seconds(k.w.cfg.Workers.ReportS)
@@ -123,7 +125,8 @@
 func (k *worker) expire() {
 	if float64(k.w.now-k.lease)*k.rate > float64(config.Seconds(k.w.cfg.Workers.LeaseS)) {
 		k.session++
-		k.lease, k.tasks, k.changed, k.known = k.w.now, nil, true, map[string]bool{}
+		k.clear()
+		k.lease, k.changed, k.known = k.w.now, true, map[string]bool{}
 	}
 }
 
@@ -199,7 +202,8 @@
 			}
 		case wire.OpHalt:
 			if i >= 0 && k.tasks[i].state != wire.TaskEnded {
-				k.tasks[i].state, k.tasks[i].why = wire.TaskEnded, wire.WhyStopped
+				k.set(k.tasks[i], wire.TaskEnded)
+				k.tasks[i].why = wire.WhyStopped
 				k.changed = true
 			}
 		case wire.OpForget:
@@ -261,7 +265,7 @@
 	j := &u.job
 	here, elsewhere := 0, 0
 	for _, o := range w.workers {
-		if o.gone {
+		if o.gone || !(j.SamePlace || j.Scatter) {
 			continue
 		}
 		for _, x := range o.tasks {
@@ -299,6 +303,7 @@
 	cancelledAt time.Duration
 	doneAt      time.Duration
 	doneTasks   map[string]bool
+	running     int // tasks on a machine
 }
 
 // Submit lets a user submit job number i in d.
@@ -329,6 +334,20 @@
 	}
 }
 
+// SubmitWide lets a user submit an array of dozens of tasks in d.
+func (w *World) SubmitWide(i int, d time.Duration) {
+	r := w.rng
+	u := &user{w: w, doneTasks: map[string]bool{}}
+	u.job = wire.Job{ID: fmt.Sprintf("wk-%06d", i), Class: "c", Team: []string{"red", "blue", "free", "free"}[r.IntN(4)],
+		Shape: wire.Array, Priority: []string{"urgent", "standard", "standard"}[r.IntN(3)], Tasks: 20 + r.IntN(130),
+		CPUs: float64(1 + r.IntN(4)), MemoryGB: 2, Image: fmt.Sprintf("img-%d", r.IntN(6)), ImageGB: 1, Spot: r.IntN(8) > 0, EstimateS: 8}
+	w.users[u.job.ID] = u
+	w.after(d, u.submit)
+	if r.IntN(8) == 0 {
+		w.after(d+time.Duration(3+r.IntN(30))*time.Second, func() { u.wantsCancel = true; u.cancel() })
+	}
+}
+
 func (u *user) anyNode(build func(req uint64) controller.Event, then func(controller.Reply)) {
 	w := u.w
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
@@ -419,6 +438,7 @@
 		}
 		if u.told == "" {
 			u.cancelledAt = u.w.now
+			u.w.doomed = append(u.w.doomed, u)
 		}
 		u.told = state
 	}
--- a/internal/simtest/services.go
+++ b/internal/simtest/services.go
@@ -1,6 +1,7 @@
 package simtest
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -77,6 +78,12 @@
 	if len(failed) > 0 {
 		return controller.Completed{Status: 409, Txn: wire.TxnAnswer{Failed: failed, Revision: s.rev}}
 	}
+	if s.w.now-s.w.filled >= time.Second {
+		s.w.filled, s.w.writes = s.w.now, s.w.cfg.State.WriteRPS
+	}
+	if s.w.writes -= float64(len(t.Then)); s.w.writes < 0 && len(t.Then) > 0 {
+		return controller.Completed{Status: 429}
+	}
 	if len(t.Then) > s.w.cfg.State.TxnOps || len(t.If) > 4*s.w.cfg.State.TxnOps {
 		s.w.breakRule("transaction too large: %d conditions, %d changes", len(t.If), len(t.Then))
 	}
@@ -117,7 +124,7 @@
 		if !strings.HasPrefix(key, prefix) || key <= after {
 			continue
 		}
-		if len(p.Pairs) == 5 { // small, so that paging is exercised
+		if len(p.Pairs) == 5+s.w.most/5 { // small, so that paging is exercised
 			p.More = true
 			break
 		}
@@ -150,8 +157,9 @@
 			continue
 		}
 		c := wire.Changes{Revision: s.rev}
-		for _, e := range s.log {
-			if e.Version > x.after && strings.HasPrefix(e.key, x.prefix) {
+		from, _ := slices.BinarySearchFunc(s.log, x.after+1, func(e logged, v uint64) int { return cmp.Compare(e.Version, v) })
+		for _, e := range s.log[from:] {
+			if strings.HasPrefix(e.key, x.prefix) {
 				c.Log = append(c.Log, e.Change)
 			}
 		}
@@ -188,14 +196,14 @@
 			live++
 		}
 	}
-	n := min(r.Number, 10-live)
+	n := min(r.Number, c.w.most-live)
 	if n <= 0 || c.w.rng.IntN(6) == 0 {
 		return controller.Completed{Status: 503}
 	}
 	var names []string
 	for range n {
 		c.count++
-		k := &worker{w: c.w, name: fmt.Sprintf("host-%06d", c.count), endpoint: fmt.Sprintf("10.1.0.%d:9000", c.count),
+		k := &worker{w: c.w, name: fmt.Sprintf("host-%06d", c.count), endpoint: fmt.Sprintf("worker-host-%06d:9000", c.count),
 			kind: r.Type, zone: r.Zone, spot: r.Spot, session: 1, born: c.w.now,
 			rate: 1 + (c.w.rng.Float64()-0.5)*0.0005*2, known: map[string]bool{}}
 		for _, t := range machineTypes {
@@ -241,6 +249,7 @@
 // kill ends a machine with all that is on it.
 func (w *World) kill(name string) {
 	if k := w.workers[name]; k != nil && !k.gone {
-		k.gone, k.died, k.tasks = true, w.now, nil
+		k.clear()
+		k.gone, k.died = true, w.now
 	}
 }
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -11,9 +11,8 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
-	"slices"
+	"strings"
 	"time"
 
 	"fawncove/internal/config"
@@ -37,6 +36,12 @@
 	cuts    map[[2]string]time.Duration // until when two hosts are apart
 	heldUp  bool                        // cuts hold messages back instead of losing them
 	broken  []string
+	most    int                // machines that the cloud has
+	writes  float64            // changes the state service still takes this second
+	filled  time.Duration      // when writes was last filled up
+	where   map[string]*worker // where each task runs
+	used    map[string]float64 // by team
+	doomed  []*user            // cancelled, and perhaps still running somewhere
 	Starts  int
 	Dones   int
 }
@@ -79,29 +84,47 @@
 // Broken lists the rules broken so far.
 func (w *World) Broken() []string { return w.broken }
 
-// New builds a world. Every other one has its teams' homes spread over all
-// controllers, as only large fleets do.
+// New builds a small world. Every other one has its teams' homes spread over
+// all controllers, as only large fleets do.
 func New(seed uint64) *World {
-	w := &World{
-		rng:     rand.New(rand.NewPCG(seed, 7)),
-		workers: map[string]*worker{},
-		users:   map[string]*user{},
-		cuts:    map[[2]string]time.Duration{},
-		par:     controller.Defaults(),
-	}
+	par := controller.Defaults()
 	if seed%2 == 0 {
-		w.par.Pack = 0
+		par.Pack = 0
 	}
-	w.cfg = config.Cluster{
+	return build(seed, 3, 10, par, config.Cluster{
 		InitialSize: 3, Zones: []string{"x", "y"}, ClockErrorMs: 50,
 		Teams:   []config.Team{{Name: "red", CPUs: 8, CPUsMax: 12}, {Name: "blue", CPUs: 4, CPUsMax: 16}, {Name: "free"}},
 		Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
+	})
+}
+
+// NewLarge builds a world of five controllers and up to 1,200 machines, with
+// a state service that takes little.
+func NewLarge(seed uint64) *World {
+	return build(seed, 5, 1200, controller.Defaults(), config.Cluster{
+		InitialSize: 5, Zones: []string{"x", "y"}, ClockErrorMs: 50,
+		Teams:   []config.Team{{Name: "red", CPUs: 100, CPUsMax: 300}, {Name: "blue", CPUs: 200, CPUsMax: 700}, {Name: "free"}},
+		Workers: config.Workers{ReportS: 4, LeaseS: 16, CancelS: 40},
+		State:   config.State{RPS: 80, WriteRPS: 25, ValueKB: 4, TxnOps: 12},
+		Cloud:   config.Cloud{RPS: 5, ListLagS: 6},
+	})
+}
+
+func build(seed uint64, nodes, most int, par controller.Params, cfg config.Cluster) *World {
+	w := &World{
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		workers: map[string]*worker{},
+		users:   map[string]*user{},
+		cuts:    map[[2]string]time.Duration{},
+		where:   map[string]*worker{},
+		used:    map[string]float64{},
+		par:     par, cfg: cfg, most: most,
 	}
 	w.store = &store{w: w, values: map[string]stored{}}
 	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
-	for i := range 3 {
+	for i := range nodes {
 		n := &simNode{w: w, name: fmt.Sprintf("n%d", i), zone: w.cfg.Zones[i%2],
 			rate: 1 + (w.rng.Float64()-0.5)*0.0005*2}
 		w.nodes = append(w.nodes, n)
@@ -125,33 +148,52 @@
 	w.now = end
 }
 
-// check looks at all machines at once, as only an onlooker can.
-func (w *World) check() {
-	where := map[string]string{}
-	used := map[string]float64{}
-	for _, name := range slices.Sorted(maps.Keys(w.workers)) {
-		k := w.workers[name]
-		if k.gone {
-			continue
+// on tells whether a task in this state is on its machine.
+func on(state string) bool { return state != wire.TaskEnded && state != wire.TaskFetching }
+
+// set moves a task to another state and keeps the books that the rules are
+// checked against: only a task that comes onto a machine can run twice or
+// take a team over its limit.
+func (k *worker) set(t *simTask, state string) {
+	before, after := on(t.state), on(state)
+	t.state = state
+	w, u := k.w, k.w.users[t.job]
+	switch {
+	case after && !before:
+		if other := w.where[t.name]; other != nil {
+			w.breakRule("ran_twice: %s on %s and %s", t.name, other.name, k.name)
 		}
-		for _, t := range k.tasks {
-			if t.state == wire.TaskEnded || t.state == wire.TaskFetching {
-				continue
-			}
-			if other, ok := where[t.name]; ok {
-				w.breakRule("ran_twice: %s on %s and %s", t.name, other, name)
-			}
-			where[t.name] = name
-			u := w.users[t.job]
-			used[u.job.Team] += u.job.CPUs
-			if u.cancelledAt > 0 && w.now-u.cancelledAt > config.Seconds(w.cfg.Workers.CancelS) {
-				w.breakRule("ran_cancelled: %s on %s", t.name, name)
+		w.where[t.name] = k
+		u.running++
+		w.used[u.job.Team] += u.job.CPUs
+		for _, team := range w.cfg.Teams {
+			if team.Name == u.job.Team && team.CPUsMax > 0 && w.used[team.Name] > team.CPUsMax+1e-6 {
+				w.breakRule("quota: %s uses %v", team.Name, w.used[team.Name])
 			}
 		}
+	case before && !after:
+		if w.where[t.name] == k {
+			delete(w.where, t.name)
+		}
+		u.running--
+		w.used[u.job.Team] -= u.job.CPUs
 	}
-	for _, t := range w.cfg.Teams {
-		if t.CPUsMax > 0 && used[t.Name] > t.CPUsMax+1e-6 {
-			w.breakRule("quota: %s uses %v", t.Name, used[t.Name])
+}
+
+// clear ends all tasks of a worker at once.
+func (k *worker) clear() {
+	for _, t := range k.tasks {
+		k.set(t, wire.TaskEnded)
+	}
+	k.tasks = nil
+}
+
+// check looks for what time alone breaks: a task of a cancelled job that is
+// still there.
+func (w *World) check() {
+	for _, u := range w.doomed {
+		if u.running > 0 && w.now-u.cancelledAt > config.Seconds(w.cfg.Workers.CancelS) {
+			w.breakRule("ran_cancelled: %d tasks of %s", u.running, u.job.ID)
 		}
 	}
 }
@@ -193,6 +235,7 @@
 	core  *controller.Core
 	life  int // counts the processes
 	up    bool
+	slow  time.Duration // until then everything takes it long
 	waits map[uint64]func(controller.Reply)
 	next  uint64
 }
@@ -234,6 +277,17 @@
 	w.after(d, n.start)
 }
 
+// lag is how late a controller is that computes slowly.
+func (n *simNode) lag() time.Duration {
+	if n.w.now < n.slow {
+		return time.Duration(50+n.w.rng.IntN(500)) * time.Millisecond
+	}
+	return 0
+}
+
+// Slow makes controller i compute slowly for d.
+func (w *World) Slow(i int, d time.Duration) { w.nodes[i].slow = w.now + d }
+
 func (n *simNode) step(ev controller.Event) {
 	for _, e := range n.core.Step(n.clock(), ev) {
 		n.carryOut(e)
@@ -276,7 +330,7 @@
 				if w.rng.IntN(400) == 0 {
 					return // the answer is lost
 				}
-				w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, func() { finish(c) })
+				w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond+n.lag(), func() { finish(c) })
 			})
 		})
 	}
@@ -286,7 +340,7 @@
 		if f := n.waits[e.Req]; f != nil {
 			delete(n.waits, e.Req)
 			// The answer is written a little after it was decided.
-			w.after(time.Millisecond, func() {
+			w.after(time.Millisecond+n.lag(), func() {
 				if !n.up || n.life != life {
 					return
 				}
@@ -361,11 +415,9 @@
 			}
 		}
 		w.after(short, func() { finish(controller.Completed{}) })
-		name := ""
-		for _, k := range w.workers {
-			if k.endpoint == e.Endpoint {
-				name = k.name
-			}
+		var name string
+		if _, err := fmt.Sscanf(e.Endpoint, "worker-%s", &name); err == nil {
+			name = strings.TrimSuffix(name, ":9000")
 		}
 		w.send(n.name, name, func() {
 			k := w.workers[name]
--- a/internal/simtest/world_test.go
+++ b/internal/simtest/world_test.go
@@ -13,6 +13,7 @@
 var (
 	seeds = flag.Uint64("seeds", 24, "number of seeded days to play")
 	first = flag.Uint64("first", 1, "first seed")
+	large = flag.Uint64("large", 2, "number of seeded days of a large fleet to play")
 )
 
 // trouble lets something go wrong every now and then.
@@ -133,6 +134,104 @@
 	}
 }
 
+// TestLargeFleet plays days of a fleet of up to 1,200 machines and five
+// controllers, with a state service that takes few changes and small values:
+// waves of losses, cuts, machines that hang, slow controllers, all of them
+// crashing together, one refused by the state service. All rules are checked
+// after each step; afterwards every job has to end.
+func TestLargeFleet(t *testing.T) {
+	for seed := *first; seed < *first+*large; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := NewLarge(seed)
+			r := w.rng
+			for i := range 110 {
+				w.SubmitWide(i, time.Duration(r.IntN(45000))*time.Millisecond)
+			}
+			some := func(share int, f func(k *worker)) {
+				for _, k := range w.byName() {
+					if k.up && !k.gone && r.IntN(100) < share {
+						f(k)
+					}
+				}
+			}
+			troubles := []func(){
+				func() {
+					for i := range w.nodes {
+						w.Crash(i, time.Duration(2000+r.IntN(2000))*time.Millisecond)
+					}
+				},
+				func() { // a wave
+					some(35, func(k *worker) {
+						if k.spot {
+							k.notice = w.now + 5*time.Second
+							w.after(5*time.Second, func() { w.kill(k.name); delete(w.workers, k.name) })
+						}
+					})
+				},
+				func() {
+					d := time.Duration(3+r.IntN(12)) * time.Second
+					w.heldUp = r.IntN(2) == 0
+					some(10, func(k *worker) {
+						for _, n := range w.nodes {
+							w.Cut(k.name, n.name, d)
+						}
+					})
+				},
+				func() {
+					some(3, func(k *worker) { k.hang = w.now + time.Duration(1+r.IntN(25))*time.Second })
+				},
+				func() {
+					w.Slow(r.IntN(5), 8*time.Second)
+					w.Slow(r.IntN(5), 8*time.Second)
+				},
+				func() { w.Crash(r.IntN(5), 40*time.Second) },
+				func() { w.Outage(25*time.Second, w.nodes[r.IntN(5)].name) },
+				func() { w.Outage(time.Duration(3+r.IntN(8))*time.Second, "") },
+				func() {
+					for _, a := range w.nodes {
+						for _, b := range w.nodes {
+							if a != b {
+								w.Cut(a.name, b.name, 10*time.Second)
+							}
+						}
+					}
+				},
+			}
+			for i, at := range r.Perm(9) {
+				w.after(time.Duration(15+6*at)*time.Second, troubles[i])
+			}
+			most := 0
+			for range 24 {
+				w.Run(5 * time.Second)
+				most = max(most, w.held())
+			}
+			w.Run(300 * time.Second)
+			for _, b := range w.Broken() {
+				t.Error(b)
+			}
+			if left := w.Unfinished(); len(left) > 0 {
+				t.Errorf("not over long after the troubles: %v", left)
+			}
+			if most < 250 || w.Dones < 2000 {
+				t.Errorf("at most %d machines in blocks, %d completions: not a large day", most, w.Dones)
+			}
+			t.Logf("%d machines in blocks, %d starts, %d completions", most, w.Starts, w.Dones)
+		})
+	}
+}
+
+// held counts the machines in the blocks of all controllers.
+func (w *World) held() int {
+	n := 0
+	for _, node := range w.nodes {
+		if node.up {
+			n += node.core.Holds()
+		}
+	}
+	return n
+}
+
 // TestUnknownJob expects 404 for a job that nobody submitted, and 503 while
 // that cannot be confirmed.
 func TestUnknownJob(t *testing.T) {
--- a/internal/wire/nameset.go
+++ b/internal/wire/nameset.go
@@ -42,9 +42,9 @@
 	return name[:i], len(name) - i, number
 }
 
-// packNames writes names, which must be in order and without repeats, as one
+// PackNames writes names, which must be in order and without repeats, as one
 // text.
-func packNames(names []string) string {
+func PackNames(names []string) string {
 	raw := make([]byte, 0, len(names)+32)
 	// Names of one form need not stand together: "a10" sorts between "a1"
 	// and "a2".
@@ -81,8 +81,8 @@
 
 var errNames = errors.New("names: cut short or damaged")
 
-// unpackNames reads what packNames wrote.
-func unpackNames(text string) ([]string, error) {
+// UnpackNames reads what PackNames wrote.
+func UnpackNames(text string) ([]string, error) {
 	raw, err := base64.RawStdEncoding.DecodeString(text)
 	if err != nil {
 		return nil, fmt.Errorf("names: %w", err)
@@ -135,7 +135,7 @@
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (s NameSet) EncodeMsgpack(enc *msgpack.Encoder) error {
-	return enc.EncodeString(packNames(s))
+	return enc.EncodeString(PackNames(s))
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder. It also reads the plain list
@@ -150,7 +150,7 @@
 	case nil:
 		*s = nil
 	case string:
-		names, err := unpackNames(v)
+		names, err := UnpackNames(v)
 		if err != nil {
 			return err
 		}
--- a/internal/wire/nameset_test.go
+++ b/internal/wire/nameset_test.go
@@ -79,7 +79,7 @@
 // TestDamagedNamesAreNoEmptySet guards against a value of another form, or a
 // damaged one, being taken for a fleet without machines.
 func TestDamagedNamesAreNoEmptySet(t *testing.T) {
-	whole := packNames([]string{"host-000001", "host-000300", "other-7"})
+	whole := PackNames([]string{"host-000001", "host-000300", "other-7"})
 	for _, v := range []any{7, map[string]any{"a": 1}, "!", whole[:len(whole)-3], []any{"host-000001", 2}} {
 		body, err := Encode(v)
 		if err != nil {
