Spot machines that fall silent by themselves are given up sooner

Cause: a fifth of the spot machines is taken without notice, and their tasks waited a worker's whole lease before they ran again. Alone in its silence such a machine is given up after 2.5 reports, at least 10 s; many together are still taken for a cut. A test of the core covers both.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -104,3 +104,37 @@
 		}
 	}
 }
+
+// TestSilentAloneIsLostSooner expects a spot machine that falls silent by
+// itself to be given up before its worker's lease ends, and many that do so
+// together to be taken for a cut.
+func TestSilentAloneIsLostSooner(t *testing.T) {
+	for _, c := range []struct {
+		silent int
+		lost   bool
+	}{{1, true}, {2, true}, {12, false}} {
+		var names wire.NameSet
+		for i := range 30 {
+			names = append(names, fmt.Sprintf("host-%06d", i))
+		}
+		core, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: names}}, Homes: map[string]string{"free": "n0"}})
+		for s := range 13 { // the last report is 11.1 s old at the end, the lease 12 s
+			now = now.Add(time.Second)
+			core.fresh = now
+			for i, name := range names {
+				if i >= c.silent || s < 2 {
+					core.Step(now, ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: []string{"x", "y"}[i%2],
+						Spot: true, Session: 1, Seq: uint64(s + 1), Token: core.tokenFor(core.machines[name])}})
+				}
+			}
+			core.Step(now.Add(100*time.Millisecond), Tick{})
+		}
+		if got := core.machines[names[0]].lost; got != c.lost {
+			t.Errorf("%d of 30 silent: lost %v, want %v", c.silent, got, c.lost)
+		}
+		if core.machines[names[20]].lost {
+			t.Error("a machine that reports counts as lost")
+		}
+	}
+}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -746,6 +746,17 @@
 // half of their zone.
 const cutPatience = 25 * time.Second
 
+// A spot machine that falls silent by itself was most likely taken without
+// notice, as some are. It is given up after aloneReports report intervals, but
+// not before its worker can have tried the other controllers. Up to aloneShare
+// of a block counts as machines that fell silent by themselves; more of them
+// are cut off, or this controller is slow.
+const (
+	aloneReports = 2.5
+	aloneLeast   = 10 * time.Second
+	aloneShare   = 0.05
+)
+
 // checkMachines looks for machines that fell silent.
 func (c *Core) checkMachines() {
 	c.releaseGuests(false)
@@ -755,8 +766,12 @@
 	// dead. They come back as they were when the cut ends, so they are given
 	// more time; new ones would take a boot time and may not be had at all.
 	silentIn, allIn := map[string]int{}, map[string]int{}
+	alone := 0
 	for _, m := range c.machines {
 		allIn[m.zone]++
+		if !m.lost && c.now.Sub(m.heard) > config.Seconds(1.5*w.ReportS) {
+			alone++
+		}
 		if c.now.Sub(m.heard) > config.Seconds(2.5*w.ReportS) {
 			silentIn[m.zone]++
 		}
@@ -770,6 +785,9 @@
 		if n := silentIn[m.zone]; n >= 3 && 2*n >= allIn[m.zone] {
 			patience += cutPatience
 		}
+		if m.spot && !m.dirty && float64(alone) <= max(2, aloneShare*float64(len(c.machines))) {
+			patience = min(patience, max(aloneLeast, config.Seconds(aloneReports*w.ReportS)))
+		}
 		if silent > patience ||
 			(!m.gone.IsZero() && c.now.Sub(m.gone) > 2*time.Second && silent > config.Seconds(1.5*w.ReportS)) {
 			m.lost = true
