--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -243,6 +243,9 @@
 func (c *Core) retire() {
 	l := c.lead
 	f := &l.fleet
+	if !c.large() {
+		return // on a small fleet they were missed soon after
+	}
 	free := 0.0
 	kept := map[string]bool{}
 	for _, node := range sortedKeys(l.renewals) {
