--- a/cmd/fawncove/check.go
+++ b/cmd/fawncove/check.go
@@ -9,6 +9,13 @@
 	"fawncove/internal/config"
 )
 
+const (
+	// fewMachines is a fleet that is too small for any deployment.
+	fewMachines = 50
+	// cpusPerMachine is a middling machine; the settings name no types.
+	cpusPerMachine = 16
+)
+
 func checkCommand() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
@@ -20,7 +27,18 @@
 			if err != nil {
 				return err
 			}
-			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok, controller %s with %d peers\n", path, s.HostName, len(s.Peers))
+			room := s.FleetRoom()
+			if _, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok, controller %s with %d peers, room for leases of about %d machines\n",
+				path, s.HostName, len(s.Peers), room); err != nil {
+				return err
+			}
+			most := 0.0
+			for _, t := range s.Cluster.Teams {
+				most += max(t.CPUs, t.CPUsMax)
+			}
+			if room < fewMachines || most > cpusPerMachine*float64(room) {
+				_, err = fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cluster.state.value_kb: leases of only about %d machines fit; the fleet will stop growing there\n", path, room)
+			}
 			return err
 		},
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -81,3 +81,16 @@
 		t.Error("a missing file is accepted")
 	}
 }
+
+func TestFleetRoom(t *testing.T) {
+	for _, c := range []struct {
+		kb          float64
+		controllers int
+		least, most int
+	}{{4, 5, 609, 1200}, {8, 5, 1467, 2400}, {1, 5, 0, 0}} {
+		s := Settings{Cluster: Cluster{InitialSize: c.controllers, State: State{ValueKB: c.kb}}}
+		if got := s.FleetRoom(); got < c.least || got > c.most {
+			t.Errorf("%v KiB, %d controllers: room for %d machines, want %d to %d", c.kb, c.controllers, got, c.least, c.most)
+		}
+	}
+}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -56,7 +56,9 @@
 		c.renewSoon = true
 		return
 	}
-	c.grant = b.Grant
+	if c.grant != b.Grant {
+		c.grant, c.attempts = b.Grant, 0 // attempts are counted under each grant anew
+	}
 	if sent, ok := c.renewalSent[b.Renewal]; ok {
 		if until := sent.Add(shrink(c.par.Lease)); until.After(c.right) {
 			c.right = until
