--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -268,7 +268,7 @@
 		}
 		free -= spareShare * cpus
 		if l.recalls[name] && !r.spot {
-			free -= cpus // what it runs goes on elsewhere
+			free -= cpus / 2 // about what it still runs, on average until it is empty
 		} else if !r.spot && !kept[name] {
 			dear = append(dear, name)
 		}
