--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -138,3 +138,40 @@
 		}
 	}
 }
+
+// TestLongTasksAvoidRiskySpotMachines expects the price to decide while spot
+// machines last, and the work lost with them while they are taken often.
+func TestLongTasksAvoidRiskySpotMachines(t *testing.T) {
+	c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1", Homes: map[string]string{"free": "n0"},
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}})
+	place := func(spotMachine bool) *spot {
+		m := &machine{kind: "s4", spot: spotMachine, size: sizeOf(c.types["s4"])}
+		return &spot{m: m, free: m.size, dear: c.dearness()(m)}
+	}
+	job := func(runS float64) *job {
+		return &job{rec: wire.JobRecord{Job: wire.Job{ID: "wk-000001", Class: "c", Team: "free", Priority: "standard", Tasks: 1, CPUs: 1, Spot: true, EstimateS: runS}}}
+	}
+	prefersSpot := func(runS float64) bool {
+		return c.costOf(job(runS), place(true)) < c.costOf(job(runS), place(false))
+	}
+	if !prefersSpot(30) || !prefersSpot(200) {
+		t.Error("nothing was taken yet, so the price decides")
+	}
+	for range 120 {
+		now = now.Add(time.Second)
+		c.now = now
+		c.noteSpot(100)
+		c.spotTaken += 0.3 // eleven an hour and machine
+	}
+	if !prefersSpot(30) || prefersSpot(200) {
+		t.Errorf("a long task expects to repeat %.1f s, a short one %.1f s", c.repeatS(200), c.repeatS(30))
+	}
+	for range 600 {
+		now = now.Add(time.Second)
+		c.now = now
+		c.noteSpot(100)
+	}
+	if !prefersSpot(200) {
+		t.Error("long ago is forgotten")
+	}
+}
