--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -118,13 +118,9 @@
 	strangers map[string]bool // machines to be asked for their tasks
 	asking    int             // such questions under way
 	preemptAt time.Time
-	// Spot machines taken and the seconds they served, lately.
-	spotTaken  float64
-	spotServed float64
-	spotAt     time.Time
-	pingAt     time.Time
-	spare      float64 // processors free here beyond what waits
-	progress   map[string]*peerpb.Progress
+	pingAt    time.Time
+	spare     float64 // processors free here beyond what waits
+	progress  map[string]*peerpb.Progress
 }
 
 // peerState is what is known of another controller.
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -248,13 +248,7 @@
 }
 
 func (c *Core) costOf(j *job, s *spot) float64 {
-	repeat := 0.0
-	if s.m.spot && j.rec.CheckpointS <= 0 {
-		// Long tasks lose most with a machine that is taken; while these
-		// are taken often, ordinary machines are for them.
-		repeat = c.repeatS(c.runSeconds(j))
-	}
-	return repeat + sched.Cost(j.need(), sched.Place{Free: s.free, Size: s.m.size,
+	return sched.Cost(j.need(), sched.Place{Free: s.free, Size: s.m.size,
 		FetchS: s.m.fetchSeconds(j, c.types[s.m.kind].FetchGBPS), Dear: s.dear}, j.rec.Rank() <= 1)
 }
 
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -268,7 +267,6 @@
 	}
 	if r.NoticeS != nil {
 		if m.gone.IsZero() {
-			c.spotTaken++
 			m.gone = c.now.Add(config.Seconds(*r.NoticeS))
 			c.renewSoon = true // another can be rented meanwhile
 			// What can be saved is saved now and goes on elsewhere, and
@@ -748,28 +746,6 @@
 // half of their zone.
 const cutPatience = 25 * time.Second
 
-// spotMemory is how long the losses of spot machines are remembered.
-const spotMemory = 90 * time.Second
-
-// noteSpot keeps count of the time that spot machines have served, to tell how
-// often they are taken at present.
-func (c *Core) noteSpot(machines int) {
-	if !c.spotAt.IsZero() {
-		d := c.now.Sub(c.spotAt).Seconds()
-		keep := math.Exp(-d / spotMemory.Seconds())
-		c.spotTaken *= keep
-		c.spotServed = c.spotServed*keep + d*float64(machines)
-	}
-	c.spotAt = c.now
-}
-
-// repeatS is how many seconds of work a task that runs that long is expected
-// to lose with a spot machine, as often as these are taken at present.
-func (c *Core) repeatS(runS float64) float64 {
-	const hour = 3600 // so that a few machines for a short time tell nothing
-	return c.spotTaken / (c.spotServed + hour) * runS * runS / 2
-}
-
 // A spot machine that falls silent by itself was most likely taken without
 // notice, as some are. It is given up after aloneReports report intervals, but
 // not before its worker can have tried the other controllers. Up to aloneShare
@@ -791,11 +767,7 @@
 	// more time; new ones would take a boot time and may not be had at all.
 	silentIn, allIn := map[string]int{}, map[string]int{}
 	alone := 0
-	spots := 0
 	for _, m := range c.machines {
-		if m.spot && !m.lost {
-			spots++
-		}
 		allIn[m.zone]++
 		if !m.lost && c.now.Sub(m.heard) > config.Seconds(1.5*w.ReportS) {
 			alone++
@@ -804,7 +776,6 @@
 			silentIn[m.zone]++
 		}
 	}
-	c.noteSpot(spots)
 	for _, m := range c.machines {
 		if m.lost {
 			continue
@@ -820,9 +791,6 @@
 		if silent > patience ||
 			(!m.gone.IsZero() && c.now.Sub(m.gone) > 2*time.Second && silent > config.Seconds(1.5*w.ReportS)) {
 			m.lost = true
-			if m.spot && m.gone.IsZero() {
-				c.spotTaken++
-			}
 			c.renewSoon = true
 			c.log.Info("machine lost", "machine", m.name, "silent", silent)
 		}
