Frames between controllers are answered; a dead link is dialled again

The others took the leader for out of reach and kept its workers as guests; new machines were given up 10 s after they joined. Ruled out: processor time, sockets.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -1,6 +1,7 @@
 // Package peer carries protobuf frames between controllers over TCP. Each
 // controller dials every other one and sends on the connection it dialled;
-// frames are preceded by their length in four bytes.
+// frames are preceded by their length in four bytes. The receiver answers
+// each frame with one byte, so that a sender notices when nobody reads.
 package peer
 
 import (
@@ -12,6 +13,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -26,8 +28,15 @@
 	// idleTimeout ends inbound connections that a dead peer left behind.
 	idleTimeout = 15 * time.Second
 	retryAfter  = 300 * time.Millisecond
+	// ackTimeout is how long a frame may stay unanswered before the connection
+	// counts as dead. A cut that holds packets back can leave a connection
+	// that takes writes for ever while its other end is long closed.
+	ackTimeout = 3 * time.Second
 )
 
+// ack is what the receiver answers each frame with.
+const ack = 0x06
+
 // Write writes one frame.
 func Write(w io.Writer, f *peerpb.Frame) error {
 	b, err := proto.Marshal(f)
@@ -90,6 +99,11 @@
 					log.Debug("peer connection ended", "err", err)
 					return
 				}
+				conn.SetWriteDeadline(time.Now().Add(ioTimeout))
+				if _, err := conn.Write([]byte{ack}); err != nil {
+					log.Debug("peer connection ended", "err", err)
+					return
+				}
 				handle(f)
 			}
 		}()
@@ -118,8 +132,39 @@
 	}
 }
 
+// outbound is the connection that a link sends on.
+type outbound struct {
+	net.Conn
+	acked atomic.Int64 // frames answered
+	ended atomic.Bool  // the other end has closed it
+	sent  int64
+	seen  int64     // answers when it was last looked at
+	since time.Time // of the last answer, or since when any is owed
+}
+
+// listen counts answers until the connection ends.
+func (o *outbound) listen() {
+	var b [64]byte
+	for {
+		n, err := o.Read(b[:])
+		o.acked.Add(int64(n))
+		if err != nil {
+			o.ended.Store(true)
+			return
+		}
+	}
+}
+
+// dead tells whether the connection is of no use any more.
+func (o *outbound) dead(now time.Time) bool {
+	if acked := o.acked.Load(); acked >= o.sent || acked > o.seen {
+		o.seen, o.since = acked, now
+	}
+	return o.ended.Load() || now.Sub(o.since) > ackTimeout
+}
+
 func (l *Link) run(ctx context.Context) {
-	var conn net.Conn
+	var conn *outbound
 	drop := func() {
 		if conn != nil {
 			conn.Close()
@@ -133,8 +178,12 @@
 		case <-ctx.Done():
 			return
 		case f := <-l.queue:
+			now := time.Now()
+			if conn != nil && conn.dead(now) {
+				drop()
+			}
 			if conn == nil {
-				if time.Now().Before(retry) {
+				if now.Before(retry) {
 					continue
 				}
 				c, err := net.DialTimeout("tcp", l.addr, dialTimeout)
@@ -142,8 +191,10 @@
 					retry = time.Now().Add(retryAfter)
 					continue
 				}
-				conn = c
+				conn = &outbound{Conn: c, since: time.Now()}
+				go conn.listen()
 			}
+			conn.sent++
 			conn.SetWriteDeadline(time.Now().Add(ioTimeout))
 			if err := Write(conn, f); err != nil {
 				drop()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -47,6 +47,31 @@
 	}
 }
 
+// TestDeadConnection is what a cut that held packets back can leave behind: a
+// connection that takes writes while nobody reads. It must not be written to
+// for ever.
+func TestDeadConnection(t *testing.T) {
+	here, there := net.Pipe()
+	defer there.Close()
+	start := time.Now()
+	o := &outbound{Conn: here, since: start}
+	if o.sent = 1; o.dead(start.Add(ackTimeout)) {
+		t.Error("given up before an answer can be expected")
+	}
+	if o.sent = 2; !o.dead(start.Add(ackTimeout + time.Millisecond)) {
+		t.Error("frames without an answer, and the connection is kept")
+	}
+	if o.acked.Store(1); o.dead(start.Add(2 * ackTimeout)) {
+		t.Error("an answer came, and the connection is given up")
+	}
+	if o.acked.Store(2); o.dead(start.Add(time.Hour)) {
+		t.Error("given up though all is answered")
+	}
+	if there.Close(); !func() bool { o.listen(); return o.dead(start.Add(time.Hour)) }() {
+		t.Error("the other end has closed it, and it is kept")
+	}
+}
+
 func TestReadRefusesLargeFrames(t *testing.T) {
 	if _, err := Read(bytes.NewReader([]byte{0x7f, 0, 0, 0, 1})); err == nil {
 		t.Error("a frame of two gigabytes is accepted")
