Only starved work lets spot machines go; waiting services do not

A waiting service counted as work that cannot use what stands empty, which set the target for spot machines to nothing: none was rented ahead and idle ones went after a quarter of a boot time.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -340,7 +340,7 @@
 		out = append(out, sched.Demand{Rank: int(d.GetRank()),
 			Need:  sched.Amount{CPUs: d.GetCpus(), Cards: d.GetCards(), MemoryGB: d.GetMemoryGb()},
 			Types: d.GetTypes(), Zone: d.GetZone(), Spot: d.GetSpot(),
-			Count: int(d.GetCount()), RunS: max(1, d.GetRunS()), Whole: d.GetWhole()})
+			Count: int(d.GetCount()), RunS: max(1, d.GetRunS()), Whole: d.GetWhole(), Starved: d.GetStarved()})
 	}
 	return out
 }
@@ -519,7 +519,7 @@
 	for _, r := range l.renewals {
 		busy += r.GetBusySpotCpus()
 		for _, d := range r.GetDemand() {
-			starving = starving || d.GetWhole()
+			starving = starving || d.GetStarved()
 		}
 		for _, u := range r.GetUse() {
 			if u.GetGoing() {
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -801,9 +801,10 @@
 		if n == 0 {
 			continue
 		}
+		long := c.now.Sub(j.waitSince) > starved
 		list = append(list, sched.Demand{Rank: j.rec.Rank(), Need: c.coarse(j), Types: j.rec.Types,
 			Zone: j.rec.Zone, Spot: j.rec.Spot, Count: n, RunS: c.runSeconds(j),
-			Whole: j.rec.Shape != wire.Array || c.now.Sub(j.waitSince) > starved})
+			Whole: j.rec.Shape != wire.Array || long, Starved: long})
 	}
 	var out []*peerpb.Demand
 	for _, d := range sched.Merge(list) {
@@ -812,7 +813,7 @@
 		}
 		out = append(out, &peerpb.Demand{Rank: int32(d.Rank), Cpus: d.Need.CPUs, Cards: d.Need.Cards,
 			MemoryGb: d.Need.MemoryGB, Types: d.Types, Zone: d.Zone, Spot: d.Spot,
-			Count: int32(d.Count), RunS: d.RunS, Whole: d.Whole})
+			Count: int32(d.Count), RunS: d.RunS, Whole: d.Whole, Starved: d.Starved})
 	}
 	return out
 }
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -16,6 +16,8 @@
 	Count int
 	RunS  float64
 	Whole bool // nothing of it may be left to machines that become free
+	// Starved work has waited long without any of it being started.
+	Starved bool
 }
 
 // Allows tells whether the group's tasks may run on a machine of this kind.
@@ -65,17 +67,18 @@
 // choice of machines does not depend on how many controllers asked.
 func Merge(list []Demand) []Demand {
 	type key struct {
-		rank  int
-		need  Amount
-		types string
-		zone  string
-		spot  bool
-		whole bool
+		rank    int
+		need    Amount
+		types   string
+		zone    string
+		spot    bool
+		whole   bool
+		starved bool
 	}
 	at := map[key]int{}
 	var out []Demand
 	for _, d := range list {
-		k := key{d.Rank, d.Need, strings.Join(d.Types, "\x00"), d.Zone, d.Spot, d.Whole}
+		k := key{d.Rank, d.Need, strings.Join(d.Types, "\x00"), d.Zone, d.Spot, d.Whole, d.Starved}
 		i, ok := at[k]
 		if !ok {
 			at[k] = len(out)
