Waves of losses are told from cuts by the ordinary machines beside them

A wave of silent losses was taken for a cut: its machines were given up after 11.5 s, one market was asked a second, and 24 s went by before half of them were replaced. Now spot machines that fall silent while ordinary ones of their zone are heard count as taken: they are replaced at once and given up sooner. Tight markets are asked together. When a cut ends, machines still on their way get the time of a lease.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -115,8 +115,9 @@
 	orderDue bool
 	// hurried are machines with commands that should go out at once.
 	hurried   map[string]bool
-	strangers map[string]bool // machines to be asked for their tasks
-	asking    int             // such questions under way
+	strangers map[string]bool      // machines to be asked for their tasks
+	asking    int                  // such questions under way
+	cutUntil  map[string]time.Time // zones whose machines may yet come back together
 	preemptAt time.Time
 	pingAt    time.Time
 	spare     float64 // processors free here beyond what waits
@@ -151,6 +152,7 @@
 		hurried:     map[string]bool{},
 		strangers:   map[string]bool{},
 		guests:      map[string]*guest{},
+		cutUntil:    map[string]time.Time{},
 		peers:       map[string]*peerState{},
 		classes:     map[string]*classStats{},
 		progress:    map[string]*peerpb.Progress{},
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -107,12 +107,13 @@
 
 // TestSilentAloneIsLostSooner expects a spot machine that falls silent by
 // itself to be given up before its worker's lease ends, and many that do so
-// together to be taken for a cut.
+// together to be taken for a cut, unless ordinary machines beside them are
+// heard all the while.
 func TestSilentAloneIsLostSooner(t *testing.T) {
 	for _, c := range []struct {
-		silent int
-		lost   bool
-	}{{1, true}, {2, true}, {12, false}} {
+		silent, spot int
+		lost         bool
+	}{{1, 30, true}, {2, 30, true}, {12, 30, false}, {12, 18, true}} {
 		var names wire.NameSet
 		for i := range 30 {
 			names = append(names, fmt.Sprintf("host-%06d", i))
@@ -125,16 +126,55 @@
 			for i, name := range names {
 				if i >= c.silent || s < 2 {
 					core.Step(now, ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: []string{"x", "y"}[i%2],
-						Spot: true, Session: 1, Seq: uint64(s + 1), Token: core.tokenFor(core.machines[name])}})
+						Spot: i < c.spot, Session: 1, Seq: uint64(s + 1), Token: core.tokenFor(core.machines[name])}})
 				}
 			}
 			core.Step(now.Add(100*time.Millisecond), Tick{})
+			// Another can be rented before it is given up.
+			if m := core.machines[names[0]]; s == 8 && m.missed != c.lost {
+				t.Errorf("%d of 30 silent, %d spot ones: missed %v, want %v", c.silent, c.spot, m.missed, c.lost)
+			}
 		}
 		if got := core.machines[names[0]].lost; got != c.lost {
-			t.Errorf("%d of 30 silent: lost %v, want %v", c.silent, got, c.lost)
+			t.Errorf("%d of 30 silent, %d spot ones: lost %v, want %v", c.silent, c.spot, got, c.lost)
 		}
 		if core.machines[names[20]].lost {
 			t.Error("a machine that reports counts as lost")
 		}
 	}
 }
+
+// TestCutEnds expects machines of a zone that fell silent together to be given
+// time when the first of them are heard again: in that moment those that were
+// still on their way used to be given up, tasks and all.
+func TestCutEnds(t *testing.T) {
+	var names wire.NameSet
+	for i := range 12 {
+		names = append(names, fmt.Sprintf("host-%06d", i))
+	}
+	core, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: names}}, Homes: map[string]string{"free": "n0"}})
+	for s := range 26 { // silent from 2 s to 22 s, which is well beyond a lease
+		now = now.Add(time.Second)
+		core.fresh = now
+		for i, name := range names {
+			if back := s - 22; s < 2 || i < 4*back {
+				core.Step(now, ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: "x",
+					Session: 1, Seq: uint64(s + 1), Token: core.tokenFor(core.machines[name])}})
+			}
+		}
+		core.Step(now.Add(100*time.Millisecond), Tick{})
+		for _, name := range names {
+			if core.machines[name].lost {
+				t.Fatalf("%s given up %d s after the start", name, s+1)
+			}
+		}
+	}
+	for range 60 { // now all of them are gone
+		now = now.Add(time.Second)
+		core.Step(now, Tick{})
+	}
+	if !core.machines[names[11]].lost {
+		t.Error("never given up")
+	}
+}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -57,6 +57,7 @@
 	renting   int
 	requests  uint64
 	refused   map[offerKey]time.Time
+	tight     time.Time // when a spot market last gave less than was asked
 }
 
 type offerKey struct {
@@ -550,6 +551,14 @@
 	}
 }
 
+const (
+	// muchMissing is the part of the load for which markets are asked together.
+	muchMissing = 0.05
+	// tightFor is how long a market that could not give all says something
+	// about the others.
+	tightFor = time.Minute
+)
+
 // cover rents spot machines until they alone cover the load, if the market
 // has them; retire recalls the ordinary ones once these are up.
 func (c *Core) cover() {
@@ -559,9 +568,18 @@
 		return cmp.Compare(a.Price/a.Size.CPUs, b.Price/b.Size.CPUs)
 	})
 	// Asked of each market in turn, as a wave of losses leaves room in all.
+	// While markets cannot give what is asked of them and much is missing,
+	// they are asked together, each for a part: one after the other would
+	// cost a second each.
 	left := rentMost
+	short := f.target - f.spot
+	part := short
+	if n := min(len(offers), max(1, int(c.cfg.Cluster.Cloud.RPS))); n > 1 &&
+		short > muchMissing*f.target && c.now.Sub(f.tight) < tightFor {
+		part = short / float64(n)
+	}
 	for _, o := range offers {
-		n := min(int((f.target-f.spot)/o.Size.CPUs), wire.MaxRent, left)
+		n := min(int(math.Ceil(part/o.Size.CPUs)), int((f.target-f.spot)/o.Size.CPUs), wire.MaxRent, left)
 		if n <= 0 {
 			continue
 		}
@@ -647,6 +665,9 @@
 	c.emit(CloudRent{Rent: req, ID: c.call(func(d Completed) {
 		f.renting--
 		if d.Status != 200 || len(d.Names) < req.Number {
+			if o.Spot {
+				f.tight = c.now
+			}
 			f.refused[key] = c.now.Add(refusedFor)
 		}
 		c.log.Info("rented", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", req.Number, "got", len(d.Names), "status", d.Status)
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -199,7 +199,7 @@
 		if !m.spot && m.bound() {
 			bound = append(bound, name)
 		}
-		u := &peerpb.Use{Name: name, Bad: m.bad, Going: !m.gone.IsZero()}
+		u := &peerpb.Use{Name: name, Bad: m.bad, Going: !m.gone.IsZero() || m.missed}
 		if !m.idle.IsZero() && m.session != 0 {
 			u.IdleS = c.now.Sub(m.idle).Seconds()
 		}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -70,6 +70,7 @@
 	gave     bool      // given back; not to be used any more
 	bad      bool      // fails its tasks
 	lost     bool
+	missed   bool   // silent; most likely taken
 	calling  bool   // a direct call is under way
 	guess    uint64 // its session, as far as others know
 	noDirect time.Time
@@ -257,7 +258,7 @@
 		m.heard = c.now
 		// A machine that was given up and reports after all, say after a cut,
 		// is as good as before, unless it is being returned already.
-		m.lost = false
+		m.lost, m.missed = false, false
 	}
 	if m.kind != r.Type {
 		m.kind = r.Type
@@ -750,13 +751,34 @@
 // notice, as some are. It is given up after aloneReports report intervals, but
 // not before its worker can have tried the other controllers. Up to aloneShare
 // of a block counts as machines that fell silent by themselves; more of them
-// are cut off, or this controller is slow.
+// are cut off, or this controller is slow. Only where the ordinary machines of
+// their zone are heard all the while is it a wave, however many are silent.
 const (
 	aloneReports = 2.5
 	aloneLeast   = 10 * time.Second
 	aloneShare   = 0.05
+	// zoneWitnesses is how many ordinary machines tell what befell a zone.
+	zoneWitnesses = 4
 )
 
+// census counts a zone's machines, all and ordinary ones, and how many of
+// them are silent.
+type census struct {
+	all, silent           int
+	ordinary, silentThere int
+}
+
+// cut tells whether the zone's machines are cut off rather than dead.
+func (z *census) cut() bool {
+	if z.ordinary >= zoneWitnesses {
+		return 2*z.silentThere >= z.ordinary
+	}
+	return z.silent >= 3 && 2*z.silent >= z.all
+}
+
+// wave tells that spot machines which are silent there have been taken.
+func (z *census) wave() bool { return z.ordinary >= zoneWitnesses && 10*z.silentThere <= z.ordinary }
+
 // checkMachines looks for machines that fell silent.
 func (c *Core) checkMachines() {
 	c.releaseGuests(false)
@@ -765,15 +787,36 @@
 	// Machines of a zone that fall silent together are cut off rather than
 	// dead. They come back as they were when the cut ends, so they are given
 	// more time; new ones would take a boot time and may not be had at all.
-	silentIn, allIn := map[string]int{}, map[string]int{}
+	zones := map[string]*census{}
 	alone := 0
 	for _, m := range c.machines {
-		allIn[m.zone]++
-		if !m.lost && c.now.Sub(m.heard) > config.Seconds(1.5*w.ReportS) {
-			alone++
+		z := zones[m.zone]
+		if z == nil {
+			z = &census{}
+			zones[m.zone] = z
 		}
-		if c.now.Sub(m.heard) > config.Seconds(2.5*w.ReportS) {
-			silentIn[m.zone]++
+		silent := c.now.Sub(m.heard)
+		z.all++
+		if !m.spot {
+			z.ordinary++
+		}
+		if silent > config.Seconds(1.5*w.ReportS) {
+			if !m.lost {
+				alone++
+			}
+			if !m.spot {
+				z.silentThere++
+			}
+		}
+		if silent > config.Seconds(aloneReports*w.ReportS) {
+			z.silent++
+		}
+	}
+	for zone, z := range zones {
+		// They do not all come back in the moment in which a cut ends: some
+		// have first to be sent back by whom they turned to meanwhile.
+		if z.cut() {
+			c.cutUntil[zone] = c.now.Add(config.Seconds(w.LeaseS))
 		}
 	}
 	for _, m := range c.machines {
@@ -782,11 +825,16 @@
 		}
 		silent := c.now.Sub(m.heard)
 		patience := limit
-		if n := silentIn[m.zone]; n >= 3 && 2*n >= allIn[m.zone] {
+		z := zones[m.zone]
+		if c.now.Before(c.cutUntil[m.zone]) {
 			patience += cutPatience
-		}
-		if m.spot && !m.dirty && float64(alone) <= max(2, aloneShare*float64(len(c.machines))) {
-			patience = min(patience, max(aloneLeast, config.Seconds(aloneReports*w.ReportS)))
+		} else if m.spot && !m.dirty && (z.wave() || float64(alone) <= max(2, aloneShare*float64(len(c.machines)))) {
+			few := config.Seconds(aloneReports * w.ReportS)
+			patience = min(patience, max(aloneLeast, few))
+			// Another can be rented before this one is given up.
+			if silent > few && !m.missed {
+				m.missed, c.renewSoon = true, true
+			}
 		}
 		if silent > patience ||
 			(!m.gone.IsZero() && c.now.Sub(m.gone) > 2*time.Second && silent > config.Seconds(1.5*w.ReportS)) {
