--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -108,6 +108,7 @@
 	guests   map[string]*guest
 	peers    map[string]*peerState
 	classes  map[string]*classStats
+	inflow   map[int64]float64 // accepted work by step of time, see arrived
 	placeDue bool
 	placedAt time.Time
 	choices  []choice   // reused by placeTasks
@@ -155,6 +156,7 @@
 		cutUntil:    map[string]time.Time{},
 		peers:       map[string]*peerState{},
 		classes:     map[string]*classStats{},
+		inflow:      map[int64]float64{},
 		progress:    map[string]*peerpb.Progress{},
 	}
 	for _, p := range cfg.Peers {
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -492,6 +492,12 @@
 			return // the answers tell what else is needed
 		}
 	}
+	if spot && c.large() {
+		for _, o := range sched.Rent(c.behind(waiting, have+soonHave), c.offers(false), rentMost) {
+			c.rent(o)
+		}
+		return
+	}
 	patience := dearPatience
 	if !spot {
 		patience = cheapPatience // there is nothing cheaper to wait for
@@ -623,6 +629,64 @@
 	return out
 }
 
+// inflowSpan is how far back arrivals are counted, in steps of inflowStep.
+const (
+	inflowSpan = 60 * time.Second
+	inflowStep = 5 * time.Second
+)
+
+// arrived counts an accepted job's work as inflow.
+func (c *Core) arrived(rec *wire.JobRecord) {
+	if rec.Shape == wire.Daemon {
+		return // never done; its processors are taken off what there is
+	}
+	c.inflow[rec.AtMs/inflowStep.Milliseconds()] += float64(rec.Tasks) * rec.CPUs * max(1, rec.EstimateS)
+}
+
+// inflowRate is the work that comes in, in processors that it keeps busy.
+func (c *Core) inflowRate() float64 {
+	sum := 0.0
+	oldest := c.now.Add(-inflowSpan).UnixMilli() / inflowStep.Milliseconds()
+	for step, work := range c.inflow {
+		if step <= oldest {
+			delete(c.inflow, step)
+		} else {
+			sum += work
+		}
+	}
+	return sum / inflowSpan.Seconds()
+}
+
+// behind is the part of the waiting tasks that dear machines are wanted for:
+// a fleet of size processors has to keep up with what comes in, and only what
+// it has beyond that works off what waits. Both early and late a backlog costs
+// the same machine time, so it is worked off early; what waits is enough to
+// tell, but not how much capacity is left for it.
+func (c *Core) behind(waiting []sched.Demand, size float64) []sched.Demand {
+	soon := 0.0
+	for _, t := range c.types {
+		if soon == 0 || t.BootS < soon {
+			soon = t.BootS
+		}
+	}
+	work, cpus := 0.0, 0.0
+	for _, d := range waiting {
+		cpus += float64(d.Count) * d.Need.CPUs
+		work += float64(d.Count) * d.Need.CPUs * d.RunS
+	}
+	for _, r := range c.lead.renewals {
+		size -= r.GetBusyCpus() - r.GetBusySpotCpus()
+	}
+	short := c.inflowRate() + work/(dearPatience*max(1, soon)) - size
+	out := slices.Clone(waiting)
+	for i := range out {
+		if !out[i].Whole {
+			out[i].Count = int(math.Ceil(float64(out[i].Count) * min(1, max(0, short/max(1, cpus)))))
+		}
+	}
+	return out
+}
+
 // offers lists what can be rented: the cheap kind, spot machines, or all.
 func (c *Core) offers(cheap bool) []sched.Offer {
 	var out []sched.Offer
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -251,6 +251,7 @@
 	if j == nil {
 		j = &job{first: version, waitSince: c.now}
 		c.jobs[rec.ID] = j
+		c.arrived(&rec)
 	}
 	if version <= j.version {
 		return
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -27,6 +27,9 @@
 	// started before machines are rented for all of them. The fleet may be
 	// busy with work that never ends, or have no machine that they may use.
 	starved = 75 * time.Second
+	// stuck is how long nothing of a class may be started before its waiting
+	// work counts as starved rather than queued.
+	stuck = 15 * time.Second
 )
 
 // ---- what every controller does with the lease value
@@ -801,7 +804,9 @@
 		if n == 0 {
 			continue
 		}
-		long := c.now.Sub(j.waitSince) > starved
+		// Where others of its class are started it only waits for its turn:
+		// machines rented for all of it would come when the backlog is gone.
+		long := c.now.Sub(j.waitSince) > starved && c.now.Sub(c.class(j.rec.Class).startedAt) > stuck
 		list = append(list, sched.Demand{Rank: j.rec.Rank(), Need: c.coarse(j), Types: j.rec.Types,
 			Zone: j.rec.Zone, Spot: j.rec.Spot, Count: n, RunS: c.runSeconds(j),
 			Whole: j.rec.Shape != wire.Array || long, Starved: long})
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -581,6 +581,7 @@
 	i := j.queue[0]
 	j.queue = j.queue[1:]
 	j.waitSince = c.now
+	c.class(j.rec.Class).startedAt = c.now
 	c.attempts++
 	r := &run{j: j, i: i, task: taskName(j.rec.ID, i), attempt: c.grant<<24 + c.attempts, m: m,
 		state: runQueued, placed: c.now}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -110,9 +110,10 @@
 
 // classStats learns how long a class's tasks really run.
 type classStats struct {
-	ratio float64 // of real run time to the estimate
-	n     int
-	mean  float64
+	startedAt time.Time // of its latest task
+	ratio     float64   // of real run time to the estimate
+	n         int
+	mean      float64
 }
 
 func (c *Core) tokenFor(m *machine) uint64 { return c.grant<<24 + m.bump }
@@ -469,11 +470,7 @@
 	if r.started.IsZero() || r.j.rec.EstimateS <= 0 {
 		return
 	}
-	s := c.classes[r.j.rec.Class]
-	if s == nil {
-		s = &classStats{ratio: 1}
-		c.classes[r.j.rec.Class] = s
-	}
+	s := c.class(r.j.rec.Class)
 	s.n++
 	took := c.now.Sub(r.started).Seconds()
 	w := max(0.05, 1/float64(s.n+3))
@@ -481,12 +478,18 @@
 	s.mean += max(0.05, 1/float64(s.n)) * (took - s.mean)
 }
 
+func (c *Core) class(name string) *classStats {
+	s := c.classes[name]
+	if s == nil {
+		s = &classStats{ratio: 1}
+		c.classes[name] = s
+	}
+	return s
+}
+
 // runSeconds estimates how long a task of the job runs.
 func (c *Core) runSeconds(j *job) float64 {
-	if s := c.classes[j.rec.Class]; s != nil {
-		return j.rec.EstimateS * min(3, max(0.3, s.ratio))
-	}
-	return j.rec.EstimateS
+	return j.rec.EstimateS * min(3, max(0.3, c.class(j.rec.Class).ratio))
 }
 
 func (c *Core) touchIdle(m *machine) {
@@ -828,7 +831,7 @@
 		z := zones[m.zone]
 		if c.now.Before(c.cutUntil[m.zone]) {
 			patience += cutPatience
-		} else if m.spot && !m.dirty && (z.wave() || float64(alone) <= max(2, aloneShare*float64(len(c.machines)))) {
+		} else if m.spot && (z.wave() || (!m.dirty && float64(alone) <= max(2, aloneShare*float64(len(c.machines))))) {
 			few := config.Seconds(aloneReports * w.ReportS)
 			patience = min(patience, max(aloneLeast, few))
 			// Another can be rented before this one is given up.
