Takeovers hear their machines sooner and wait for less

After a restart jobs waited up to 10 s for one machine that was dead. Seen in logs: a new holder learnt endpoints only with its next renewal; machines that had reported under an old token were not asked; services waited for spot machines on which they cannot be; after an outage for all, controllers that were answered a moment later than the leader resigned. Now endpoints are asked for at once, such machines are asked directly, silent spot ones are probed and given up sooner when they do not answer either, and another's word about the state service counts once it has held for 2.5 s.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -130,7 +130,8 @@
 	area    string
 	heard   time.Time
 	stateOK bool
-	spare   float64 // processors free beyond what waits
+	okSince time.Time // since when it says so without a break
+	spare   float64   // processors free beyond what waits
 }
 
 // New returns the core of the controller described by cfg. incarnation must
@@ -302,6 +303,9 @@
 		c.log.Warn("frame from an unknown peer", "from", f.GetFrom())
 		return
 	}
+	if f.GetStateOk() && (!p.stateOK || c.now.Sub(p.heard) > linkDead) {
+		p.okSince = c.now
+	}
 	p.heard, p.stateOK = c.now, f.GetStateOk()
 	if f.GetRenewal() == nil {
 		p.spare = f.GetSpareCpus()
@@ -313,7 +317,7 @@
 	}
 	for _, k := range f.GetKnown() {
 		if m := c.machines[k.GetName()]; m != nil {
-			c.introduce(m, k.GetEndpoint(), k.GetSession())
+			c.introduce(m, k)
 		}
 	}
 	c.askWorkers()
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawncove/internal/config"
+	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/wire"
 )
 
@@ -178,3 +179,99 @@
 		t.Error("never given up")
 	}
 }
+
+// TestOutageIsNotTakenForRefusal lets an outage for all end. Somebody is
+// answered first; the others must not take themselves for refused and give up
+// their blocks in that moment.
+func TestOutageIsNotTakenForRefusal(t *testing.T) {
+	c, start := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}, Homes: map[string]string{"free": "n0"}})
+	c.stateOK = start
+	for ms := 500; ms <= 16000; ms += 500 {
+		c.Step(start.Add(time.Duration(ms)*time.Millisecond), PeerIn{Frame: &peerpb.Frame{From: "n1", StateOk: ms < 4000 || ms > 10000}})
+		if got, want := c.refusedAlone(), ms > 10000+int(refusedProof.Milliseconds())+500; got != want {
+			t.Errorf("refused alone at %d ms: %v, want %v", ms, got, want)
+		}
+	}
+}
+
+// TestOnlyWhatMayRunThereWaits takes a block over in which a spot machine does
+// not answer. Jobs that earlier owners may have started there wait until it is
+// heard or gone; a service that may not use spot machines does not.
+func TestOnlyWhatMayRunThereWaits(t *testing.T) {
+	c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Old: wire.NameSet{"host-000001", "host-000002"}}},
+		Homes:  map[string]string{"free": "n0"}})
+	c.right = now.Add(10 * time.Second)
+	job := func(id string, shape wire.Shape, spot bool) *job {
+		c.applyJob(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: "standard", Tasks: 1, CPUs: 1, Spot: spot}}, 3)
+		j := c.jobs[id]
+		j.reading = false
+		c.jobReady(j)
+		return j
+	}
+	service, array := job("wk-000001", wire.Daemon, false), job("wk-000002", wire.Array, true)
+	ordinary, spot := c.machines["host-000001"], c.machines["host-000002"]
+	r := wire.Report{Machine: ordinary.name, Endpoint: "e1", Type: "s4", Zone: "x", Session: 1, Seq: 3, Token: c.tokenFor(ordinary)}
+	c.Step(now.Add(time.Second), ReportIn{Req: 1, Report: r})
+	if len(service.runs) != 0 || len(array.runs) != 0 {
+		t.Fatal("started though a machine may run anything")
+	}
+	c.introduce(spot, &peerpb.Seen{Endpoint: "e2", Type: "s4", Zone: "x", Spot: true})
+	c.placeDue = true
+	c.Step(now.Add(2*time.Second), Tick{})
+	if len(service.runs) != 1 {
+		t.Error("the service waits for a machine on which it cannot be")
+	}
+	if len(array.runs) != 0 {
+		t.Error("started though the spot machine may run it")
+	}
+}
+
+// TestSilentMachinesAreAsked expects a spot machine of a zone that is
+// otherwise heard to be asked when it misses its reports, and to be given up
+// without the usual patience when it does not answer either.
+func TestSilentMachinesAreAsked(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		var names wire.NameSet
+		for i := range 6 {
+			names = append(names, fmt.Sprintf("host-%06d", i))
+		}
+		c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: names}}, Homes: map[string]string{"free": "n0"}})
+		c.right = now.Add(time.Minute)
+		asked := 0
+		var answer []Completed
+		for s := range 9 { // the last report is 7 s old at the end
+			now = now.Add(time.Second)
+			c.fresh = now
+			for _, d := range answer {
+				c.Step(now, d)
+			}
+			answer = nil
+			for i, name := range names {
+				rep := wire.Report{Machine: name, Endpoint: name, Type: "s4", Zone: "x", Spot: i == 0, Session: 1, Seq: uint64(s + 1), Token: c.tokenFor(c.machines[name])}
+				if i > 0 || s < 2 {
+					c.Step(now, ReportIn{Req: 1, Report: rep})
+				}
+			}
+			for _, e := range c.Step(now.Add(100*time.Millisecond), Tick{}) {
+				if d, ok := e.(Direct); ok && d.Endpoint == names[0] {
+					asked++
+					done := Completed{ID: d.ID}
+					if answers {
+						done.Status = 200
+						done.Report = &wire.Report{Machine: names[0], Endpoint: names[0], Type: "s4", Zone: "x", Spot: true, Session: 1, Seq: uint64(100 + s)}
+					}
+					answer = append(answer, done)
+				}
+			}
+		}
+		if asked == 0 {
+			t.Fatal("not asked")
+		}
+		if got := c.machines[names[0]].lost; got == answers {
+			t.Errorf("it answers: %v, given up: %v", answers, got)
+		}
+	}
+}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -74,6 +74,11 @@
 	session  uint64 // last heard of; 0: unknown
 }
 
+// seen describes the machine to the controller that holds it.
+func (r *rented) seen(name string) *peerpb.Seen {
+	return &peerpb.Seen{Name: name, Endpoint: r.endpoint, Type: r.kind, Zone: r.zone, Spot: r.spot, Session: r.session}
+}
+
 func (f *fleet) init() {
 	f.machines = map[string]*rented{}
 	f.leaving = map[string]bool{}
@@ -145,6 +150,7 @@
 			return
 		}
 		f.listing, f.listed = false, true
+		c.introduceOwn()
 		// Missing for longer than any list can lag: taken by the cloud. The
 		// release makes sure of it before anything is started again.
 		lag := config.Seconds(2*c.cfg.Cluster.Cloud.ListLagS) + 5*time.Second
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -82,11 +82,14 @@
 			dirty: dirty, fence: c.grant << 24}
 		c.machines[name] = m
 		c.orderDue = true
+		if dirty {
+			c.renewSoon = true // the leader can tell how to reach it
+		}
 		if g := c.guests[name]; g != nil && !dirty {
 			m.kind, m.zone, m.spot = g.rep.Type, g.rep.Zone, g.rep.Spot
 		}
 		if g := c.guests[name]; g != nil {
-			c.introduce(m, g.rep.Endpoint, g.rep.Session)
+			c.introduce(m, &peerpb.Seen{Endpoint: g.rep.Endpoint, Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot, Session: g.rep.Session})
 		}
 	}
 	for _, name := range b.Machines {
@@ -247,6 +250,10 @@
 // all is not mistaken for one.
 const refusedAfter = 7 * time.Second
 
+// refusedProof is for how long another must have been answered again before
+// that says anything: when an outage ends, some are answered a moment earlier.
+const refusedProof = 2500 * time.Millisecond
+
 // refusedAlone tells whether the state service answers others but not this
 // controller.
 func (c *Core) refusedAlone() bool {
@@ -254,7 +261,7 @@
 		return false
 	}
 	for _, p := range c.peers {
-		if c.now.Sub(p.heard) < linkDead && p.stateOK {
+		if c.now.Sub(p.heard) < linkDead && p.stateOK && c.now.Sub(p.okSince) > refusedProof {
 			return true
 		}
 	}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -167,14 +167,14 @@
 	// Machines whose tasks are not known yet may hold anything: jobs that
 	// may have been started before wait, and their room counts in full
 	// against every limit.
-	unknown := false
+	var unknown []*machine
 	clear(c.stopping)
 	var hidden sched.Amount
 	var spots []*spot
 	dear := c.dearness()
 	for _, m := range c.machineOrder() {
 		if m.dirty || m.orphans > 0 {
-			unknown = true
+			unknown = append(unknown, m)
 			size := m.size
 			if size.CPUs == 0 {
 				for _, t := range c.types {
@@ -200,7 +200,11 @@
 		c.preemptAt = c.now
 	}
 	for _, j := range jobs {
-		if unknown && j.first <= c.homes[j.home()] {
+		// A job's tasks can only be where its constraints let earlier owners
+		// start them.
+		if j.first <= c.homes[j.home()] && slices.ContainsFunc(unknown, func(m *machine) bool {
+			return m.kind == "" || j.mayUse(m)
+		}) {
 			continue
 		}
 		if j.rec.Shape == wire.Group {
@@ -503,12 +507,18 @@
 	}
 }
 
+// mayUse tells whether the job may use such a machine at all.
+func (j *job) mayUse(m *machine) bool {
+	rec := &j.rec
+	return (rec.Spot || !m.spot) && (rec.Zone == "" || rec.Zone == m.zone) &&
+		(len(rec.Types) == 0 || slices.Contains(rec.Types, m.kind))
+}
+
 // allowed tells whether the job's constraints let its next task start there,
 // given its other tasks at this moment.
 func (c *Core) allowed(j *job, m *machine) bool {
 	rec := &j.rec
-	if (m.spot && !rec.Spot) || (rec.Zone != "" && rec.Zone != m.zone) ||
-		(len(rec.Types) > 0 && !slices.Contains(rec.Types, m.kind)) {
+	if !j.mayUse(m) {
 		return false
 	}
 	// A machine on which the job failed is no place for another try, unless
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -70,17 +70,20 @@
 	gave     bool      // given back; not to be used any more
 	bad      bool      // fails its tasks
 	lost     bool
-	missed   bool   // silent; most likely taken
-	calling  bool   // a direct call is under way
-	guess    uint64 // its session, as far as others know
-	noDirect time.Time
-	pauseTo  time.Time
-	runs     map[runKey]*run
-	images   []image
-	idle     time.Time // since when it has no task
-	errors   map[string]bool
-	oks      int
-	asking   bool // its report is being answered
+	missed   bool // silent; most likely taken
+	// unanswered counts the direct calls since it was last heard that it has
+	// not answered.
+	unanswered int
+	calling    bool   // a direct call is under way
+	guess      uint64 // its session, as far as others know
+	noDirect   time.Time
+	pauseTo    time.Time
+	runs       map[runKey]*run
+	images     []image
+	idle       time.Time // since when it has no task
+	errors     map[string]bool
+	oks        int
+	asking     bool // its report is being answered
 }
 
 type image struct {
@@ -286,7 +289,11 @@
 		// earlier holder is executed any more and the list is complete.
 		m.dirty = false
 		c.placeDue = true
+	} else if m.dirty {
+		// Its next report may be seconds away: it is asked at once.
+		c.strangers[m.name] = true
 	}
+	m.unanswered = 0
 	listed := make(map[runKey]bool, len(r.Tasks))
 	m.orphans = 0
 	for k := range r.Tasks {
@@ -658,6 +665,7 @@
 		if len(sent) > 0 {
 			m.bump++
 		}
+		m.unanswered++
 		m.noDirect = c.now.Add(config.Seconds(2 * c.cfg.Cluster.Workers.ReportS))
 	}
 	c.touchIdle(m)
@@ -673,11 +681,14 @@
 // It is then asked: after a takeover every job that may have been started
 // before waits until the last machine has been heard, and the next reports
 // may be seconds away.
-func (c *Core) introduce(m *machine, endpoint string, session uint64) {
-	if endpoint == "" || m.endpoint != "" {
+func (c *Core) introduce(m *machine, s *peerpb.Seen) {
+	if s.GetEndpoint() == "" || m.endpoint != "" {
 		return
 	}
-	m.endpoint, m.guess = endpoint, max(1, session) // sessions start at 1
+	m.endpoint, m.guess = s.GetEndpoint(), max(1, s.GetSession()) // sessions start at 1
+	if m.kind == "" {
+		m.kind, m.zone, m.spot = s.GetType(), s.GetZone(), s.GetSpot()
+	}
 	c.strangers[m.name] = true
 }
 
@@ -690,14 +701,14 @@
 	}
 	for _, name := range sortedKeys(c.strangers) {
 		m := c.machines[name]
-		if m == nil || m.gave || m.lost || (m.session != 0 && !m.dirty) {
+		if m == nil || m.gave || m.lost || (m.session != 0 && !m.dirty && !c.silent(m)) {
 			delete(c.strangers, name)
 			continue
 		}
 		if c.asking >= asksAtOnce {
 			return
 		}
-		if m.calling || c.now.Before(m.noDirect) {
+		if m.calling || m.asking || m.endpoint == "" || c.now.Before(m.noDirect) {
 			continue
 		}
 		session := m.session
@@ -727,7 +738,7 @@
 	var known []*peerpb.Seen
 	for _, name := range c.unpack(r.GetUnknown()) {
 		if m := c.lead.fleet.machines[name]; m != nil && m.endpoint != "" && c.owners[name] == r.GetNode() {
-			known = append(known, &peerpb.Seen{Name: name, Endpoint: m.endpoint, Type: m.kind, Zone: m.zone, Spot: m.spot, Session: m.session})
+			known = append(known, m.seen(name))
 		}
 	}
 	if len(known) > 0 {
@@ -740,7 +751,7 @@
 func (c *Core) introduceOwn() {
 	for name, m := range c.machines {
 		if r := c.lead.fleet.machines[name]; m.endpoint == "" && r != nil {
-			c.introduce(m, r.endpoint, r.session)
+			c.introduce(m, r.seen(name))
 		}
 	}
 	c.askWorkers()
@@ -764,6 +775,14 @@
 	zoneWitnesses = 4
 )
 
+// DirectTimeout bounds a direct call; a worker answers in milliseconds.
+const DirectTimeout = 2 * time.Second
+
+// silent tells whether a machine has missed its reports.
+func (c *Core) silent(m *machine) bool {
+	return c.now.Sub(m.heard) > config.Seconds(aloneReports*c.cfg.Cluster.Workers.ReportS)
+}
+
 // census counts a zone's machines, all and ordinary ones, and how many of
 // them are silent.
 type census struct {
@@ -811,7 +830,7 @@
 				z.silentThere++
 			}
 		}
-		if silent > config.Seconds(aloneReports*w.ReportS) {
+		if c.silent(m) {
 			z.silent++
 		}
 	}
@@ -829,11 +848,17 @@
 		silent := c.now.Sub(m.heard)
 		patience := limit
 		z := zones[m.zone]
+		if c.silent(m) {
+			c.strangers[m.name] = true
+		}
 		if c.now.Before(c.cutUntil[m.zone]) {
 			patience += cutPatience
 		} else if m.spot && (z.wave() || (!m.dirty && float64(alone) <= max(2, aloneShare*float64(len(c.machines))))) {
 			few := config.Seconds(aloneReports * w.ReportS)
 			patience = min(patience, max(aloneLeast, few))
+			if m.unanswered > 0 && z.wave() {
+				patience = min(patience, few+DirectTimeout) // nor does it answer
+			}
 			// Another can be rented before this one is given up.
 			if silent > few && !m.missed {
 				m.missed, c.renewSoon = true, true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,13 +17,9 @@
 	"fawncove/internal/wire"
 )
 
-const (
-	// tickEvery is the pace of what time alone brings about. The machines are
-	// small, so wake-ups are kept few.
-	tickEvery = 150 * time.Millisecond
-	// directTimeout bounds a direct command; a worker answers in milliseconds.
-	directTimeout = 2 * time.Second
-)
+// tickEvery is the pace of what time alone brings about. The machines are
+// small, so wake-ups are kept few.
+const tickEvery = 150 * time.Millisecond
 
 // Node carries out a core's effects.
 type Node struct {
@@ -181,7 +177,7 @@
 			if !time.Now().Before(e.Until) {
 				return controller.Completed{ID: e.ID, Status: statestore.NotSent}
 			}
-			ctx, cancel := context.WithTimeout(ctx, directTimeout)
+			ctx, cancel := context.WithTimeout(ctx, controller.DirectTimeout)
 			defer cancel()
 			var r wire.Report
 			status, err := n.workers.Do(ctx, "POST", "http://"+e.Endpoint+"/commands", e.Body, &r, 200, 409)
