As few homes as the controllers' processors allow; dead guests are released sooner

Two homes parted the room: urgent tasks and services waited 10 s for machines that stood idle at the other home, and each home had a wave of its own to get over. A home is now added when the reports of its machines would take more than half of a controller's processor, by cores and report interval.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -275,3 +275,24 @@
 		}
 	}
 }
+
+// TestHomesFollowProcessors expects homes for teams with limits to be as few as
+// the controllers' processors allow: room that is apart is room lost.
+func TestHomesFollowProcessors(t *testing.T) {
+	c, _ := newCore(t, []config.Team{{Name: "a", CPUs: 900, CPUsMax: 1000}, {Name: "b", CPUsMax: 800}}, wire.LeaseRecord{Term: 3, Leader: "n1"})
+	for _, want := range []struct {
+		cores   float64
+		reportS float64
+		homes   int
+	}{{0.12, 2, 1}, {0.05, 2, 2}, {0.05, 6, 1}, {0, 0.1, 2}} {
+		c.cfg.Cluster.Limits.Cores, c.cfg.Cluster.Workers.ReportS = want.cores, want.reportS
+		c.lead = &leader{since: c.now.Add(-time.Minute), renewals: map[string]*peerpb.Renewal{"n1": {}}, heardAt: map[string]time.Time{"n1": c.now}}
+		c.lead.fleet.init()
+		rec := wire.LeaseRecord{Blocks: map[string]wire.Block{"n0": {}, "n1": {}}, Homes: map[string]string{}}
+		c.settleHomes(&rec)
+		homes := map[string]bool{rec.Homes["a"]: true, rec.Homes["b"]: true}
+		if len(homes) != want.homes {
+			t.Errorf("%v cores, reports every %v s: %d homes, want %d", want.cores, want.reportS, len(homes), want.homes)
+		}
+	}
+}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -200,7 +200,7 @@
 		}
 	}
 	for n, g := range c.guests {
-		if c.now.Sub(g.heard) < 2*c.par.Publish {
+		if c.now.Sub(g.heard) < c.guestFresh() {
 			heard[n] = true
 		}
 	}
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -113,11 +113,24 @@
 // one controller for all of it (see docs/measurements.md).
 func (c *Core) large() bool { return c.fleetSize() >= c.par.Pack }
 
+// reportsPerCore is how many reports a second a controller with a whole core
+// handles with half of it, all that comes with them included (measured).
+const reportsPerCore = 2500
+
 // machinesPerHome is how many machines make it worth another controller that
 // is home to teams with limits. Each team's room is apart from the others'
-// where their homes are, so fewer homes waste less; a controller copes with
-// a few hundred machines.
-const machinesPerHome = 150
+// where their homes are, so there are no more homes than the controllers'
+// processors ask for.
+func (c *Core) machinesPerHome() int {
+	cores := c.cfg.Cluster.Limits.Cores
+	if cores <= 0 {
+		cores = 1
+	}
+	return max(homeLeast, int(reportsPerCore*cores*c.cfg.Cluster.Workers.ReportS))
+}
+
+// homeLeast bounds machinesPerHome from below, for very small controllers.
+const homeLeast = 150
 
 // settleHomes gives every team a home, and large fleets the parts of teams
 // that may be parted.
@@ -154,7 +167,7 @@
 		if _, ok := rec.Blocks[rec.Homes[t.Name]]; ok {
 			continue
 		}
-		more := large && homes*machinesPerHome < c.fleetSize()
+		more := large && homes*c.machinesPerHome() < c.fleetSize()
 		best := ""
 		for _, node := range live {
 			// Parting a small fleet leaves room unused on every part.
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -215,7 +215,7 @@
 	}
 	for _, name := range sortedKeys(c.guests) {
 		g := c.guests[name]
-		if c.now.Sub(g.heard) > 10*time.Second {
+		if c.now.Sub(g.heard) > c.guestFresh() {
 			continue
 		}
 		if c.ownerOf(name) == "" {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -570,6 +570,13 @@
 		Body: wire.ReportAnswer{Token: r.Token, Commands: cmds}})
 }
 
+// guestFresh is for how long a guest's report says that its machine lives. One
+// that has died since would otherwise not be released, and all that may have
+// run on it would wait.
+func (c *Core) guestFresh() time.Duration {
+	return min(10*time.Second, config.Seconds(aloneReports*c.cfg.Cluster.Workers.ReportS))
+}
+
 // releaseGuests answers reports that waited for their machine's block.
 func (c *Core) releaseGuests(all bool) {
 	for _, name := range sortedKeys(c.guests) {
