Services may stop urgent tasks that could run on spot machines as well

Ordinary machines fill up with work that may run anywhere; a service that comes then waited for a task to end. Production comes before urgent, so one of the youngest urgent tasks makes room.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -296,3 +296,35 @@
 		}
 	}
 }
+
+// TestServicesFindRoom fills all ordinary machines with urgent tasks. A service
+// that may use no others gets room at once where these could run on spot
+// machines as well, and is left to wait where they could not.
+func TestServicesFindRoom(t *testing.T) {
+	for _, spot := range []bool{true, false} {
+		c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: wire.NameSet{"host-000001"}}}, Homes: map[string]string{"free": "n0"}})
+		c.right = now.Add(time.Minute)
+		submit := func(id string, shape wire.Shape, priority string, tasks int, spot bool) *job {
+			c.applyJob(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: priority, Tasks: tasks, CPUs: 1, Spot: spot}}, 6)
+			return c.jobs[id]
+		}
+		urgent := submit("wk-000001", wire.Array, "urgent", 40, spot)
+		c.Step(now.Add(time.Second), ReportIn{Req: 1, Report: wire.Report{Machine: "host-000001", Endpoint: "e", Type: "s4", Zone: "x", Session: 1, Seq: 3}})
+		if len(urgent.runs) != 4 {
+			t.Fatalf("%d urgent tasks started, want 4", len(urgent.runs))
+		}
+		submit("wk-000002", wire.Daemon, "production", 1, false)
+		c.placeDue = true
+		c.Step(now.Add(1700*time.Millisecond), Tick{})
+		stopped := 0
+		for _, r := range urgent.runs {
+			if r.stop {
+				stopped++
+			}
+		}
+		if want := map[bool]int{true: 1, false: 0}[spot]; stopped != want {
+			t.Errorf("urgent tasks may use spot machines: %v; %d stopped for the service, want %d", spot, stopped, want)
+		}
+	}
+}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -388,7 +388,9 @@
 	if r.j.rec.Shape == wire.Group || c.now.Before(r.j.spared) {
 		return false
 	}
-	if j.rec.Rank() <= 1 && r.j.rec.Rank() > max(1, j.rec.Rank()) {
+	// Urgent work among itself is left alone, but a service that may not use
+	// spot machines has nowhere else to go than where urgent tasks sit that do.
+	if j.rec.Rank() <= 1 && (r.j.rec.Rank() > 1 || (r.j.rec.Rank() > j.rec.Rank() && !j.rec.Spot && r.j.rec.Spot)) {
 		return true
 	}
 	// Only what comes after the job in the order is stopped for it: else the
