Work that can wait is left to cheap machines

Groups of waiting work now tell how long they may still wait; only what has less than two drain times asks for dear machines, and a backlog is worked off within its slack.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -9,6 +9,7 @@
 
 	"fawncove/internal/config"
 	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/sched"
 	"fawncove/internal/wire"
 )
 
@@ -328,3 +329,32 @@
 		}
 	}
 }
+
+// TestBehind expects dear machines to be wanted for what a fleet cannot work
+// off beside what comes in, and not for work that can wait.
+func TestBehind(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		inflow, slack float64 // processors; seconds
+		whole         bool
+		want          int
+	}{
+		{"keeps up and works off", 10, 0, false, 0},
+		{"no capacity left for the backlog", 60, 0, false, 50},
+		{"may wait", 60, 100, false, 0},
+		{"may wait, but is a gang", 60, 100, true, 100},
+	} {
+		core, _ := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1"})
+		core.lead = &leader{renewals: map[string]*peerpb.Renewal{"n1": {BusyCpus: 40, BusySpotCpus: 30}}}
+		core.arrived(&wire.JobRecord{AtMs: core.now.Add(-30 * time.Second).UnixMilli(),
+			Job: wire.Job{Shape: wire.Array, Class: "a", Tasks: int(c.inflow), CPUs: 1, EstimateS: inflowSpan.Seconds()}})
+		core.arrived(&wire.JobRecord{AtMs: core.now.UnixMilli(), Job: wire.Job{Shape: wire.Daemon, Tasks: 1000, CPUs: 1}})
+		core.arrived(&wire.JobRecord{AtMs: core.now.Add(-2 * inflowSpan).UnixMilli(), Job: wire.Job{Shape: wire.Array, Tasks: 1000, CPUs: 1, EstimateS: 60}})
+		// 100 tasks of 9 s, to be worked off in 1.5 boot times of 6 s, need as
+		// many processors for that time.
+		waiting := []sched.Demand{{Need: sched.Amount{CPUs: 1}, Count: 100, RunS: 9, SlackS: c.slack, Whole: c.whole}}
+		if got := core.behind(waiting, 120)[0].Count; got != c.want {
+			t.Errorf("%s: %d tasks want dear machines, want %d", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -347,7 +347,7 @@
 		out = append(out, sched.Demand{Rank: int(d.GetRank()),
 			Need:  sched.Amount{CPUs: d.GetCpus(), Cards: d.GetCards(), MemoryGB: d.GetMemoryGb()},
 			Types: d.GetTypes(), Zone: d.GetZone(), Spot: d.GetSpot(),
-			Count: int(d.GetCount()), RunS: max(1, d.GetRunS()), Whole: d.GetWhole(), Starved: d.GetStarved()})
+			Count: int(d.GetCount()), RunS: max(1, d.GetRunS()), Whole: d.GetWhole(), Starved: d.GetStarved(), SlackS: d.GetSlackS()})
 	}
 	return out
 }
@@ -646,7 +646,7 @@
 	if rec.Shape == wire.Daemon {
 		return // never done; its processors are taken off what there is
 	}
-	c.inflow[rec.AtMs/inflowStep.Milliseconds()] += float64(rec.Tasks) * rec.CPUs * max(1, rec.EstimateS)
+	c.inflow[rec.AtMs/inflowStep.Milliseconds()] += float64(rec.Tasks) * rec.CPUs * max(1, c.runSeconds(rec))
 }
 
 // inflowRate is the work that comes in, in processors that it keeps busy.
@@ -663,11 +663,14 @@
 	return sum / inflowSpan.Seconds()
 }
 
+// patient is from which slack on, in times that a backlog is worked off in,
+// waiting work is left to cheap machines.
+const patient = 2.0
+
 // behind is the part of the waiting tasks that dear machines are wanted for:
 // a fleet of size processors has to keep up with what comes in, and only what
-// it has beyond that works off what waits. Both early and late a backlog costs
-// the same machine time, so it is worked off early; what waits is enough to
-// tell, but not how much capacity is left for it.
+// it has beyond that works off what waits. Early or late, a backlog costs the
+// same machine time, so it is worked off as early as its aims ask for.
 func (c *Core) behind(waiting []sched.Demand, size float64) []sched.Demand {
 	soon := 0.0
 	for _, t := range c.types {
@@ -675,19 +678,24 @@
 			soon = t.BootS
 		}
 	}
-	work, cpus := 0.0, 0.0
-	for _, d := range waiting {
-		cpus += float64(d.Count) * d.Need.CPUs
-		work += float64(d.Count) * d.Need.CPUs * d.RunS
-	}
+	drain := dearPatience * soon
+	short, cpus := c.inflowRate()-size, 0.0
 	for _, r := range c.lead.renewals {
-		size -= r.GetBusyCpus() - r.GetBusySpotCpus()
+		short += r.GetBusyCpus() - r.GetBusySpotCpus()
 	}
-	short := c.inflowRate() + work/(dearPatience*max(1, soon)) - size
 	out := slices.Clone(waiting)
 	for i := range out {
-		if !out[i].Whole {
-			out[i].Count = int(math.Ceil(float64(out[i].Count) * min(1, max(0, short/max(1, cpus)))))
+		d := &out[i]
+		if !d.Whole && d.SlackS > patient*drain {
+			d.Count = 0 // may wait for cheaper room
+		}
+		n := float64(d.Count) * d.Need.CPUs
+		cpus += n
+		short += n * d.RunS / max(drain, d.SlackS, 1)
+	}
+	for i := range out {
+		if d := &out[i]; !d.Whole {
+			d.Count = int(math.Ceil(float64(d.Count) * min(1, max(0, short/max(1, cpus)))))
 		}
 	}
 	return out
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -815,8 +815,9 @@
 		// machines rented for all of it would come when the backlog is gone.
 		long := c.now.Sub(j.waitSince) > starved && c.now.Sub(c.class(j.rec.Class).startedAt) > stuck
 		list = append(list, sched.Demand{Rank: j.rec.Rank(), Need: c.coarse(j), Types: j.rec.Types,
-			Zone: j.rec.Zone, Spot: j.rec.Spot, Count: n, RunS: c.runSeconds(j),
-			Whole: j.rec.Shape != wire.Array || long, Starved: long})
+			Zone: j.rec.Zone, Spot: j.rec.Spot, Count: n, RunS: c.runSeconds(&j.rec),
+			Whole: j.rec.Shape != wire.Array || long, Starved: long,
+			SlackS: float64(c.dueStart(j)-c.now.UnixMilli()) / 1000})
 	}
 	var out []*peerpb.Demand
 	for _, d := range sched.Merge(list) {
@@ -825,7 +826,7 @@
 		}
 		out = append(out, &peerpb.Demand{Rank: int32(d.Rank), Cpus: d.Need.CPUs, Cards: d.Need.Cards,
 			MemoryGb: d.Need.MemoryGB, Types: d.Types, Zone: d.Zone, Spot: d.Spot,
-			Count: int32(d.Count), RunS: d.RunS, Whole: d.Whole, Starved: d.Starved})
+			Count: int32(d.Count), RunS: d.RunS, Whole: d.Whole, Starved: d.Starved, SlackS: d.SlackS})
 	}
 	return out
 }
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -55,7 +55,7 @@
 // the nearest of those that can still be met. A job that is late whatever is
 // done now yields to those that can still make it.
 func (c *Core) dueStart(j *job) int64 {
-	run := c.runSeconds(j)
+	run := c.runSeconds(&j.rec)
 	waited := float64(c.now.UnixMilli()-j.rec.AtMs) / 1000
 	best := math.Inf(1)
 	consider := func(within float64) {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -495,8 +495,8 @@
 }
 
 // runSeconds estimates how long a task of the job runs.
-func (c *Core) runSeconds(j *job) float64 {
-	return j.rec.EstimateS * min(3, max(0.3, c.class(j.rec.Class).ratio))
+func (c *Core) runSeconds(rec *wire.JobRecord) float64 {
+	return rec.EstimateS * min(3, max(0.3, c.class(rec.Class).ratio))
 }
 
 func (c *Core) touchIdle(m *machine) {
--- a/internal/sched/fleet.go
+++ b/internal/sched/fleet.go
@@ -18,6 +18,7 @@
 	Whole bool // nothing of it may be left to machines that become free
 	// Starved work has waited long without any of it being started.
 	Starved bool
+	SlackS  float64 // how long it may still wait and meet an aim
 }
 
 // Allows tells whether the group's tasks may run on a machine of this kind.
@@ -87,7 +88,8 @@
 		}
 		o := &out[i]
 		if n := o.Count + d.Count; n > 0 {
-			o.RunS = (o.RunS*float64(o.Count) + d.RunS*float64(d.Count)) / float64(n)
+			mean := func(a, b float64) float64 { return (a*float64(o.Count) + b*float64(d.Count)) / float64(n) }
+			o.RunS, o.SlackS = mean(o.RunS, d.RunS), mean(o.SlackS, d.SlackS)
 			o.Count = n
 		}
 	}
