--- a/cmd/fawncove/check.go
+++ b/cmd/fawncove/check.go
@@ -37,7 +37,14 @@
 				most += max(t.CPUs, t.CPUsMax)
 			}
 			if room < fewMachines || most > cpusPerMachine*float64(room) {
-				_, err = fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cluster.state.value_kb: leases of only about %d machines fit; the fleet will stop growing there\n", path, room)
+				if _, err = fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cluster.state.value_kb: leases of only about %d machines fit; the fleet will stop growing there\n", path, room); err != nil {
+					return err
+				}
+			}
+			// One controller may hold every machine, with a connection for its
+			// reports and one for commands.
+			if sockets := s.Cluster.Limits.Sockets; sockets > 0 && 2*most/cpusPerMachine > float64(sockets) {
+				_, err = fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cluster.limits.sockets: %d are too few for the about %.0f machines that the teams' limits allow\n", path, sockets, most/cpusPerMachine)
 			}
 			return err
 		},
--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -84,7 +84,7 @@
 	core := controller.New(s, controller.Defaults(), logger, uint64(time.Now().UnixMilli()))
 	n := node.New(core, logger,
 		statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, max(s.Cluster.InitialSize, len(links)+1)),
-		cloud.New(s.External.Cloud, s.Cluster.Cloud.RPS, 0.8), links)
+		cloud.New(s.External.Cloud, s.Cluster.Cloud.RPS, 0.8), links, 2*s.Cluster.Limits.Sockets/5)
 	go n.Run(ctx)
 	go peer.Serve(ctx, peers, logger, n.Peer)
 
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -19,15 +19,16 @@
 	most int64
 }
 
-// New returns a client that reads answers of up to most bytes and keeps at
-// most perHost connections to each host.
-func New(perHost int, most int64) *Client {
+// New returns a client that reads answers of up to most bytes, opens at most
+// perHost connections to each host and keeps at most idle open without use; 0
+// means no limit.
+func New(perHost int, most int64, idle int) *Client {
 	return &Client{most: most, http: &http.Client{
 		Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}).DialContext,
 			MaxConnsPerHost:     perHost,
 			MaxIdleConnsPerHost: perHost,
-			MaxIdleConns:        0,
+			MaxIdleConns:        idle,
 			IdleConnTimeout:     60 * time.Second,
 			DisableCompression:  true,
 			ReadBufferSize:      2 << 10,
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -28,7 +28,7 @@
 
 // New returns a client for the cloud at addr that uses share of its limit.
 func New(addr string, rps, share float64) *Cloud {
-	return &Cloud{base: "http://" + addr, client: client.New(4, maxAnswer),
+	return &Cloud{base: "http://" + addr, client: client.New(4, maxAnswer, 0),
 		// The cloud allows bursts worth two seconds.
 		limit: rate.NewLimiter(rate.Limit(rps*share), max(1, int(2*rps*share)))}
 }
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -307,6 +307,8 @@
 		return true
 	}
 	var found []eviction
+	var runs []*run
+	var victims []sched.Victim
 	for _, s := range spots {
 		if !c.allowed(j, s.m) {
 			continue
@@ -318,8 +320,7 @@
 			}
 			s.soon = s.soon.Add(need, -1)
 		}
-		var runs []*run
-		var victims []sched.Victim
+		runs, victims = runs[:0], victims[:0]
 		for _, r := range s.runs() {
 			if r.stop || !c.mayStop(j, r, owed) {
 				continue
@@ -334,8 +335,8 @@
 			victims = append(victims, sched.Victim{Index: len(runs), Frees: r.j.need(), Lost: lost * r.j.rec.CPUs})
 			runs = append(runs, r)
 		}
-		stop, lost := sched.Evict(need, s.soon, victims)
-		if len(stop) == 0 || lost > most*need.CPUs {
+		stop, lost := sched.Evict(need, s.soon, victims, most*need.CPUs)
+		if len(stop) == 0 {
 			continue
 		}
 		e := eviction{s: s, lost: lost}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -579,6 +579,13 @@
 
 // releaseGuests answers reports that waited for their machine's block.
 func (c *Core) releaseGuests(all bool) {
+	pending := false
+	for _, g := range c.guests {
+		pending = pending || len(g.pending) > 0
+	}
+	if !pending {
+		return
+	}
 	for _, name := range sortedKeys(c.guests) {
 		g := c.guests[name]
 		if g == nil || len(g.pending) == 0 || (!all && c.ownerOf(name) == "" && c.now.Sub(g.heard) < 2*time.Second) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,10 +41,12 @@
 	reply chan controller.Reply
 }
 
-// New returns a node for a core and its edges.
-func New(core *controller.Core, log *slog.Logger, store *statestore.Store, cl *cloud.Cloud, links map[string]*peer.Link) *Node {
+// New returns a node for a core and its edges. It keeps at most idle direct
+// connections to workers open: what is left of the machine's sockets is for
+// reports and users.
+func New(core *controller.Core, log *slog.Logger, store *statestore.Store, cl *cloud.Cloud, links map[string]*peer.Link, idle int) *Node {
 	return &Node{core: core, log: log, store: store, cloud: cl, links: links,
-		workers: client.New(2, 1<<20),
+		workers: client.New(2, 1<<20, idle),
 		events:  make(chan controller.Event, 256),
 		asks:    make(chan ask, 256),
 		pending: map[uint64]chan controller.Reply{},
--- a/internal/sched/preempt.go
+++ b/internal/sched/preempt.go
@@ -1,7 +1,5 @@
 package sched
 
-import "slices"
-
 // Victim is a running task that may be stopped for the sake of another.
 type Victim struct {
 	Index int // the caller's
@@ -10,28 +8,29 @@
 }
 
 // Evict chooses which of the victims on one machine to stop so that need fits
-// into room; the least work lost first. It returns nil when it cannot fit.
-func Evict(need, room Amount, victims []Victim) (stop []Victim, lost float64) {
-	victims = slices.Clone(victims)
-	slices.SortStableFunc(victims, func(a, b Victim) int {
-		switch {
-		case a.Lost < b.Lost:
-			return -1
-		case a.Lost > b.Lost:
-			return 1
+// into room; the least work lost first, and the first of equals. It returns nil
+// when that cannot be, or when it would lose more than most. It changes the
+// order of the victims. Most machines are ruled out by their first victims, so
+// these are picked one by one rather than sorted.
+func Evict(need, room Amount, victims []Victim, most float64) (stop []Victim, lost float64) {
+	n := 0
+	for !need.Fits(room) {
+		if n == len(victims) {
+			return nil, 0
 		}
-		return a.Index - b.Index
-	})
-	for _, v := range victims {
-		if need.Fits(room) {
-			break
+		best := n
+		for i := n + 1; i < len(victims); i++ {
+			a, b := &victims[i], &victims[best]
+			if a.Lost < b.Lost || (a.Lost == b.Lost && a.Index < b.Index) {
+				best = i
+			}
 		}
-		room = room.Add(v.Frees, 1)
-		stop = append(stop, v)
-		lost += v.Lost
-	}
-	if !need.Fits(room) {
-		return nil, 0
+		victims[n], victims[best] = victims[best], victims[n]
+		if lost += victims[n].Lost; lost > most {
+			return nil, 0
+		}
+		room = room.Add(victims[n].Frees, 1)
+		n++
 	}
-	return stop, lost
+	return victims[:n], lost
 }
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -97,13 +97,16 @@
 
 func TestEvict(t *testing.T) {
 	victims := []Victim{{0, Amount{CPUs: 2}, 30}, {1, Amount{CPUs: 2}, 1}, {2, Amount{CPUs: 2}, 5}}
-	stop, lost := Evict(Amount{CPUs: 4}, Amount{CPUs: 1}, victims)
+	stop, lost := Evict(Amount{CPUs: 4}, Amount{CPUs: 1}, victims, 6)
 	if len(stop) != 2 || stop[0].Index != 1 || stop[1].Index != 2 || lost != 6 {
 		t.Errorf("stop %+v, lost %v; want the two that lose least", stop, lost)
 	}
-	if stop, _ := Evict(Amount{CPUs: 9}, Amount{CPUs: 1}, victims); stop != nil {
+	if stop, _ := Evict(Amount{CPUs: 9}, Amount{CPUs: 1}, victims, 1000); stop != nil {
 		t.Errorf("stopped %+v though it cannot fit", stop)
 	}
+	if stop, _ := Evict(Amount{CPUs: 4}, Amount{CPUs: 1}, victims, 5); stop != nil {
+		t.Errorf("stopped %+v though that loses too much", stop)
+	}
 }
 
 func TestCost(t *testing.T) {
--- a/internal/simtest/actors.go
+++ b/internal/simtest/actors.go
@@ -334,6 +334,25 @@
 	}
 }
 
+// SubmitMixed lets a user submit in d a service whose replicas spread, which is
+// cancelled later, a wide urgent array, or one of large tasks.
+func (w *World) SubmitMixed(i int, d time.Duration) {
+	r := w.rng
+	u := &user{w: w, doneTasks: map[string]bool{}}
+	u.job = wire.Job{ID: fmt.Sprintf("wk-%06d", i), Class: "c", Team: []string{"red", "blue"}[r.IntN(2)], Shape: wire.Array,
+		Priority: "urgent", Tasks: 20 + r.IntN(100), CPUs: 1, MemoryGB: 2, Image: fmt.Sprintf("img-%d", r.IntN(6)), ImageGB: 1, Spot: true, EstimateS: 8}
+	switch i % 3 {
+	case 0:
+		u.job.Shape, u.job.Priority, u.job.Scatter, u.job.Spot = wire.Daemon, "production", true, false
+		u.job.Class, u.job.EstimateS, u.job.Tasks = "s", 0, []int{1, 2, 6, 9, 12}[r.IntN(5)]
+		w.after(d+time.Duration(40+r.IntN(120))*time.Second, func() { u.wantsCancel = true; u.cancel() })
+	case 1:
+		u.job.Priority, u.job.Class, u.job.Tasks, u.job.CPUs, u.job.CheckpointS, u.job.SaveS = "standard", "d", 5+r.IntN(20), 3, 4, 1
+	}
+	w.users[u.job.ID] = u
+	w.after(d, u.submit)
+}
+
 // SubmitWide lets a user submit an array of dozens of tasks in d.
 func (w *World) SubmitWide(i int, d time.Duration) {
 	r := w.rng
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -112,6 +112,18 @@
 	})
 }
 
+// NewServices builds a world of five controllers in two zones whose workers
+// have short leases, with two limited teams and services as a mainstay.
+func NewServices(seed uint64) *World {
+	return build(seed, 5, 130, controller.Defaults(), config.Cluster{
+		InitialSize: 5, Zones: []string{"x", "y"}, ClockErrorMs: 200,
+		Teams:   []config.Team{{Name: "red", CPUs: 250, CPUsMax: 320}, {Name: "blue", CPUs: 150, CPUsMax: 200}},
+		Workers: config.Workers{ReportS: 1.5, LeaseS: 10, CancelS: 40},
+		State:   config.State{RPS: 250, WriteRPS: 100, ValueKB: 16, TxnOps: 16},
+		Cloud:   config.Cloud{RPS: 4, ListLagS: 6},
+	})
+}
+
 func build(seed uint64, nodes, most int, par controller.Params, cfg config.Cluster) *World {
 	w := &World{
 		rng:     rand.New(rand.NewPCG(seed, 7)),
--- a/internal/simtest/world_test.go
+++ b/internal/simtest/world_test.go
@@ -14,6 +14,8 @@
 	seeds = flag.Uint64("seeds", 24, "number of seeded days to play")
 	first = flag.Uint64("first", 1, "first seed")
 	large = flag.Uint64("large", 2, "number of seeded days of a large fleet to play")
+
+	services = flag.Uint64("services", 6, "number of seeded days of services and wide arrays to play")
 )
 
 // trouble lets something go wrong every now and then.
@@ -46,18 +48,7 @@
 		case 3:
 			w.Outage(2*d, node.name)
 		case 4: // the zones are apart
-			for _, a := range w.nodes {
-				for _, b := range w.nodes {
-					if a.zone != b.zone {
-						w.Cut(a.name, b.name, d)
-					}
-				}
-				for _, k := range w.byName() {
-					if k.zone != a.zone {
-						w.Cut(a.name, k.name, d)
-					}
-				}
-			}
+			w.apart(d)
 		case 5:
 			w.Cut(w.nodes[0].name, w.nodes[1+r.IntN(2)].name, 2*d)
 		}
@@ -98,6 +89,31 @@
 	return out
 }
 
+// some does f to about share percent of the workers that are up.
+func (w *World) some(share int, f func(k *worker)) {
+	for _, k := range w.byName() {
+		if k.up && !k.gone && w.rng.IntN(100) < share {
+			f(k)
+		}
+	}
+}
+
+// apart cuts the zones off from each other.
+func (w *World) apart(d time.Duration) {
+	for _, a := range w.nodes {
+		for _, b := range w.nodes {
+			if a.zone != b.zone {
+				w.Cut(a.name, b.name, d)
+			}
+		}
+		for _, k := range w.byName() {
+			if k.zone != a.zone {
+				w.Cut(a.name, k.name, d)
+			}
+		}
+	}
+}
+
 // TestSeededDays plays days full of combined troubles and checks the rules
 // after each step; then lets things calm down and expects every job to end.
 func TestSeededDays(t *testing.T) {
@@ -148,13 +164,6 @@
 			for i := range 110 {
 				w.SubmitWide(i, time.Duration(r.IntN(45000))*time.Millisecond)
 			}
-			some := func(share int, f func(k *worker)) {
-				for _, k := range w.byName() {
-					if k.up && !k.gone && r.IntN(100) < share {
-						f(k)
-					}
-				}
-			}
 			troubles := []func(){
 				func() {
 					for i := range w.nodes {
@@ -162,7 +171,7 @@
 					}
 				},
 				func() { // a wave
-					some(35, func(k *worker) {
+					w.some(35, func(k *worker) {
 						if k.spot {
 							k.notice = w.now + 5*time.Second
 							w.after(5*time.Second, func() { w.kill(k.name); delete(w.workers, k.name) })
@@ -172,14 +181,14 @@
 				func() {
 					d := time.Duration(3+r.IntN(12)) * time.Second
 					w.heldUp = r.IntN(2) == 0
-					some(10, func(k *worker) {
+					w.some(10, func(k *worker) {
 						for _, n := range w.nodes {
 							w.Cut(k.name, n.name, d)
 						}
 					})
 				},
 				func() {
-					some(3, func(k *worker) { k.hang = w.now + time.Duration(1+r.IntN(25))*time.Second })
+					w.some(3, func(k *worker) { k.hang = w.now + time.Duration(1+r.IntN(25))*time.Second })
 				},
 				func() {
 					w.Slow(r.IntN(5), 8*time.Second)
@@ -221,6 +230,68 @@
 	}
 }
 
+// TestServices plays days of services that spread over two zones beside wide
+// urgent arrays, with short worker leases: zones apart with messages held,
+// waves without notice, everybody crashing within an outage, restarts one
+// after the other. All rules are checked after each step, the spread and the
+// limits among them; afterwards every job has to end.
+func TestServices(t *testing.T) {
+	for seed := *first; seed < *first+*services; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := NewServices(seed)
+			r := w.rng
+			for i := range 60 {
+				w.SubmitMixed(i, time.Duration(r.IntN(90000))*time.Millisecond)
+			}
+			troubles := []func(){
+				func() { // the zones are apart, longer than a lease
+					w.heldUp = true
+					d := time.Duration(12+r.IntN(14)) * time.Second
+					w.apart(d)
+					w.after(d/3, func() { w.Crash(r.IntN(5), 6*time.Second) })
+				},
+				func() {
+					w.some(40, func(k *worker) {
+						if k.spot {
+							w.kill(k.name)
+						}
+					})
+				},
+				func() {
+					w.Outage(12*time.Second, "")
+					w.after(time.Duration(r.IntN(10000))*time.Millisecond, func() {
+						for i := range w.nodes {
+							w.Crash(i, 6*time.Second)
+						}
+					})
+				},
+				func() {
+					for i := range w.nodes {
+						w.after(time.Duration(4*i)*time.Second, func() { w.Crash(i, 6*time.Second) })
+					}
+				},
+				func() { w.some(8, func(k *worker) { k.hang = w.now + time.Duration(1+r.IntN(25))*time.Second }) },
+				func() { w.Outage(25*time.Second, w.nodes[r.IntN(5)].name) },
+			}
+			for i, at := range r.Perm(len(troubles)) {
+				w.after(time.Duration(20+15*at)*time.Second, troubles[i])
+			}
+			w.Run(420 * time.Second)
+			for _, b := range w.Broken() {
+				t.Error(b)
+			}
+			if left := w.Unfinished(); len(left) > 0 {
+				t.Errorf("not over long after the troubles: %v", left)
+			}
+			if w.Dones < 500 {
+				t.Errorf("%d completions: nothing much ran", w.Dones)
+			}
+			t.Logf("%d starts, %d completions", w.Starts, w.Dones)
+		})
+	}
+}
+
 // held counts the machines in the blocks of all controllers.
 func (w *World) held() int {
 	n := 0
@@ -371,18 +442,7 @@
 	if w.Starts < 4 {
 		t.Fatalf("%d starts, want 4", w.Starts)
 	}
-	for _, a := range w.nodes {
-		for _, b := range w.nodes {
-			if a.zone != b.zone {
-				w.Cut(a.name, b.name, 18*time.Second)
-			}
-		}
-		for _, k := range w.byName() {
-			if k.zone != a.zone {
-				w.Cut(a.name, k.name, 18*time.Second)
-			}
-		}
-	}
+	w.apart(18*time.Second)
 	w.Run(60 * time.Second)
 	for _, b := range w.Broken() {
 		t.Error(b)
--- a/internal/statestore/statestore.go
+++ b/internal/statestore/statestore.go
@@ -46,7 +46,7 @@
 func New(addr string, rps, writeRPS float64, controllers int) *Store {
 	share := workPart / float64(max(1, controllers))
 	return &Store{base: "http://" + addr,
-		calls: client.New(8, maxAnswer), watches: client.New(2, maxAnswer),
+		calls: client.New(8, maxAnswer, 0), watches: client.New(2, maxAnswer, 0),
 		work:    newBudget(rps*share, writeRPS*share),
 		control: newBudget(rps*controlPart, writeRPS*controlPart)}
 }
