--- a/internal/simtest/world_test.go
+++ b/internal/simtest/world_test.go
@@ -442,7 +442,7 @@
 	if w.Starts < 4 {
 		t.Fatalf("%d starts, want 4", w.Starts)
 	}
-	w.apart(18*time.Second)
+	w.apart(18 * time.Second)
 	w.Run(60 * time.Second)
 	for _, b := range w.Broken() {
 		t.Error(b)
