A refused leader tells everybody that it has resigned

It now tells all peers every second, and they elect without the usual patience. TestRefusedLeader fails without it.

--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -305,9 +305,18 @@
 	r := c.renewal()
 	r.Resigned = c.grant == 0 && c.refusedAlone()
 	c.renewalSent[r.Number] = c.now
+	to := []string{c.lease.Leader}
+	if r.Resigned {
+		// The lease value it knows is as old as the refusal; it may even name
+		// itself as the leader. Whoever leads by now has to hear of it.
+		direct, to = true, sortedKeys(c.peers)
+		c.renewAt = c.now.Add(renewGapStore)
+	}
 	if direct {
-		c.emit(PeerSend{To: c.lease.Leader, Frame: &peerpb.Frame{From: c.me, Incarnation: c.inc,
-			StateOk: c.now.Sub(c.stateOK) < 4*time.Second, Renewal: r}})
+		for _, name := range to {
+			c.emit(PeerSend{To: name, Frame: &peerpb.Frame{From: c.me, Incarnation: c.inc,
+				StateOk: c.now.Sub(c.stateOK) < 4*time.Second, Renewal: r}})
+		}
 		return
 	}
 	// As base64 in a value of limited size.
@@ -513,6 +522,9 @@
 // onRenewal takes in a controller's renewal.
 func (c *Core) onRenewal(r *peerpb.Renewal) {
 	l := c.lead
+	if l == nil && r.GetResigned() && r.GetNode() == c.lease.Leader && r.GetIncarnation() > c.lease.Incarnation {
+		c.leaseSeen = c.now.Add(-leaderDead) // nobody leads: no need to wait that long
+	}
 	if l == nil || r.GetNode() == c.me {
 		return
 	}
--- a/internal/simtest/world_test.go
+++ b/internal/simtest/world_test.go
@@ -423,6 +423,32 @@
 	}
 }
 
+// TestRefusedLeader has the state service refuse the controller that leads and
+// holds all machines. It cannot read who leads after it, and its successor has
+// to hear of its resignation all the same.
+func TestRefusedLeader(t *testing.T) {
+	w := New(21) // odd: all homes are in one place
+	w.Run(6 * time.Second)
+	for i := range 9 {
+		w.Submit(i, time.Duration(i)*time.Second)
+	}
+	w.Run(14 * time.Second)
+	var holder *simNode
+	for _, n := range w.nodes {
+		if n.core.Holds() > 0 {
+			holder = n
+		}
+	}
+	if holder == nil || holder.core.Holds() != w.held() {
+		t.Fatal("the machines are not in one place")
+	}
+	w.Outage(70*time.Second, holder.name)
+	w.Run(18 * time.Second)
+	if holder.core.Holds() > 0 || w.held() == 0 {
+		t.Errorf("18 s after the refusal %s holds %d machines, all together %d", holder.name, holder.core.Holds(), w.held())
+	}
+}
+
 // TestCutMachinesAreKept parts the zones for longer than a worker's lease.
 // The far machines are heard by the controller in their own zone, so their
 // owner must neither return them meanwhile nor afterwards. The seed is one
