Machines on their way count with the bytes they will take in the lease value

Four bytes were set aside for each, so renting stopped for half a minute at a seventh of the value, and it was logged each second.

--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -58,6 +58,7 @@
 	requests  uint64
 	refused   map[offerKey]time.Time
 	tight     time.Time // when a spot market last gave less than was asked
+	full      bool      // the lease value has no room for more machines
 }
 
 type offerKey struct {
@@ -602,20 +603,28 @@
 }
 
 // roomForMore tells whether the lease value can name more machines. All of
-// them stand in one value, whose size the state service limits.
+// them stand in one value, whose size the state service limits. Machines on
+// their way count with what they will take: a rental's names follow each other,
+// so that is little more than a character each, not the four of the worst case
+// by which growth once stopped at a seventh of the value.
 func (c *Core) roomForMore() bool {
+	f := &c.lead.fleet
 	b, err := wire.Encode(c.lease)
-	// As JSON, in which sizes are counted, it takes a little more; machines
-	// on their way need room as well.
-	coming := len(c.lead.fleet.machines)
-	for _, block := range c.lease.Blocks {
-		coming -= len(block.Machines) + len(block.Old)
+	var coming []string
+	for name := range f.machines {
+		if c.ownerOf(name) == "" {
+			coming = append(coming, name)
+		}
 	}
-	if size := len(b)*5/4 + 4*max(0, coming); err != nil || float64(size) > 0.9*1024*c.cfg.Cluster.State.ValueKB {
-		c.log.Error("no room for more machines in the lease value", "bytes", len(b), "err", err)
-		return false
+	slices.Sort(coming)
+	// As JSON, in which sizes are counted, the value takes a little more.
+	size := (len(b) + len(wire.PackNames(coming))) * 5 / 4
+	full := err != nil || float64(size) > 0.9*1024*c.cfg.Cluster.State.ValueKB
+	if full != f.full {
+		f.full = full
+		c.log.Info("room for more machines in the lease value", "room", !full, "bytes", len(b), "coming", len(coming), "err", err)
 	}
-	return true
+	return !full
 }
 
 // beyond is the part of the waiting tasks that a fleet of have processors
