Aims for the start of a class's tasks count in the order

The fleet deployments state aims for starts within 60 to 200 s; only deadlines and aims for the end counted, so such work waited behind what had time. Aims under 15 s stay out: they would put what has just come first.

--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -69,8 +69,12 @@
 		consider(*j.rec.DeadlineS)
 	}
 	for _, o := range c.cfg.Cluster.Objectives {
-		if o.Class == j.rec.Class && o.Kind == "finished" && o.WithinS > 0 {
+		switch {
+		case o.Class != j.rec.Class || o.WithinS <= 0:
+		case o.Kind == "finished":
 			consider(o.WithinS)
+		case o.Kind == "wait" && o.WithinS >= longWait && waited <= o.WithinS:
+			best = min(best, o.WithinS)
 		}
 	}
 	if math.IsInf(best, 1) {
@@ -79,6 +83,10 @@
 	return j.rec.AtMs + int64(1000*best)
 }
 
+// longWait is from how many seconds on an aim for the start counts in the
+// order. Shorter ones would only put what has just come before what has waited.
+const longWait = 15
+
 // noDeadline is the slack, in seconds, of a job with neither a deadline nor
 // an objective for its end.
 const noDeadline = 600
