--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawncove/internal/config"
+	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
 	"fawncove/internal/wire"
@@ -358,3 +359,106 @@
 		}
 	}
 }
+
+// TestCeilingsAreHonouredOnce: a promise to use less of a share counts only
+// with the write that honours its renewal, and only under the grant it was made
+// under. Else the share that was raised since, or that came with a dead
+// controller's machines, would be lowered below what already runs there, and
+// the difference given to others.
+func TestCeilingsAreHonouredOnce(t *testing.T) {
+	team := config.Team{Name: "red", CPUsMax: 100}
+	lease := func() wire.LeaseRecord {
+		return wire.LeaseRecord{Form: 2, Term: 3, Leader: "n0", Incarnation: 7,
+			Homes: map[string]string{"red": "n0", "red #1": "n0", "red #2": "n1"},
+			Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7},
+				"n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 5}},
+			Shares: map[string]wire.Shares{"red": {"n0": {CPUs: 20}, "n1": {CPUs: 80}}}}
+	}
+	for _, c := range []struct {
+		name   string
+		number uint64
+		grant  uint64
+		lower  bool
+	}{
+		{"a new renewal", 6, 3<<16 + 1, true},
+		{"one that the value honours already", 5, 3<<16 + 1, false},
+		{"one of an earlier grant", 6, 3 << 16, false},
+		{"one without a grant", 6, 0, false},
+	} {
+		core, now := newCore(t, []config.Team{team}, lease())
+		core.lead.wrote = now
+		core.Step(now, PeerIn{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, ReadsForm: 2, Renewal: &peerpb.Renewal{
+			Node: "n1", Incarnation: 9, Number: c.number, Grant: c.grant,
+			Ceilings: []*peerpb.Ceiling{{Team: "red", Cpus: 30}}}}})
+		shares := -1
+		for _, e := range core.Step(now.Add(6*time.Second), Tick{}) {
+			if txn, ok := e.(StateTxn); ok && txn.Control {
+				rec := readBack(t, txn.Txn.Then)
+				shares = rec.Shares["red"]["n1"].CPUs
+				if sum := shares + rec.Shares["red"]["n0"].CPUs; sum > 100 {
+					t.Errorf("%s: shares of %d", c.name, sum)
+				}
+			}
+		}
+		if shares < 0 {
+			t.Fatalf("%s: nothing was written", c.name)
+		}
+		if lowered := shares < 80; lowered != c.lower {
+			t.Errorf("%s: the share is %d afterwards", c.name, shares)
+		}
+	}
+}
+
+// readBack reads a lease value as it would be stored.
+func readBack(t *testing.T, ops []wire.Op) wire.LeaseRecord {
+	t.Helper()
+	var book leasevalue.Book
+	for _, op := range ops[1:] {
+		raw, err := wire.Encode(op.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := book.ReadPage(op.Put, raw); err != nil {
+			t.Fatal(err)
+		}
+	}
+	raw, err := wire.Encode(ops[0].Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec, err := book.Read(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rec
+}
+
+// TestOldControllersKeepTheOldForm: as long as one controller reads nothing
+// newer, the lease value is stored as before and no limit is parted.
+func TestOldControllersKeepTheOldForm(t *testing.T) {
+	for _, form := range []uint32{0, 2} {
+		core, now := newCore(t, []config.Team{{Name: "red", CPUsMax: 100}}, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7,
+			Homes:  map[string]string{"red": "n0"},
+			Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}, "n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 5}}})
+		core.par.Home = 0
+		core.lead.wrote, core.lead.since, core.lead.fleet.listed = now, now.Add(-time.Minute), true
+		core.Step(now, PeerIn{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, ReadsForm: form,
+			Renewal: &peerpb.Renewal{Node: "n1", Incarnation: 9, Number: 6}}})
+		wrote := false
+		for _, e := range core.Step(now.Add(6*time.Second), Tick{}) {
+			if txn, ok := e.(StateTxn); ok && txn.Control {
+				wrote = true
+				rec := readBack(t, txn.Txn.Then)
+				if (rec.Form == 2) != (form == 2) || (len(rec.Shares) > 0) != (form == 2) {
+					t.Errorf("the others read form %d: stored in form %d with shares %v", form, rec.Form, rec.Shares)
+				}
+				if form == 2 && rec.Shares["red"]["n0"].CPUs != 100 {
+					t.Errorf("the home until now has to begin with the whole limit: %v", rec.Shares)
+				}
+			}
+		}
+		if !wrote {
+			t.Fatal("nothing was written")
+		}
+	}
+}
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,159 @@
+package share
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"fawncove/internal/wire"
+)
+
+// TestTargets: what is left is parted evenly, what is too much is cut alike,
+// and a gang gets its floor whole.
+func TestTargets(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		limit float64
+		needs map[string]Need
+		want  map[string]float64
+	}{
+		{"room for all", 100, map[string]Need{"a": {Want: 10}, "b": {Want: 30}}, map[string]float64{"a": 40, "b": 60}},
+		{"too much wanted", 100, map[string]Need{"a": {Want: 50}, "b": {Want: 150}}, map[string]float64{"a": 25, "b": 75}},
+		{"a gang", 100, map[string]Need{"a": {Want: 60, Must: 60}, "b": {Want: 160}}, map[string]float64{"a": 60, "b": 40}},
+		{"a gang that cannot be had", 100, map[string]Need{"a": {Want: 200, Must: 200}, "b": {Want: 200}}, map[string]float64{"a": 50, "b": 50}},
+	} {
+		got := Targets(c.limit, c.needs)
+		for n, w := range c.want {
+			if math.Abs(got[n]-w) > 1e-9 {
+				t.Errorf("%s: %v, want %v", c.name, got, c.want)
+				break
+			}
+		}
+	}
+}
+
+// TestRaiseKeepsTheLimit: whatever the wants, shares only rise and their sum
+// stays within the limit; a short controller is raised first.
+func TestRaiseKeepsTheLimit(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 5))
+	for range 2000 {
+		limit := 1 + r.IntN(500)
+		shares, needs, left := map[string]int{}, map[string]Need{}, limit
+		for i := range 1 + r.IntN(9) {
+			n := fmt.Sprint("n", i)
+			shares[n] = r.IntN(left + 1)
+			left -= shares[n]
+			needs[n] = Need{Want: float64(r.IntN(2 * limit)), Must: float64(r.IntN(20))}
+		}
+		got, _ := Raise(limit, shares, Targets(float64(limit), needs), needs)
+		sum := 0
+		for n := range needs {
+			if got[n] < shares[n] {
+				t.Fatalf("lowered: %v to %v", shares, got)
+			}
+			sum += got[n]
+		}
+		if sum > limit {
+			t.Fatalf("%v is above %d", got, limit)
+		}
+	}
+	needs := map[string]Need{"a": {Used: 10, Want: 10}, "b": {Used: 20, Want: 90}}
+	got, worth := Raise(100, map[string]int{"a": 40, "b": 20}, Targets(100, needs), needs)
+	if got["b"] != 60 || !worth {
+		t.Errorf("the short one got %v, worth a write: %v", got, worth)
+	}
+}
+
+// cluster plays holders and a leader of one team with only the messages of the
+// protocol: renewals that are lost, repeated and late, values seen late.
+type cluster struct {
+	r      *rand.Rand
+	limit  int
+	shares map[string]int
+	honour map[string]uint64 // by the value
+	grants map[string]uint64
+	nodes  []*holder
+	flying []renewal
+}
+
+type renewal struct {
+	node          string
+	number, grant uint64
+	ceiling       int
+}
+
+type holder struct {
+	Holder
+	name    string
+	number  uint64
+	used    float64
+	seen    int // share in the value it has seen last
+	grant   uint64
+	renewed uint64
+}
+
+// TestSharesNeverExceedTheLimit: at every step what all holders may still
+// start, or have started, is within the limit.
+func TestSharesNeverExceedTheLimit(t *testing.T) {
+	traded := 0
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 9))
+		c := &cluster{r: r, limit: 100, shares: map[string]int{"a": 100}, honour: map[string]uint64{}, grants: map[string]uint64{}}
+		for _, n := range []string{"a", "b", "c"} {
+			c.nodes = append(c.nodes, &holder{name: n, seen: c.shares[n]})
+		}
+		for step := range 400 {
+			h := c.nodes[r.IntN(3)]
+			switch r.IntN(5) {
+			case 0: // tasks start as far as the ceiling allows, or end
+				if ceiling := float64(h.Ceiling("t", wire.Share{CPUs: h.seen}).CPUs); r.IntN(2) == 0 {
+					h.used = max(h.used, math.Floor(ceiling*r.Float64()))
+				} else {
+					h.used = math.Floor(h.used * r.Float64())
+				}
+			case 1: // a promise, sent once, twice or never
+				h.number++
+				ceiling := int(math.Ceil(max(h.used, r.Float64()*float64(h.Ceiling("t", wire.Share{CPUs: h.seen}).CPUs))))
+				h.Promise(h.number, "t", wire.Share{CPUs: ceiling})
+				for range r.IntN(3) {
+					c.flying = append(c.flying, renewal{h.name, h.number, h.grant, ceiling})
+				}
+			case 2: // the leader writes, with any renewal that has come
+				if len(c.flying) > 0 {
+					i := r.IntN(len(c.flying))
+					m := c.flying[i]
+					if m.number > c.honour[m.node] {
+						if m.grant == c.grants[m.node] {
+							traded++
+							c.shares[m.node] = min(c.shares[m.node], m.ceiling)
+						}
+						c.honour[m.node] = m.number
+					}
+				}
+				needs := map[string]Need{}
+				for _, n := range c.nodes {
+					needs[n.name] = Need{Want: float64(r.IntN(120))}
+				}
+				c.shares, _ = Raise(c.limit, c.shares, Targets(float64(c.limit), needs), needs)
+			case 3: // a holder sees the value, as a whole
+				h.seen, h.grant = c.shares[h.name], c.grants[h.name]
+				h.Honoured(c.honour[h.name])
+			case 4: // a renewal is lost for good
+				if len(c.flying) > 8 {
+					c.flying = c.flying[1:]
+				}
+			}
+			sum := 0.0
+			for _, n := range c.nodes {
+				sum += max(n.used, float64(n.Ceiling("t", wire.Share{CPUs: n.seen}).CPUs))
+			}
+			if sum > float64(c.limit) {
+				t.Fatalf("seed %d step %d: %v may be used of %d", seed, step, sum, c.limit)
+			}
+		}
+	}
+	if traded < 1000 {
+		t.Errorf("only %d promises were taken in: nothing much was tested", traded)
+	}
+}
