--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -132,6 +132,7 @@
 	preemptAt time.Time
 	pingAt    time.Time
 	spare     float64 // processors free here beyond what waits
+	room      room    // free here now
 	progress  map[string]*peerpb.Progress
 }
 
@@ -144,6 +145,7 @@
 	spare   float64   // processors free beyond what waits
 	form    uint32    // the newest form of the lease value that it reads
 	teams   map[string]*peerpb.TeamUse
+	room    room
 }
 
 // New returns the core of the controller described by cfg. incarnation must
@@ -307,6 +309,8 @@
 	c.spare = size - busy
 	f.SpareCpus = c.spare
 	f.Teams = c.usesOfTeams()
+	c.room = c.roomNow()
+	f.FreeCpus, f.ImageCpus = c.room.free, c.room.images
 	for _, j := range c.jobs {
 		if c.owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
 			j.shown = [2]int{j.doneCount, j.running()}
@@ -336,6 +340,9 @@
 	if f.GetRenewal() == nil {
 		p.spare = f.GetSpareCpus()
 	}
+	if f.GetImageCpus() != nil {
+		p.room = room{f.GetFreeCpus(), f.GetImageCpus()}
+	}
 	p.tell(f.GetTeams())
 	for _, g := range f.GetProgress() {
 		if j := c.jobs[g.GetId()]; j != nil {
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -66,35 +66,88 @@
 	return out
 }
 
-// fileUnder chooses the part of its team that a new job goes to: that of the
-// controller with most processors to spare. It returns "" when the team has
-// one home.
-func (c *Core) fileUnder(j *wire.Job) string {
-	best, bestSpare := "", 0.0
-	for _, t := range c.cfg.Cluster.Teams {
-		if t.Name != j.Team {
+// room is what is free on a controller's machines at a moment.
+type room struct {
+	free   float64            // processors
+	images map[string]float64 // those on machines that have an image
+}
+
+// imagesMost bounds the images that a controller tells of.
+const imagesMost = 64
+
+// roomNow sums up what is free on this controller's machines.
+func (c *Core) roomNow() room {
+	r := room{images: map[string]float64{}}
+	for _, m := range c.machines {
+		if !c.usable(m) {
 			continue
 		}
-		for _, part := range parts(c.lease.Homes, t.Name) {
-			node := c.lease.Homes[part]
-			spare := c.spare
-			if node != c.me {
-				if !c.linkUp(node) {
-					continue
-				}
-				spare = c.peers[node].spare
+		free := max(0, m.free().CPUs)
+		r.free += free
+		for i := range m.images {
+			if m.images[i].there && free > 0 {
+				r.images[m.images[i].name] += free
 			}
-			if best == "" || spare > bestSpare {
-				best, bestSpare = part, spare
+		}
+	}
+	if len(r.images) > imagesMost {
+		names := sortedKeys(r.images)
+		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(r.images[b], r.images[a]) })
+		for _, n := range names[imagesMost:] {
+			delete(r.images, n)
+		}
+	}
+	return r
+}
+
+// take counts a job that was filed there against the room, until the
+// controller tells its new figures.
+func (r *room) take(j *wire.Job) {
+	cpus := float64(j.Tasks) * j.CPUs
+	r.free = max(0, r.free-cpus)
+	if n, ok := r.images[j.Image]; ok {
+		r.images[j.Image] = max(0, n-cpus)
+	}
+}
+
+// worth rates the room for an urgent job: the part of it that could start at
+// once, and more so where its image is.
+func (r *room) worth(j *wire.Job) float64 {
+	cpus := max(1e-6, float64(j.Tasks)*j.CPUs)
+	return (min(cpus, r.images[j.Image]) + 0.5*min(cpus, r.free)) / cpus
+}
+
+// fileUnder chooses the part of its team that a new job goes to: for urgent
+// work where most of it can start at once, otherwise, and among equals, that of
+// the controller with most processors to spare. It returns "" when the team
+// has one home.
+func (c *Core) fileUnder(j *wire.Job) string {
+	best, bestWorth, bestSpare := "", 0.0, 0.0
+	for _, part := range parts(c.lease.Homes, j.Team) {
+		node := c.lease.Homes[part]
+		spare, r := c.spare, &c.room
+		if node != c.me {
+			if !c.linkUp(node) {
+				continue
 			}
+			spare, r = c.peers[node].spare, &c.peers[node].room
+		}
+		worth := 0.0
+		if j.Rank() <= 1 {
+			worth = r.worth(j)
+		}
+		if best == "" || worth > bestWorth+0.05 || (worth > bestWorth-0.05 && spare > bestSpare) {
+			best, bestWorth, bestSpare = part, worth, spare
 		}
 	}
-	// Until the controller tells its new figure the job counts against it.
+	// Until the controller tells its new figures the job counts against them.
 	if cpus := float64(j.Tasks) * j.CPUs; best == "" {
 	} else if node := c.lease.Homes[best]; node == c.me {
 		c.spare -= cpus
+		c.room.take(j)
 	} else {
 		c.peers[node].spare -= cpus
+		c.peers[node].room.take(j)
 	}
 	return best
 }
