Budgets: the largest fleet each limit allows, ceilings, and what is used

check-config named one figure, wrong since the lease value has pages. It now lists the fleet that names, sockets, memory, reports and the machine list allow, the tightest first; the leader rents no further than that and logs it once per change; each controller logs its use of the budgets every minute.

--- a/cmd/fawncove/check.go
+++ b/cmd/fawncove/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
@@ -27,32 +28,41 @@
 			if err != nil {
 				return err
 			}
-			room := s.FleetRoom()
-			if _, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok, controller %s with %d peers, room for leases of about %d machines\n",
-				path, s.HostName, len(s.Peers), room); err != nil {
-				return err
-			}
-			most := 0.0
-			for _, t := range s.Cluster.Teams {
-				most += max(t.CPUs, t.CPUsMax)
-			}
-			if room < fewMachines || most > cpusPerMachine*float64(room) {
-				if _, err = fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cluster.state.value_kb: leases of only about %d machines fit; the fleet will stop growing there\n", path, room); err != nil {
-					return err
-				}
-			}
-			// One controller may hold every machine, with a connection for its
-			// reports and one for commands.
-			if sockets := s.Cluster.Limits.Sockets; sockets > 0 && 2*most/cpusPerMachine > float64(sockets) {
-				_, err = fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: cluster.limits.sockets: %d are too few for the about %.0f machines that the teams' limits allow\n", path, sockets, most/cpusPerMachine)
-			}
-			return err
+			return report(cmd.OutOrStdout(), cmd.ErrOrStderr(), path, s)
 		},
 	}
 	configFlag(cmd, &path)
 	return cmd
 }
 
+// report prints what the settings allow: the largest fleet by each budget, and
+// a warning when the tightest is too small for what the teams may use.
+func report(out, warn io.Writer, path string, s *config.Settings) error {
+	budgets := s.Budgets()
+	if _, err := fmt.Fprintf(out, "%s: ok, controller %s with %d peers, a fleet of up to about %d machines\n",
+		path, s.HostName, len(s.Peers), budgets[0].Machines); err != nil {
+		return err
+	}
+	for i, b := range budgets {
+		note := ""
+		if i == 0 {
+			note = " (the tightest)"
+		}
+		if _, err := fmt.Fprintf(out, "  %-28s %-26s %7d machines%s\n", b.Name, b.Field, b.Machines, note); err != nil {
+			return err
+		}
+	}
+	most := 0.0
+	for _, t := range s.Cluster.Teams {
+		most += max(t.CPUs, t.CPUsMax)
+	}
+	if tight := budgets[0]; tight.Machines < fewMachines || most > cpusPerMachine*float64(tight.Machines) {
+		_, err := fmt.Fprintf(warn, "%s: warning: %s: %s for only about %d machines; the fleet will stop growing there\n", path, tight.Field, tight.Name, tight.Machines)
+		return err
+	}
+	return nil
+}
+
 // configFlag adds the flag that names the settings file.
 func configFlag(cmd *cobra.Command, path *string) {
 	cmd.Flags().StringVar(path, "config", "", "path of the settings file (TOML)")
--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -95,6 +95,7 @@
 		WriteTimeout:      15 * time.Second,
 		IdleTimeout:       3 * time.Minute,
 		MaxHeaderBytes:    8 << 10,
+		ConnState:         n.Sockets().Track,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 	logger.Info("serving", "node", s.HostName, "area", s.Area, "clients", s.ClientListen)
--- /dev/null
+++ b/internal/config/budget.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+
+	"fawncove/internal/leasevalue"
+)
+
+// Budget is one of the limits that bound the fleet.
+type Budget struct {
+	Name     string // what runs out
+	Field    string // the settings that say how much there is
+	Machines int    // the largest fleet that it allows, in machines
+}
+
+const (
+	// ReportsPerCore is how many reports a second a controller with a whole
+	// core handles with half of it, all that comes with them included
+	// (measured, docs/measurements.md).
+	ReportsPerCore = 2500
+	// socketsPerMachine: one for its reports, one for direct commands.
+	socketsPerMachine = 2
+	// socketPart is the part of the sockets that may be used for machines; with
+	// five controllers the others have room for all when one of them is away.
+	socketPart = 0.8
+	// baseMB and machineMB are what a controller's memory takes without
+	// machines, and for each of its block with its tasks (measured: 94 to 112 MB
+	// at 1,000 to 1,100 machines).
+	baseMB    = 14
+	machineMB = 0.1
+	// ramPart is the memory at which the garbage collector works harder.
+	ramPart = 0.7
+	// listPage is how many machines a page of the cloud's list holds, and
+	// listPart the part of the cloud's calls that reading it may take.
+	listPage = 500
+	listPart = 0.5
+)
+
+// Controllers is how many controllers there are.
+func (s *Settings) Controllers() int { return max(s.Cluster.InitialSize, len(s.Peers)+1) }
+
+// Budgets tells how large a fleet each limit in the settings allows, the
+// tightest first. Limits that are not set bound nothing.
+func (s *Settings) Budgets() []Budget {
+	c := &s.Cluster
+	n := float64(s.Controllers())
+	var out []Budget
+	add := func(name, field string, machines float64) {
+		out = append(out, Budget{name, field, max(0, int(machines))})
+	}
+	add("names in the lease value", "cluster.state.value_kb", float64(s.FleetRoom()))
+	if c.Limits.Sockets > 0 {
+		add("sockets", "cluster.limits.sockets", n*socketPart*float64(c.Limits.Sockets)/socketsPerMachine)
+	}
+	if c.Limits.RAMMB > 0 {
+		add("memory", "cluster.limits.ram_mb", n*(ramPart*c.Limits.RAMMB-baseMB)/machineMB)
+	}
+	if c.Limits.Cores > 0 {
+		add("processor time for reports", "cluster.limits.cores", n*ReportsPerCore*c.Limits.Cores*c.Workers.ReportS)
+	}
+	add("reading the machine list", "cluster.cloud.rps", listPart*c.Cloud.RPS*s.ListEvery().Seconds()*listPage)
+	slices.SortStableFunc(out, func(a, b Budget) int { return cmp.Compare(a.Machines, b.Machines) })
+	return out
+}
+
+// FleetRoom is about how many machines the lease value and its pages can name
+// in the worst case: all of them just taken over, names with gaps, many
+// recalled.
+func (s *Settings) FleetRoom() int {
+	st := s.Cluster.State
+	return leasevalue.Room(leasevalue.Limits{ValueBytes: int(1024 * st.ValueKB), TxnOps: st.TxnOps}, s.Controllers(), len(s.Cluster.Teams))
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,13 +101,9 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// FleetRoom is about how many machines the one value that holds all block
-// leases can name, in the worst case: all of them just taken over and a part
-// recalled. Names take up to three characters each, a controller's part of the
-// value some three hundred bytes, and a tenth stays free.
-func (s *Settings) FleetRoom() int {
-	controllers := max(s.Cluster.InitialSize, len(s.Peers)+1)
-	return max(0, int(0.9*1024*s.Cluster.State.ValueKB)-300*controllers) / 3
+// ListEvery is how often the leader reads the machine list.
+func (s *Settings) ListEvery() time.Duration {
+	return max(2*time.Second, Seconds(s.Cluster.Cloud.ListLagS)/2)
 }
 
 // Load reads and checks the file at path.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -94,3 +94,44 @@
 		}
 	}
 }
+
+// TestBudgets: the tightest limit comes first, more of it allows a larger
+// fleet, and a limit that is not set bounds nothing.
+func TestBudgets(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.toml")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Load(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	of := func() map[string]int {
+		out := map[string]int{}
+		last := 0
+		for _, b := range s.Budgets() {
+			if b.Machines < last {
+				t.Errorf("%s allows %d machines and comes after %d", b.Name, b.Machines, last)
+			}
+			last = b.Machines
+			out[b.Field] = b.Machines
+		}
+		return out
+	}
+	before := of()
+	if len(before) != 5 {
+		t.Fatalf("budgets: %v", before)
+	}
+	s.Cluster.Limits.Sockets *= 2
+	if got := of(); got["cluster.limits.sockets"] != 2*before["cluster.limits.sockets"] {
+		t.Errorf("twice the sockets: %v, before %v", got, before)
+	}
+	s.Cluster.State.TxnOps = 3 // too few for pages
+	if got := of(); got["cluster.state.value_kb"] >= before["cluster.state.value_kb"]/4 {
+		t.Errorf("without pages: %v, with them %v", got, before)
+	}
+	s.Cluster.Limits.Sockets = 0
+	if _, ok := of()["cluster.limits.sockets"]; ok {
+		t.Error("a limit that is not set bounds the fleet")
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -51,10 +51,13 @@
 // Core is the state of one controller.
 type Core struct {
 	cfg *config.Settings
-	par Params
-	log *slog.Logger
-	me  string
-	inc uint64
+	// budgets are the limits of the settings that bound the fleet, but for the
+	// lease value, whose size is known.
+	budgets []config.Budget
+	par     Params
+	log     *slog.Logger
+	me      string
+	inc     uint64
 
 	now     time.Time
 	out     []Effect
@@ -174,6 +177,11 @@
 		inflow:      map[int64]float64{},
 		progress:    map[string]*peerpb.Progress{},
 	}
+	for _, b := range cfg.Budgets() {
+		if b.Field != "cluster.state.value_kb" {
+			c.budgets = append(c.budgets, b)
+		}
+	}
 	for _, p := range cfg.Peers {
 		c.peers[p.HostName] = &peerState{area: p.Area}
 	}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -58,7 +58,7 @@
 	requests  uint64
 	refused   map[offerKey]time.Time
 	tight     time.Time // when a spot market last gave less than was asked
-	full      bool      // the lease value has no room for more machines
+	full      string    // the budget that does not let the fleet grow
 }
 
 type offerKey struct {
@@ -123,8 +123,7 @@
 // listMachines reads the machine list now and then.
 func (c *Core) listMachines() {
 	f := &c.lead.fleet
-	every := max(2*time.Second, config.Seconds(c.cfg.Cluster.Cloud.ListLagS)/2)
-	if f.listing || (!f.listAt.IsZero() && c.now.Sub(f.listAt) < every) {
+	if f.listing || (!f.listAt.IsZero() && c.now.Sub(f.listAt) < c.cfg.ListEvery()) {
 		return
 	}
 	f.listing, f.listAt = true, c.now
@@ -626,10 +625,16 @@
 	return (len(b) + len(wire.PackNames(coming))) * 5 / 4
 }
 
-// roomForMore tells whether the lease value can name more machines. With pages
-// it names some ten thousand, so what counts is how full the value itself is.
+// roomForMore tells whether all budgets let the fleet grow. With pages the lease
+// value names some ten thousand machines, so what counts there is how full the
+// value itself is. At a ceiling nothing is rented until machines go; all else
+// goes on.
 func (c *Core) roomForMore() bool {
-	f := &c.lead.fleet
+	for _, b := range c.budgets {
+		if b.Machines > 0 && !c.below(b.Name, float64(len(c.lead.fleet.machines)), float64(b.Machines)) {
+			return false
+		}
+	}
 	size := c.valueBytes
 	if c.lease.Form < 2 {
 		size = c.plainSize()
@@ -637,10 +642,20 @@
 			return true // pages come in time
 		}
 	}
-	full := float64(size) > fullPart*1024*c.cfg.Cluster.State.ValueKB
-	if full != f.full {
-		f.full = full
-		c.log.Info("room for more machines in the lease value", "room", !full, "bytes", size)
+	return c.below("names in the lease value", float64(size), fullPart*1024*c.cfg.Cluster.State.ValueKB)
+}
+
+// below tells whether a budget has not reached its ceiling, and logs it when
+// that changes.
+func (c *Core) below(name string, at, ceiling float64) bool {
+	f := &c.lead.fleet
+	full := at >= ceiling
+	if full != (f.full == name) && (full || f.full == name) {
+		f.full = ""
+		if full {
+			f.full = name
+		}
+		c.log.Warn("the fleet has reached a ceiling", "what", name, "reached", full, "at", int(at), "ceiling", int(ceiling))
 	}
 	return !full
 }
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -190,10 +190,6 @@
 // one controller for all of it (see docs/measurements.md).
 func (c *Core) large() bool { return c.fleetSize() >= c.par.Pack }
 
-// reportsPerCore is how many reports a second a controller with a whole core
-// handles with half of it, all that comes with them included (measured).
-const reportsPerCore = 2500
-
 // machinesPerHome is how many machines make it worth another controller that
 // is home to teams with limits. Each team's room is apart from the others'
 // where their homes are, so there are no more homes than the controllers'
@@ -203,7 +199,7 @@
 	if cores <= 0 {
 		cores = 1
 	}
-	return max(homeLeast, int(reportsPerCore*cores*c.cfg.Cluster.Workers.ReportS))
+	return max(homeLeast, int(config.ReportsPerCore*cores*c.cfg.Cluster.Workers.ReportS))
 }
 
 // homeLeast bounds machinesPerHome from below, for very small controllers.
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -812,7 +812,7 @@
 	// Machines that are gone or given back leave their blocks.
 	recalls := map[string][]string{}
 	for i, n := range sortedKeys(l.recalls) {
-		if rec.Form >= 2 && i >= c.recallsMost() {
+		if rec.Form >= 2 && i >= leasevalue.RecallsMost(c.valueLimits()) {
 			break // the others follow when these are back
 		}
 		recalls[c.ownerOf(n)] = append(recalls[c.ownerOf(n)], n)
@@ -907,10 +907,6 @@
 	c.writeLease(rec)
 }
 
-// recallsMost is how many machines are recalled at a time: unlike all others,
-// their names stand in the lease value itself, at up to three bytes each.
-func (c *Core) recallsMost() int { return int(1024 * c.cfg.Cluster.State.ValueKB / 20) }
-
 // successor chooses who takes over a dead controller's block.
 func (c *Core) successor(rec *wire.LeaseRecord, dead string) string {
 	best := c.me
--- a/internal/leasevalue/leasevalue.go
+++ b/internal/leasevalue/leasevalue.go
@@ -57,6 +57,24 @@
 	reserve = 3
 )
 
+// Room is about how many machines a value and its pages can name in the worst
+// case: pages half full, names three bytes apart, recalls and shares for all
+// teams on all controllers. Where a transaction takes too few changes for pages
+// the names stand in the value.
+func Room(lim Limits, controllers, teams int) int {
+	free := fullPart*float64(lim.ValueBytes) - 300*float64(controllers)
+	if lim.TxnOps < LeastOps {
+		return max(0, int(free/3))
+	}
+	const reference, share = 14, 11 // bytes of a page's place, of a share and its part
+	free -= float64(teams*controllers*share) + 3*float64(RecallsMost(lim))
+	return max(0, int(free/reference*pagePart*float64(lim.ValueBytes)/6))
+}
+
+// RecallsMost is how many machines may be recalled at a time: unlike all
+// others, their names stand in the value itself, at up to three bytes each.
+func RecallsMost(lim Limits) int { return lim.ValueBytes / 20 }
+
 // Errors of reading and writing.
 var (
 	// ErrMissing says that a page the value names is not known here, or not
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,8 @@
 	asks    chan ask
 	pending map[uint64]chan controller.Reply
 	nextReq uint64
+	usage   usage
+	sockets Sockets
 	healthy atomic.Bool
 }
 
@@ -56,6 +58,9 @@
 // Healthy tells whether users can be served here.
 func (n *Node) Healthy() bool { return n.healthy.Load() }
 
+// Sockets counts the connections of users and workers.
+func (n *Node) Sockets() *Sockets { return &n.sockets }
+
 // Ask hands a request to the core and waits for its reply.
 func (n *Node) Ask(ctx context.Context, event func(req uint64) controller.Event) (controller.Reply, error) {
 	a := ask{event, make(chan controller.Reply, 1)}
@@ -97,9 +102,13 @@
 }
 
 func (n *Node) step(ctx context.Context, ev controller.Event) {
-	for _, e := range n.core.Step(time.Now(), ev) {
+	now := time.Now()
+	n.usage.event(now)
+	for _, e := range n.core.Step(now, ev) {
+		n.usage.count(e)
 		n.carryOut(ctx, e)
 	}
+	n.logUsage(now)
 	n.healthy.Store(n.core.Healthy())
 }
 
--- /dev/null
+++ b/internal/node/usage.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"net"
+	"net/http"
+	"runtime/metrics"
+	"sync/atomic"
+	"time"
+
+	"fawncove/internal/controller"
+)
+
+// usageEvery is how often the use of the budgets is logged.
+const usageEvery = time.Minute
+
+// usage counts what a controller takes of its budgets between two logs.
+type usage struct {
+	at                      time.Time
+	reads, changes, calls   int // of the state service and the cloud
+	commands, busiestSecond int // direct commands; most events in a second
+	second                  time.Time
+	events                  int
+}
+
+// count notes an effect that costs something.
+func (u *usage) count(e controller.Effect) {
+	switch e := e.(type) {
+	case controller.StateTxn:
+		u.reads++
+		u.changes += len(e.Txn.Then)
+	case controller.StateGet, controller.StateRange, controller.StateWatch:
+		u.reads++
+	case controller.CloudTypes, controller.CloudRent, controller.CloudRelease, controller.CloudList:
+		u.calls++
+	case controller.Direct:
+		u.commands++
+	}
+}
+
+// event notes that an event came.
+func (u *usage) event(now time.Time) {
+	if now.Sub(u.second) >= time.Second {
+		u.busiestSecond, u.events, u.second = max(u.busiestSecond, u.events), 0, now
+	}
+	u.events++
+}
+
+// Sockets counts the connections that users and workers hold open.
+type Sockets struct{ open atomic.Int64 }
+
+// Track is the http.Server's ConnState hook.
+func (s *Sockets) Track(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+}
+
+// logUsage logs what was used since the last time, per second where that is
+// what the settings limit.
+func (n *Node) logUsage(now time.Time) {
+	u := &n.usage
+	if u.at.IsZero() {
+		*u = usage{at: now, second: now}
+		return
+	}
+	took := now.Sub(u.at)
+	if took < usageEvery {
+		return
+	}
+	sample := []metrics.Sample{{Name: "/memory/classes/total:bytes"}}
+	metrics.Read(sample)
+	rate := func(n int) float64 { return float64(int(10*float64(n)/took.Seconds())) / 10 }
+	n.log.Info("usage", "machines", n.core.Holds(), "connections", n.sockets.open.Load(), "memory_mb", sample[0].Value.Uint64()>>20,
+		"state_requests_per_s", rate(u.reads), "state_changes_per_s", rate(u.changes), "cloud_calls_per_s", rate(u.calls),
+		"commands_per_s", rate(u.commands), "busiest_second_events", max(u.busiestSecond, u.events))
+	*u = usage{at: now, second: now}
+}
