--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,7 +27,7 @@
 
 // Defaults are the starting values.
 func Defaults() Params {
-	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 500}
+	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 700}
 }
 
 const (
