--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -529,7 +529,7 @@
 	rec.Leader, rec.Incarnation = c.me, c.inc
 	rec.Beat++
 	c.regrant(&rec, c.me, c.inc)
-	c.writeLease(rec)
+	c.writeLease(rec, func() {})
 }
 
 func (c *Core) cloneLease() wire.LeaseRecord {
@@ -573,8 +573,9 @@
 	rec.Blocks[node] = b
 }
 
-// writeLease proposes a new lease value under the version it was based on.
-func (c *Core) writeLease(rec wire.LeaseRecord) {
+// writeLease proposes a new lease value under the version it was based on; then
+// is called once it is stored.
+func (c *Core) writeLease(rec wire.LeaseRecord, then func()) {
 	c.leaseBusy = true
 	if b, ok := rec.Blocks[c.me]; ok && b.Incarnation == c.inc {
 		c.renewals++
@@ -610,6 +611,7 @@
 				if draft != nil {
 					draft.Stored()
 				}
+				then()
 				c.applyLease(rec, d.Txn.Revision)
 				if c.lead != nil {
 					for node, yes := range renewed {
@@ -768,6 +770,7 @@
 	}
 	// Blocks whose leases have lapsed go to one successor, machines and homes
 	// together, since tasks are only ever on their owner's machines.
+	lapsed := func() {}
 	for _, node := range sortedKeys(rec.Blocks) {
 		dead := rec.Blocks[node]
 		// Who resigned did so as a later incarnation than the block was
@@ -792,7 +795,13 @@
 				rec.Homes[team] = to
 			}
 		}
-		c.log.Info("lease lapsed", "node", node, "resigned", resigned, "successor", to, "machines", len(dead.Machines)+len(dead.Old))
+		// Only what is stored has happened: a leader that is refused, or was
+		// replaced while it stood still, takes leases for lapsed at every try.
+		before := lapsed
+		lapsed = func() {
+			before()
+			c.log.Info("lease lapsed", "node", node, "resigned", resigned, "successor", to, "machines", len(dead.Machines)+len(dead.Old))
+		}
 	}
 	c.settleHomes(&rec)
 	c.settleForm(&rec)
@@ -904,7 +913,7 @@
 			}
 		}
 	}
-	c.writeLease(rec)
+	c.writeLease(rec, lapsed)
 }
 
 // successor chooses who takes over a dead controller's block.
