--- /dev/null
+++ b/internal/controller/bench_test.go
@@ -0,0 +1,158 @@
+package controller
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/wire"
+)
+
+// sizes are the fleets that the benchmarks compare: time for each machine is to
+// grow by no more than a factor of 1.3 from the first to the last.
+var sizes = []int{1000, 4000, 10000}
+
+// largeFleet returns a leader whose fleet of n machines is parted over five
+// controllers; its own fifth is heard and half full.
+func largeFleet(b *testing.B, n int) (*Core, time.Time) {
+	b.Helper()
+	s := &config.Settings{HostName: "n0", Area: "x",
+		Cluster: config.Cluster{InitialSize: 5, Zones: []string{"x", "y"}, Teams: []config.Team{{Name: "red", CPUs: 4000, CPUsMax: 80000}},
+			Workers: config.Workers{ReportS: 5, LeaseS: 26, CancelS: 51},
+			State:   config.State{RPS: 180, WriteRPS: 50, ValueKB: 4, TxnOps: 12},
+			Cloud:   config.Cloud{RPS: 8, ListLagS: 6}}}
+	for i := 1; i < 5; i++ {
+		s.Peers = append(s.Peers, config.Peer{HostName: fmt.Sprintf("n%d", i), Area: "y"})
+	}
+	c := New(s, Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	c.now, c.fresh, c.stateOK, c.loaded = now, now, now, true
+	c.types["b8"] = wire.MachineType{Name: "b8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"x", "y"}}
+	rec := wire.LeaseRecord{Form: 2, Term: 3, Leader: "n0", Incarnation: 7, Homes: map[string]string{"red": "n0"},
+		Blocks: map[string]wire.Block{}, Shares: map[string]wire.Shares{"red": {}}}
+	for i := range 5 {
+		node := fmt.Sprintf("n%d", i)
+		blk := wire.Block{Grant: 3<<16 + uint64(i), Incarnation: 7}
+		for k := i * 50; k < n; k += 250 {
+			for m := k; m < min(n, k+50); m++ {
+				blk.Machines = append(blk.Machines, fmt.Sprintf("host-%06d", m))
+			}
+		}
+		rec.Blocks[node] = blk
+		rec.Homes[wire.PartName("red", i+1)] = node
+		rec.Shares["red"][node] = wire.Share{CPUs: 16000}
+	}
+	// Stored a few machines at a time, as they come up.
+	part := rec
+	part.Blocks = map[string]wire.Block{}
+	for done := false; !done; {
+		done = true
+		budget := c.book.Budget(c.valueLimits())
+		for _, node := range sortedKeys(rec.Blocks) {
+			blk := rec.Blocks[node]
+			have := len(part.Blocks[node].Machines)
+			all := blk.Machines
+			for have < len(all) && budget.Join(node) {
+				have++
+			}
+			done = done && have == len(all)
+			blk.Machines = all[:have:have]
+			part.Blocks[node] = blk
+		}
+		part.Beat++
+		d, err := c.book.Write(&part, c.valueLimits())
+		if err != nil {
+			b.Fatal(err)
+		}
+		d.Stored()
+	}
+	rec.Beat = part.Beat
+	c.applyLease(rec, 5)
+	c.lead.since, c.lead.fleet.listed = now.Add(-time.Minute), true
+	for node, blk := range rec.Blocks {
+		for _, name := range blk.Machines {
+			c.lead.fleet.machines[name] = &rented{offerKey: offerKey{"b8", "x", true}, rentedAt: now}
+		}
+		if node != "n0" {
+			c.onPeer(&peerpb.Frame{From: node, Incarnation: 7, ReadsForm: 2, Renewal: &peerpb.Renewal{Node: node, Incarnation: 7, Number: 1}})
+		}
+	}
+	c.right = now.Add(time.Hour)
+	for i, name := range sortedKeys(c.machines) {
+		m := c.machines[name]
+		m.kind, m.zone, m.spot, m.session, m.endpoint, m.size = "b8", "x", true, 1, "10.0.0.1:9000", sizeOf(c.types["b8"])
+		if i%25 == 0 {
+			c.applyJob(wire.JobRecord{Job: wire.Job{ID: fmt.Sprintf("wk-%06d", i), Class: "c", Team: "red", Shape: wire.Array, Priority: "standard",
+				Tasks: 150, CPUs: 4, MemoryGB: 4, Spot: true, EstimateS: 60, Image: "img", ImageGB: 1}, Part: wire.PartName("red", 1)}, uint64(10+i))
+		}
+	}
+	c.leaseBusy = true
+	return c, now
+}
+
+func perMachine(b *testing.B, n int) {
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/machine")
+}
+
+// BenchmarkPublish writes the lease value of a fleet of which one machine has
+// gone since the last write.
+func BenchmarkPublish(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, _ := largeFleet(b, n)
+			i := 0
+			for b.Loop() {
+				c.leaseBusy, c.out = false, nil
+				c.lead.gone[fmt.Sprintf("host-%06d", i%n)] = true
+				i += 17
+				c.publish()
+			}
+			perMachine(b, n)
+		})
+	}
+}
+
+// BenchmarkApply takes in a lease value in which one machine has left a block.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, _ := largeFleet(b, n)
+			version := uint64(1000)
+			for b.Loop() {
+				rec := c.cloneLease()
+				blk := rec.Blocks["n1"]
+				blk.Machines = slices.Clone(blk.Machines)
+				slices.Reverse(blk.Machines[:2])
+				rec.Blocks["n1"] = blk
+				version++
+				c.applyLease(rec, version)
+			}
+			perMachine(b, n)
+		})
+	}
+}
+
+// BenchmarkPlace looks for room for tasks while every machine is full.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, now := largeFleet(b, n)
+			c.place()
+			if waiting := len(c.readyJobs()); waiting < n/250 {
+				b.Fatalf("only %d jobs wait", waiting)
+			}
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				c.now = now
+				c.preemptAt = now
+				c.place()
+			}
+			perMachine(b, n)
+		})
+	}
+}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -197,6 +197,7 @@
 			spots = append(spots, s)
 		}
 	}
+	roomiest := mostFree(spots)
 	preempt := c.now.Sub(c.preemptAt) >= preemptGap
 	if preempt {
 		c.preemptAt = c.now
@@ -213,20 +214,35 @@
 			c.placeGang(j, spots, hidden)
 			continue
 		}
-		c.placeTasks(j, spots, hidden)
+		if j.need().Fits(roomiest) && !c.placeTasks(j, spots, hidden) {
+			roomiest = mostFree(spots)
+		}
 		if preempt {
 			c.preempt(j, spots, hidden)
 		}
 	}
 }
 
-// placeTasks places as many of the job's waiting tasks as there is room for.
-func (c *Core) placeTasks(j *job, spots []*spot, hidden sched.Amount) {
+// mostFree is the most that any spot has free of each resource. A task that
+// needs more fits nowhere, which on a full fleet spares a look at every machine
+// for every job.
+func mostFree(spots []*spot) sched.Amount {
+	var a sched.Amount
+	for _, s := range spots {
+		a = sched.Amount{CPUs: max(a.CPUs, s.free.CPUs), Cards: max(a.Cards, s.free.Cards), MemoryGB: max(a.MemoryGB, s.free.MemoryGB)}
+	}
+	return a
+}
+
+// placeTasks places as many of the job's waiting tasks as there is room for,
+// and tells whether there was any for the first of them.
+func (c *Core) placeTasks(j *job, spots []*spot, hidden sched.Amount) bool {
 	if j.rec.SamePlace || j.rec.Scatter {
 		// Where the next one may go depends on where the last one went.
+		n := len(j.queue)
 		for len(j.queue) > 0 && c.placeOne(j, spots, hidden) != nil {
 		}
-		return
+		return len(j.queue) < n
 	}
 	need, limit := j.need(), c.ceilingOf(j.rec.Team)
 	c.choices = c.choices[:0]
@@ -235,6 +251,7 @@
 			c.choices = append(c.choices, choice{s, c.costOf(j, s)})
 		}
 	}
+	found := len(c.choices) > 0
 	for len(j.queue) > 0 && len(c.choices) > 0 && limit.Allows(c.used[j.rec.Team].Add(hidden, 1), need) {
 		best := 0
 		for i := range c.choices {
@@ -251,6 +268,7 @@
 			c.choices = slices.Delete(c.choices, best, best+1)
 		}
 	}
+	return found
 }
 
 func (c *Core) costOf(j *job, s *spot) float64 {
