--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -318,7 +318,8 @@
 	f.SpareCpus = c.spare
 	f.Teams = c.usesOfTeams()
 	c.room = c.roomNow()
-	f.FreeCpus, f.ImageCpus = c.room.free, c.room.images
+	c.room.size = size
+	f.FreeCpus, f.ImageCpus, f.SizeCpus = c.room.free, c.room.images, size
 	for _, j := range c.jobs {
 		if c.owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
 			j.shown = [2]int{j.doneCount, j.running()}
@@ -349,7 +350,7 @@
 		p.spare = f.GetSpareCpus()
 	}
 	if f.GetImageCpus() != nil {
-		p.room = room{f.GetFreeCpus(), f.GetImageCpus()}
+		p.room = room{f.GetFreeCpus(), f.GetSizeCpus(), f.GetImageCpus()}
 	}
 	p.tell(f.GetTeams())
 	for _, g := range f.GetProgress() {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -462,3 +462,37 @@
 		}
 	}
 }
+
+// TestJobsAreFiledEvenly guards against the machines of a quiet fleet ending up
+// with one controller: they follow the work, so a job must not go to a large
+// block only because it is large, though it goes there when it cannot start
+// elsewhere.
+func TestJobsAreFiledEvenly(t *testing.T) {
+	core, _ := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+		Homes:  map[string]string{"free": "n0", "free #1": "n0", "free #2": "n1"},
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}, "n1": {Grant: 1<<18 + 1, Incarnation: 9}}})
+	job := func(priority, image string) *wire.Job {
+		return &wire.Job{ID: "wk-000001", Team: "free", Shape: wire.Array, Priority: priority, Tasks: 10, CPUs: 2, Image: image}
+	}
+	p := core.peers["n1"]
+	p.heard = core.now
+	for _, c := range []struct {
+		name            string
+		own, other      room
+		ownSpare, spare float64
+		priority, image string
+		want            string
+	}{
+		{"the larger block has a little more to spare", room{size: 300}, room{size: 900}, 80, 120, "standard", "a", "free #1"},
+		{"the smaller one is full", room{size: 300}, room{size: 900}, -400, 500, "standard", "a", "free #2"},
+		{"urgent, both have room", room{free: 50, size: 300}, room{free: 150, size: 900}, 50, 150, "urgent", "a", "free #1"},
+		{"urgent, only the larger one has room", room{size: 300}, room{free: 150, size: 900}, -10, 150, "urgent", "a", "free #2"},
+		{"urgent, even blocks, one has the image", room{free: 50, size: 300},
+			room{free: 50, size: 300, images: map[string]float64{"a": 40}}, 50, 50, "urgent", "a", "free #2"},
+	} {
+		core.room, core.spare, p.room, p.spare = c.own, c.ownSpare, c.other, c.spare
+		if got := core.fileUnder(job(c.priority, c.image)); got != c.want {
+			t.Errorf("%s: filed under %s, want %s", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -69,6 +69,7 @@
 // room is what is free on a controller's machines at a moment.
 type room struct {
 	free   float64            // processors
+	size   float64            // processors of all its machines
 	images map[string]float64 // those on machines that have an image
 }
 
@@ -117,13 +118,24 @@
 	return (min(cpus, r.images[j.Image]) + 0.5*min(cpus, r.free)) / cpus
 }
 
+// Machines follow the work, and work that went only where room is would follow
+// the machines: in a quiet night one controller came to hold thirteen times as
+// many as another. So what a block has beyond the mean counts against it:
+// evenSpare of its processors, and evenWorth for each time the mean.
+const (
+	evenSpare = 0.7
+	evenWorth = 0.3
+)
+
 // fileUnder chooses the part of its team that a new job goes to: for urgent
 // work where most of it can start at once, otherwise, and among equals, that of
-// the controller with most processors to spare. It returns "" when the team
-// has one home.
+// the controller with most processors to spare; both less what its block has
+// beyond the mean. It returns "" when the team has one home.
 func (c *Core) fileUnder(j *wire.Job) string {
 	best, bestWorth, bestSpare := "", 0.0, 0.0
-	for _, part := range parts(c.lease.Homes, j.Team) {
+	own := parts(c.lease.Homes, j.Team)
+	mean := c.meanSize(own)
+	for _, part := range own {
 		node := c.lease.Homes[part]
 		spare, r := c.spare, &c.room
 		if node != c.me {
@@ -132,9 +144,11 @@
 			}
 			spare, r = c.peers[node].spare, &c.peers[node].room
 		}
+		more := r.size - mean
+		spare -= evenSpare * more
 		worth := 0.0
 		if j.Rank() <= 1 {
-			worth = r.worth(j)
+			worth = r.worth(j) - evenWorth*more/max(1, mean)
 		}
 		if best == "" || worth > bestWorth+0.05 || (worth > bestWorth-0.05 && spare > bestSpare) {
 			best, bestWorth, bestSpare = part, worth, spare
@@ -152,6 +166,26 @@
 	return best
 }
 
+// meanSize is the mean size, in processors, of the blocks of those that the
+// parts are with and that can be reached.
+func (c *Core) meanSize(own []string) float64 {
+	seen := map[string]bool{}
+	sum := 0.0
+	for _, part := range own {
+		node := c.lease.Homes[part]
+		switch {
+		case seen[node]:
+		case node == c.me:
+			seen[node] = true
+			sum += c.room.size
+		case c.linkUp(node):
+			seen[node] = true
+			sum += c.peers[node].room.size
+		}
+	}
+	return sum / float64(max(1, len(seen)))
+}
+
 // measure returns the processors that this controller's tasks use or wait
 // for, the part of them that may be on spot machines, and those of its block.
 func (c *Core) measure() (busy, spot, size float64) {
