--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -496,3 +497,38 @@
 		}
 	}
 }
+
+// TestCeilingIsLoggedOnce: a fleet that hovers at its ceiling is held there
+// without a line in the log for every machine that comes and goes.
+func TestCeilingIsLoggedOnce(t *testing.T) {
+	core, _ := newCore(t, nil, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7,
+		Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}}})
+	var log countingHandler
+	core.log = slog.New(&log)
+	core.budgets = []config.Budget{{Name: "sockets", Field: "cluster.limits.sockets", Machines: 100}}
+	machines := core.lead.fleet.machines
+	fill := func(n int) {
+		clear(machines)
+		for i := range n {
+			machines[fmt.Sprintf("host-%06d", i)] = &rented{}
+		}
+	}
+	for _, c := range []struct {
+		machines int
+		room     bool
+		lines    int
+	}{{90, true, 0}, {100, false, 1}, {99, false, 1}, {104, false, 1}, {98, false, 1}, {96, true, 2}, {99, true, 2}, {100, false, 3}} {
+		fill(c.machines)
+		if got := core.roomForMore(); got != c.room || log.lines != c.lines {
+			t.Errorf("%d machines of 100: room %v after %d lines, want %v after %d", c.machines, got, log.lines, c.room, c.lines)
+		}
+	}
+}
+
+// countingHandler counts the lines logged.
+type countingHandler struct{ lines int }
+
+func (h *countingHandler) Enabled(context.Context, slog.Level) bool  { return true }
+func (h *countingHandler) Handle(context.Context, slog.Record) error { h.lines++; return nil }
+func (h *countingHandler) WithAttrs([]slog.Attr) slog.Handler        { return h }
+func (h *countingHandler) WithGroup(string) slog.Handler             { return h }
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -645,10 +645,18 @@
 	return c.below("names in the lease value", float64(size), fullPart*1024*c.cfg.Cluster.State.ValueKB)
 }
 
+// ceilingPart is to which part of a ceiling a budget has to come down before the
+// fleet may grow again: a fleet at its ceiling loses and rents machines all the
+// time, and would be said to reach it every few seconds.
+const ceilingPart = 0.97
+
 // below tells whether a budget has not reached its ceiling, and logs it when
 // that changes.
 func (c *Core) below(name string, at, ceiling float64) bool {
 	f := &c.lead.fleet
+	if f.full == name {
+		ceiling *= ceilingPart
+	}
 	full := at >= ceiling
 	if full != (f.full == name) && (full || f.full == name) {
 		f.full = ""
