A lease write that is too large is cut down to what cannot wait

Several takeovers in one write, beside all else that a transaction takes, could need more changes than it allows; the leader would have tried the same again until all leases had lapsed. The next write now holds takeovers and renewals only. Seeded histories let all others end at once; the guard taken out fails TestWriteThatIsTooLargeIsCutDown.

--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -19,7 +19,7 @@
 
 // largeFleet returns a leader whose fleet of n machines is parted over five
 // controllers; its own fifth is heard and half full.
-func largeFleet(b *testing.B, n int) (*Core, time.Time) {
+func largeFleet(b testing.TB, n int) (*Core, time.Time) {
 	b.Helper()
 	s := &config.Settings{HostName: "n0", Area: "x",
 		Cluster: config.Cluster{InitialSize: 5, Zones: []string{"x", "y"}, Teams: []config.Team{{Name: "red", CPUs: 4000, CPUsMax: 80000}},
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -532,3 +533,35 @@
 func (h *countingHandler) Handle(context.Context, slog.Record) error { h.lines++; return nil }
 func (h *countingHandler) WithAttrs([]slog.Attr) slog.Handler        { return h }
 func (h *countingHandler) WithGroup(string) slog.Handler             { return h }
+
+// TestWriteThatIsTooLargeIsCutDown guards against a leader that tries the same
+// write, too large for a transaction, until all leases have lapsed.
+func TestWriteThatIsTooLargeIsCutDown(t *testing.T) {
+	c, now := largeFleet(t, 10000)
+	rec := c.cloneLease()
+	for node, b := range rec.Blocks {
+		b.Machines = slices.Clone(b.Machines)
+		b.Machines = slices.DeleteFunc(b.Machines, func(n string) bool { return n[len(n)-1] == '7' }) // off every page
+		rec.Blocks[node] = b
+	}
+	c.leaseBusy, c.out = false, nil
+	c.writeLease(rec, func() { t.Error("stored") })
+	if len(c.out) != 0 || c.leaseBusy || !c.lead.lean {
+		t.Fatalf("%d effects, busy %v, lean %v after a write that does not fit", len(c.out), c.leaseBusy, c.lead.lean)
+	}
+	for name := range c.owners {
+		c.lead.gone[name] = name[len(name)-1] == '7'
+	}
+	for i, most := range []int{1, 12} { // first the value alone, then as much as fits
+		changes := 0
+		c.leaseBusy = false
+		for _, e := range c.Step(now.Add(time.Duration(1+i)*6*time.Second), Tick{}) {
+			if txn, ok := e.(StateTxn); ok && txn.Control {
+				changes = len(txn.Txn.Then)
+			}
+		}
+		if changes == 0 || changes > most || (i > 0 && changes < 4) {
+			t.Errorf("write %d takes %d changes", i+1, changes)
+		}
+	}
+}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -483,6 +483,7 @@
 	term     uint64
 	since    time.Time
 	dirty    bool
+	lean     bool // the next write leaves out what can wait
 	wrote    time.Time
 	renewals map[string]*peerpb.Renewal // newest of each controller
 	heardAt  map[string]time.Time       // when it came
@@ -594,10 +595,14 @@
 	if rec.Form >= 2 {
 		var err error
 		if draft, err = c.book.Write(&rec, c.valueLimits()); err != nil {
-			// Publishing keeps within what a write can take, so this would
-			// be a mistake; the value stands as it is.
+			// Publishing keeps within what a write can take, but for several
+			// takeovers at once. The same again would fail again, and with it
+			// every renewal: the next write leaves out what can wait.
 			c.log.Error("lease value", "err", err)
 			c.leaseBusy = false
+			if c.lead != nil {
+				c.lead.lean, c.lead.dirty = true, true
+			}
 			return
 		}
 		ops = draft.Ops
@@ -811,6 +816,9 @@
 	leave, enter := func(string) bool { return true }, func(string) bool { return true }
 	if rec.Form >= 2 {
 		budget := c.book.Budget(c.valueLimits())
+		if l.lean {
+			budget.Close()
+		}
 		put := func(yes bool) bool {
 			l.dirty = l.dirty || !yes
 			return yes
@@ -821,7 +829,7 @@
 	// Machines that are gone or given back leave their blocks.
 	recalls := map[string][]string{}
 	for i, n := range sortedKeys(l.recalls) {
-		if rec.Form >= 2 && i >= leasevalue.RecallsMost(c.valueLimits()) {
+		if l.lean || rec.Form >= 2 && i >= leasevalue.RecallsMost(c.valueLimits()) {
 			break // the others follow when these are back
 		}
 		recalls[c.ownerOf(n)] = append(recalls[c.ownerOf(n)], n)
@@ -913,6 +921,7 @@
 			}
 		}
 	}
+	l.lean = false
 	c.writeLease(rec, lapsed)
 }
 
--- a/internal/leasevalue/leasevalue_test.go
+++ b/internal/leasevalue/leasevalue_test.go
@@ -162,7 +162,7 @@
 			nodes := sortedNodes(rec)
 			node := nodes[r.IntN(len(nodes))]
 			blk := rec.Blocks[node]
-			switch r.IntN(9) {
+			switch r.IntN(10) {
 			case 0, 1, 2:
 				for range r.IntN(120) {
 					if !budget.Join(node) {
@@ -199,6 +199,16 @@
 					}
 				}
 				slices.Sort(blk.Recall)
+			case 9: // all others end at once; nothing else is written with that
+				for _, dead := range nodes {
+					if dead != node {
+						b := rec.Blocks[dead]
+						blk.Old = append(append(slices.Clone(blk.Old), b.Machines...), b.Old...)
+						b.Machines, b.Old, b.Recall = nil, nil, nil
+						rec.Blocks[dead] = b
+					}
+				}
+				slices.Sort(blk.Old)
 			case 8: // another leads
 				var err error
 				if writer, _, err = s.readAll(); err != nil && step > 0 {
--- a/internal/leasevalue/write.go
+++ b/internal/leasevalue/write.go
@@ -59,6 +59,11 @@
 	return &Budget{book: b, lim: lim, left: max(1, lim.TxnOps-1-reserve), touched: map[int]bool{}, fresh: map[string]int{}}
 }
 
+// Close takes what is left: what can wait, waits. A write with nothing but
+// takeovers always fits, as sets small enough to stand in the value fit on a few
+// pages.
+func (g *Budget) Close() { g.left = 0 }
+
 // Leave takes what it costs that a machine leaves its set, and tells whether
 // there was enough.
 func (g *Budget) Leave(name string) bool {
