A share that lacks a processor for its only task is not left stuck

Whoever is stuck gets what others have beyond their targets, however little. TestLargeTaskIsNotStuck fails without.

--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -180,14 +180,19 @@
 		sum += of(node)
 	}
 	if float64(sum) > limit {
-		return share.Lower(now, targets[c.me], used) // the settings have changed
+		return share.Lower(now, targets[c.me], used, false) // the settings have changed
 	}
+	short, stuck := false, false
 	for node, t := range targets {
-		if node != c.me && share.Short(float64(of(node)), t, needs[node]) {
-			return share.Lower(now, targets[c.me], used)
+		if node != c.me {
+			short = short || share.Short(float64(of(node)), t, needs[node])
+			stuck = stuck || share.Stuck(float64(of(node)), t, needs[node])
 		}
 	}
-	return 0, false
+	if !short {
+		return 0, false
+	}
+	return share.Lower(now, targets[c.me], used, stuck)
 }
 
 // trade has a renewal sent when there is something to promise.
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -26,7 +26,7 @@
 type Need struct {
 	Used float64 // of tasks that are not surely gone
 	Want float64 // Used and what waits
-	Must float64 // what a gang that waits needs at once, Used included; or 0
+	Must float64 // the least that something that waits can start with, see Stuck
 }
 
 // Targets tells what part of limit each controller should hold: what it wants,
@@ -64,15 +64,27 @@
 // slack is the difference, as a part of a target, that is not worth a change.
 const slack = 0.03
 
+// Stuck tells whether a controller's share is less than what its largest
+// waiting task, or a gang beside what runs, needs, though its target has room
+// for that: then it cannot start at all, however little is missing.
+func Stuck(share, target float64, need Need) bool {
+	return need.Must > share && need.Must <= target+1
+}
+
 // Short tells whether a controller with this share has to wait for more
 // although others hold more than their targets.
 func Short(share, target float64, need Need) bool {
-	return share+1+slack*target < min(need.Want, target)
+	return share+1+slack*target < min(need.Want, target) || Stuck(share, target, need)
 }
 
 // Lower returns the ceiling that a holder should promise: its target, when
-// another is short and it holds more than that. It is never below what is used.
-func Lower(share int, target, used float64) (ceiling int, yes bool) {
+// another is short and it holds more than that, or a whole processor more when
+// another is stuck. It is never below what is used.
+func Lower(share int, target, used float64, stuck bool) (ceiling int, yes bool) {
+	if stuck {
+		c := int(math.Ceil(max(math.Floor(target), used)))
+		return c, share > c
+	}
 	c := int(math.Ceil(max(target, used)))
 	return c, float64(share) > float64(c)+1+slack*target
 }
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -65,6 +65,28 @@
 	}
 }
 
+// TestLargeTaskIsNotStuck: with a full limit, a controller that lacks a single
+// processor for its only task gets it, though no other is far above its target.
+func TestLargeTaskIsNotStuck(t *testing.T) {
+	needs := map[string]Need{"a": {Want: 8, Must: 8}, "b": {Used: 46, Want: 90}, "c": {Used: 46, Want: 90}}
+	shares := map[string]int{"a": 7, "b": 46, "c": 47}
+	targets := Targets(100, needs)
+	lowered := 0
+	for _, n := range []string{"b", "c"} {
+		if !Short(float64(shares["a"]), targets["a"], needs["a"]) {
+			t.Fatal("not short")
+		}
+		if c, yes := Lower(shares[n], targets[n], needs[n].Used, Stuck(float64(shares["a"]), targets["a"], needs["a"])); yes {
+			lowered += shares[n] - c
+			shares[n] = c
+		}
+	}
+	got, worth := Raise(100, shares, targets, needs)
+	if lowered == 0 || got["a"] < 8 || !worth {
+		t.Errorf("lowered by %d, the shares are %v", lowered, got)
+	}
+}
+
 // cluster plays holders and a leader of one team with only the messages of the
 // protocol: renewals that are lost, repeated and late, values seen late.
 type cluster struct {
