One place each for part names, value limits, controllers and the memory's part

Found on reading the change again: the mark of a team's parts, the limits of the lease value, the number of controllers, and two shares of memory and value were each written down twice, and one comment gave names a byte where it meant bytes a name.

--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -83,7 +83,7 @@
 	}
 	core := controller.New(s, controller.Defaults(), logger, uint64(time.Now().UnixMilli()))
 	n := node.New(core, logger,
-		statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, max(s.Cluster.InitialSize, len(links)+1)),
+		statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, s.Controllers()),
 		cloud.New(s.External.Cloud, s.Cluster.Cloud.RPS, 0.8), links, 2*s.Cluster.Limits.Sockets/5)
 	go n.Run(ctx)
 	go peer.Serve(ctx, peers, logger, n.Peer)
@@ -113,7 +113,7 @@
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	}
 	if l.RAMMB > 0 {
-		debug.SetMemoryLimit(int64(l.RAMMB * 0.7 * (1 << 20)))
+		debug.SetMemoryLimit(int64(l.RAMMB * config.RAMPart * (1 << 20)))
 	}
 	debug.SetGCPercent(200)
 }
--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -29,8 +29,8 @@
 	// at 1,000 to 1,100 machines).
 	baseMB    = 14
 	machineMB = 0.1
-	// ramPart is the memory at which the garbage collector works harder.
-	ramPart = 0.7
+	// RAMPart is the part of the memory at which the garbage collector works harder.
+	RAMPart = 0.7
 	// listPage is how many machines a page of the cloud's list holds, and
 	// listPart the part of the cloud's calls that reading it may take.
 	listPage = 500
@@ -54,7 +54,7 @@
 		add("sockets", "cluster.limits.sockets", n*socketPart*float64(c.Limits.Sockets)/socketsPerMachine)
 	}
 	if c.Limits.RAMMB > 0 {
-		add("memory", "cluster.limits.ram_mb", n*(ramPart*c.Limits.RAMMB-baseMB)/machineMB)
+		add("memory", "cluster.limits.ram_mb", n*(RAMPart*c.Limits.RAMMB-baseMB)/machineMB)
 	}
 	if c.Limits.Cores > 0 {
 		add("processor time for reports", "cluster.limits.cores", n*ReportsPerCore*c.Limits.Cores*c.Workers.ReportS)
@@ -68,6 +68,11 @@
 // in the worst case: all of them just taken over, names with gaps, many
 // recalled.
 func (s *Settings) FleetRoom() int {
+	return leasevalue.Room(s.ValueLimits(), s.Controllers(), len(s.Cluster.Teams))
+}
+
+// ValueLimits are the limits for the lease value and its pages.
+func (s *Settings) ValueLimits() leasevalue.Limits {
 	st := s.Cluster.State
-	return leasevalue.Room(leasevalue.Limits{ValueBytes: int(1024 * st.ValueKB), TxnOps: st.TxnOps}, s.Controllers(), len(s.Cluster.Teams))
+	return leasevalue.Limits{ValueBytes: int(1024 * st.ValueKB), TxnOps: st.TxnOps}
 }
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -52,7 +52,7 @@
 	part.Blocks = map[string]wire.Block{}
 	for done := false; !done; {
 		done = true
-		budget := c.book.Budget(c.valueLimits())
+		budget := c.book.Budget(c.cfg.ValueLimits())
 		for _, node := range sortedKeys(rec.Blocks) {
 			blk := rec.Blocks[node]
 			have := len(part.Blocks[node].Machines)
@@ -65,7 +65,7 @@
 			part.Blocks[node] = blk
 		}
 		part.Beat++
-		d, err := c.book.Write(&part, c.valueLimits())
+		d, err := c.book.Write(&part, c.cfg.ValueLimits())
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawncove/internal/config"
+	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
 	"fawncove/internal/wire"
@@ -601,9 +602,6 @@
 	}
 }
 
-// fullPart is the part of its size up to which the lease value may be filled.
-const fullPart = 0.9
-
 // plainSize is about what the lease value takes without pages, machines on
 // their way included. They count with what they will take: a rental's names
 // follow each other, so that is little more than a character each, not the four
@@ -642,7 +640,7 @@
 			return true // pages come in time
 		}
 	}
-	return c.below("names in the lease value", float64(size), fullPart*1024*c.cfg.Cluster.State.ValueKB)
+	return c.below("names in the lease value", float64(size), leasevalue.FullPart*1024*c.cfg.Cluster.State.ValueKB)
 }
 
 // ceilingPart is to which part of a ceiling a budget has to come down before the
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"fawncove/internal/config"
@@ -21,9 +19,6 @@
 // of others, when the fleet is too much for one controller or its crash would
 // stop too much; its limit is then held in shares.
 
-// partMark parts a team's name from the number of a part.
-const partMark = " #"
-
 // partsMost bounds the parts of a team, in parts per controller: one that was
 // given up for dead and is back gets a new one, as its old one has moved.
 const partsMost = 8
@@ -58,7 +53,7 @@
 func parts(homes map[string]string, team string) []string {
 	var out []string
 	for home := range homes {
-		if strings.HasPrefix(home, team+partMark) {
+		if wire.IsPart(home, team) {
 			out = append(out, home)
 		}
 	}
@@ -315,7 +310,7 @@
 			if has[node] || len(own) >= partsMost*c.nodes() {
 				continue
 			}
-			part := fmt.Sprintf("%s%s%d", t.Name, partMark, len(own)+1)
+			part := wire.PartName(t.Name, len(own)+1)
 			own = append(own, part)
 			rec.Homes[part] = node
 		}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -201,7 +201,7 @@
 	})})
 }
 
-func (c *Core) nodes() int { return max(c.cfg.Cluster.InitialSize, len(c.cfg.Peers)+1) }
+func (c *Core) nodes() int { return c.cfg.Controllers() }
 
 // applyPut takes a changed key into the picture.
 func (c *Core) applyPut(key string, value []byte, version uint64) {
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -594,7 +594,7 @@
 	var draft *leasevalue.Draft
 	if rec.Form >= 2 {
 		var err error
-		if draft, err = c.book.Write(&rec, c.valueLimits()); err != nil {
+		if draft, err = c.book.Write(&rec, c.cfg.ValueLimits()); err != nil {
 			// Publishing keeps within what a write can take, but for several
 			// takeovers at once. The same again would fail again, and with it
 			// every renewal: the next write leaves out what can wait.
@@ -640,12 +640,6 @@
 	})
 }
 
-// valueLimits are the limits for the lease value and its pages.
-func (c *Core) valueLimits() leasevalue.Limits {
-	s := c.cfg.Cluster.State
-	return leasevalue.Limits{ValueBytes: int(1024 * s.ValueKB), TxnOps: s.TxnOps}
-}
-
 // formPart is from which part of its size on the lease value is stored with
 // pages. Small fleets do without, which costs fewer changes.
 const formPart = 0.5
@@ -815,7 +809,7 @@
 	// this one is as true at the next, a moment later.
 	leave, enter := func(string) bool { return true }, func(string) bool { return true }
 	if rec.Form >= 2 {
-		budget := c.book.Budget(c.valueLimits())
+		budget := c.book.Budget(c.cfg.ValueLimits())
 		if l.lean {
 			budget.Close()
 		}
@@ -829,7 +823,7 @@
 	// Machines that are gone or given back leave their blocks.
 	recalls := map[string][]string{}
 	for i, n := range sortedKeys(l.recalls) {
-		if l.lean || rec.Form >= 2 && i >= leasevalue.RecallsMost(c.valueLimits()) {
+		if l.lean || rec.Form >= 2 && i >= leasevalue.RecallsMost(c.cfg.ValueLimits()) {
 			break // the others follow when these are back
 		}
 		recalls[c.ownerOf(n)] = append(recalls[c.ownerOf(n)], n)
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strings"
 	"time"
 
 	"fawncove/internal/config"
@@ -115,7 +114,7 @@
 func (c *Core) needs(homes map[string]string, shares wire.Shares, team string, own map[string]*peerpb.TeamUse) (cpus, cards map[string]share.Need) {
 	cpus, cards = map[string]share.Need{}, map[string]share.Need{}
 	for home, node := range homes {
-		if _, done := cpus[node]; done || (home != team && !strings.HasPrefix(home, team+partMark)) {
+		if _, done := cpus[node]; done || (home != team && !wire.IsPart(home, team)) {
 			continue
 		}
 		u := own[team]
--- a/internal/leasevalue/leasevalue.go
+++ b/internal/leasevalue/leasevalue.go
@@ -46,11 +46,11 @@
 	// cost more places in the value, large ones more bytes for each change.
 	pagePart = 0.3
 	// inlinePart is from which part of the value's size on the largest sets
-	// are moved to pages, and fullPart what a value may take at most.
+	// are moved to pages, and FullPart what a value may take at most.
 	inlinePart = 0.5
-	fullPart   = 0.9
-	// perName is how many names a page holds for each of its bytes at least,
-	// as text, where names follow each other with gaps of up to a hundred.
+	FullPart   = 0.9
+	// perName is about how many bytes of text a name takes, where names follow
+	// each other with gaps of up to a hundred.
 	perName = 1.5
 	// reserve is how many changes of a transaction are kept for sets that
 	// outgrow the value and for pages that are merged.
@@ -62,7 +62,7 @@
 // teams on all controllers. Where a transaction takes too few changes for pages
 // the names stand in the value.
 func Room(lim Limits, controllers, teams int) int {
-	free := fullPart*float64(lim.ValueBytes) - 300*float64(controllers)
+	free := FullPart*float64(lim.ValueBytes) - 300*float64(controllers)
 	if lim.TxnOps < LeastOps {
 		return max(0, int(free/3))
 	}
--- a/internal/leasevalue/write.go
+++ b/internal/leasevalue/write.go
@@ -131,8 +131,8 @@
 	}
 	h := head{Form: 2, Term: rec.Term, Leader: rec.Leader, Incarnation: rec.Incarnation, Grants: rec.Grants,
 		Beat: rec.Beat, Waiting: rec.Waiting}
-	b.homes(rec, &h)
-	b.shares(rec, &h)
+	putHomes(rec, &h)
+	putShares(rec, &h)
 	write := func(n int, names []string) error {
 		slices.Sort(names)
 		if _, named := b.used[n]; named && slices.Equal(b.pages[n].names, names) {
@@ -175,7 +175,7 @@
 		}
 		inline = inline[1:]
 	}
-	if d.Bytes > int(fullPart*float64(lim.ValueBytes)) {
+	if d.Bytes > int(FullPart*float64(lim.ValueBytes)) {
 		return nil, fmt.Errorf("%w: %d bytes", ErrFull, d.Bytes)
 	}
 	for _, g := range groups {
@@ -265,11 +265,7 @@
 		}
 		g.pages[open] = names
 		g.fresh = g.fresh[n:]
-		if n == 0 || len(g.fresh) > 0 {
-			if len(names) > 0 {
-				open = -1
-			}
-		}
+		open = -1 // full, as far as the next names go
 	}
 	for _, n := range slices.Sorted(maps.Keys(g.pages)) {
 		if err := write(n, g.pages[n]); err != nil {
@@ -279,9 +275,9 @@
 	return nil
 }
 
-// homes puts the homes into the value, those of a team's parts as numbers:
+// putHomes puts the homes into the value, those of a team's parts as numbers:
 // there may be dozens of them.
-func (b *Book) homes(rec *wire.LeaseRecord, h *head) {
+func putHomes(rec *wire.LeaseRecord, h *head) {
 	nodes := slices.Sorted(maps.Keys(rec.Blocks))
 	h.Homes = maps.Clone(rec.Homes)
 	for _, team := range slices.Sorted(maps.Keys(rec.Homes)) {
@@ -300,8 +296,8 @@
 	}
 }
 
-// shares puts the teams' shares into the value.
-func (b *Book) shares(rec *wire.LeaseRecord, h *head) {
+// putShares puts the teams' shares into the value.
+func putShares(rec *wire.LeaseRecord, h *head) {
 	nodes := slices.Sorted(maps.Keys(rec.Blocks))
 	for _, team := range slices.Sorted(maps.Keys(rec.Shares)) {
 		cpus, cards := make([]int, len(nodes)), make([]int, len(nodes))
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -93,8 +94,14 @@
 	Shares map[string]Shares `msgpack:"-"`
 }
 
+// partMark parts a team's name from the number of a part.
+const partMark = " #"
+
 // PartName names part k of a team's jobs.
-func PartName(team string, k int) string { return team + " #" + strconv.Itoa(k) }
+func PartName(team string, k int) string { return team + partMark + strconv.Itoa(k) }
+
+// IsPart tells whether a home is that of a part of the team's jobs.
+func IsPart(home, team string) bool { return strings.HasPrefix(home, team+partMark) }
 
 // Shares are the parts of a team's limit by controller.
 type Shares map[string]Share
