--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -31,7 +31,7 @@
 	}
 	c := New(s, Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
 	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
-	c.now, c.fresh, c.stateOK, c.loaded = now, now, now, true
+	c.loop.Now, c.fresh, c.stateOK, c.loaded = now, now, now, true
 	c.types["b8"] = wire.MachineType{Name: "b8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"x", "y"}}
 	rec := wire.LeaseRecord{Form: 2, Term: 3, Leader: "n0", Incarnation: 7, Homes: map[string]string{"red": "n0"},
 		Blocks: map[string]wire.Block{}, Shares: map[string]wire.Shares{"red": {}}}
@@ -111,7 +111,8 @@
 func BenchmarkPublish(b *testing.B) {
 	atSizes(b, func(b *testing.B, c *Core, _ time.Time, n int) {
 		for i := 0; b.Loop(); i += 17 {
-			c.leaseBusy, c.out = false, nil
+			c.leaseBusy = false
+			c.loop.Begin(c.loop.Now)
 			c.lead.gone[fmt.Sprintf("host-%06d", i%n)] = true
 			c.publish()
 		}
@@ -141,7 +142,7 @@
 		}
 		for b.Loop() {
 			now = now.Add(time.Millisecond)
-			c.now, c.preemptAt = now, now
+			c.loop.Now, c.preemptAt = now, now
 			c.place()
 		}
 	})
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
 	"fawncove/internal/share"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -61,10 +62,7 @@
 	me      string
 	inc     uint64
 
-	now     time.Time
-	out     []Effect
-	nextID  uint64
-	waiting map[uint64]func(Completed)
+	loop step.Loop
 
 	// What the state service holds, as far as this controller knows.
 	loaded     bool
@@ -157,7 +155,6 @@
 // be larger than that of every earlier process of the same name.
 func New(cfg *config.Settings, par Params, log *slog.Logger, incarnation uint64) *Core {
 	c := &Core{cfg: cfg, par: par, log: log, me: cfg.HostName, inc: incarnation,
-		waiting:     map[uint64]func(Completed){},
 		jobs:        map[string]*job{},
 		ended:       map[string]wire.EndRecord{},
 		ending:      map[string]bool{},
@@ -191,36 +188,32 @@
 }
 
 // Step handles one event and returns what is to be done.
-func (c *Core) Step(now time.Time, ev Event) []Effect {
-	c.now = now
-	c.out = nil
+func (c *Core) Step(now time.Time, ev step.Event) []step.Effect {
+	c.loop.Begin(now)
 	switch e := ev.(type) {
-	case Tick:
+	case step.Tick:
 		c.tick()
-	case ReportIn:
+	case step.ReportIn:
 		c.onReport(e)
-	case SubmitIn:
+	case step.SubmitIn:
 		c.onSubmit(e)
-	case PollIn:
+	case step.PollIn:
 		c.onPoll(e)
-	case CancelIn:
+	case step.CancelIn:
 		c.onCancel(e)
-	case PeerIn:
+	case step.PeerIn:
 		c.onPeer(e.Frame)
-	case Completed:
-		if f := c.waiting[e.ID]; f != nil {
-			delete(c.waiting, e.ID)
-			if e.State && (e.Status == 200 || e.Status == 404 || e.Status == 409) {
-				c.stateOK = now
-			}
-			f(e)
+	case step.Completed:
+		if e.State && (e.Status == 200 || e.Status == 404 || e.Status == 409) {
+			c.stateOK = now
 		}
+		c.loop.Complete(e)
 	default:
 		c.log.Error("unknown event", "type", fmt.Sprintf("%T", ev))
 	}
 	c.placeSoon()
 	c.sendCommands()
-	return c.out
+	return c.loop.Effects()
 }
 
 // Healthy tells whether users can be served here: everything is read, and
@@ -229,11 +222,11 @@
 	if !c.loaded || len(c.types) == 0 || c.leaseVersion == 0 {
 		return false
 	}
-	if c.now.Sub(c.stateOK) < 4*time.Second {
+	if c.loop.Now.Sub(c.stateOK) < 4*time.Second {
 		return true
 	}
 	for _, p := range c.peers {
-		if c.now.Sub(p.heard) < linkDead && p.stateOK {
+		if c.loop.Now.Sub(p.heard) < linkDead && p.stateOK {
 			return false
 		}
 	}
@@ -249,15 +242,6 @@
 // Holds tells how many machines are in this controller's block.
 func (c *Core) Holds() int { return len(c.machines) }
 
-func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
-
-// call registers f for the completion of an effect and returns its id.
-func (c *Core) call(f func(Completed)) uint64 {
-	c.nextID++
-	c.waiting[c.nextID] = f
-	return c.nextID
-}
-
 // tick does what time alone brings about.
 func (c *Core) tick() {
 	c.loadTypes()
@@ -291,11 +275,11 @@
 	} else if c.lead == nil {
 		return
 	}
-	if c.typesBusy || (!c.typesAt.IsZero() && c.now.Sub(c.typesAt) < every) {
+	if c.typesBusy || (!c.typesAt.IsZero() && c.loop.Now.Sub(c.typesAt) < every) {
 		return
 	}
-	c.typesBusy, c.typesAt = true, c.now
-	c.emit(CloudTypes{ID: c.call(func(d Completed) {
+	c.typesBusy, c.typesAt = true, c.loop.Now
+	c.loop.Emit(step.CloudTypes{ID: c.loop.Call(func(d step.Completed) {
 		c.typesBusy = false
 		if d.Status != 200 {
 			return
@@ -310,10 +294,10 @@
 
 // ping keeps the links to the peers alive and carries counts for display.
 func (c *Core) ping() {
-	if c.now.Before(c.pingAt) {
+	if c.loop.Now.Before(c.pingAt) {
 		return
 	}
-	c.pingAt = c.now.Add(time.Second)
+	c.pingAt = c.loop.Now.Add(time.Second)
 	f := c.frame()
 	busy, _, size := c.measure()
 	c.spare = size - busy
@@ -330,13 +314,13 @@
 	}
 	slices.SortFunc(f.Progress, func(a, b *peerpb.Progress) int { return strings.Compare(a.GetId(), b.GetId()) })
 	for _, name := range sortedKeys(c.peers) {
-		c.emit(PeerSend{To: name, Frame: f})
+		c.loop.Emit(step.PeerSend{To: name, Frame: f})
 	}
 }
 
 // frame is the beginning of every message to another controller.
 func (c *Core) frame() *peerpb.Frame {
-	return &peerpb.Frame{From: c.me, Incarnation: c.inc, StateOk: c.now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
+	return &peerpb.Frame{From: c.me, Incarnation: c.inc, StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
 }
 
 func (c *Core) onPeer(f *peerpb.Frame) {
@@ -345,10 +329,10 @@
 		c.log.Warn("frame from an unknown peer", "from", f.GetFrom())
 		return
 	}
-	if f.GetStateOk() && (!p.stateOK || c.now.Sub(p.heard) > linkDead) {
-		p.okSince = c.now
+	if f.GetStateOk() && (!p.stateOK || c.loop.Now.Sub(p.heard) > linkDead) {
+		p.okSince = c.loop.Now
 	}
-	p.heard, p.stateOK, p.form = c.now, f.GetStateOk(), f.GetReadsForm()
+	p.heard, p.stateOK, p.form = c.loop.Now, f.GetStateOk(), f.GetReadsForm()
 	if f.GetRenewal() == nil {
 		p.spare = f.GetSpareCpus()
 	}
@@ -395,5 +379,5 @@
 
 func (c *Core) linkUp(name string) bool {
 	p := c.peers[name]
-	return p != nil && !p.heard.IsZero() && c.now.Sub(p.heard) < linkDead
+	return p != nil && !p.heard.IsZero() && c.loop.Now.Sub(p.heard) < linkDead
 }
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -13,6 +13,7 @@
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -27,7 +28,7 @@
 			Cloud:   config.Cloud{RPS: 5, ListLagS: 4}}}
 	c := New(s, Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
 	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
-	c.now, c.fresh, c.loaded = now, now, true
+	c.loop.Now, c.fresh, c.loaded = now, now, true
 	c.types["s4"] = wire.MachineType{Name: "s4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 6, Zones: []string{"x", "y"}}
 	c.applyLease(rec, 5)
 	return c, now
@@ -44,20 +45,20 @@
 	if m == nil || !m.dirty || !m.recall {
 		t.Fatalf("not taken over as it should: %+v", m)
 	}
-	c.Step(now.Add(time.Second), Tick{})
+	c.Step(now.Add(time.Second), step.Tick{})
 	if m.gave {
 		t.Fatal("given back before it was heard")
 	}
 	r := wire.Report{Machine: m.name, Endpoint: "10.1.0.1:9000", Type: "s4", Zone: "x", Session: 1, Seq: 3}
-	c.Step(now.Add(2*time.Second), ReportIn{Req: 1, Report: r}) // from before it saw our token
-	c.Step(now.Add(2100*time.Millisecond), Tick{})
+	c.Step(now.Add(2*time.Second), step.ReportIn{Req: 1, Report: r}) // from before it saw our token
+	c.Step(now.Add(2100*time.Millisecond), step.Tick{})
 	if m.gave {
 		t.Fatal("given back before it had seen the new token")
 	}
 	r.Seq, r.Token = 4, c.tokenFor(m)
 	c.fresh = now.Add(2 * time.Second)
-	c.Step(now.Add(3*time.Second), ReportIn{Req: 2, Report: r})
-	c.Step(now.Add(3200*time.Millisecond), Tick{})
+	c.Step(now.Add(3*time.Second), step.ReportIn{Req: 2, Report: r})
+	c.Step(now.Add(3200*time.Millisecond), step.Tick{})
 	if !m.gave {
 		t.Error("not given back though it is known to be empty")
 	}
@@ -80,8 +81,8 @@
 		}
 	}
 	stored := map[string]any{}
-	for _, e := range a.Step(now.Add(flushEvery+time.Second), Tick{}) {
-		if txn, ok := e.(StateTxn); ok {
+	for _, e := range a.Step(now.Add(flushEvery+time.Second), step.Tick{}) {
+		if txn, ok := e.(step.StateTxn); ok {
 			for _, op := range txn.Txn.Then {
 				body, err := wire.Encode(op.Value)
 				if err != nil || len(body) > 8<<10 {
@@ -130,11 +131,11 @@
 			core.fresh = now
 			for i, name := range names {
 				if i >= c.silent || s < 2 {
-					core.Step(now, ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: []string{"x", "y"}[i%2],
+					core.Step(now, step.ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: []string{"x", "y"}[i%2],
 						Spot: i < c.spot, Session: 1, Seq: uint64(s + 1), Token: core.tokenFor(core.machines[name])}})
 				}
 			}
-			core.Step(now.Add(100*time.Millisecond), Tick{})
+			core.Step(now.Add(100*time.Millisecond), step.Tick{})
 			// Another can be rented before it is given up.
 			if m := core.machines[names[0]]; s == 8 && m.missed != c.lost {
 				t.Errorf("%d of 30 silent, %d spot ones: missed %v, want %v", c.silent, c.spot, m.missed, c.lost)
@@ -164,11 +165,11 @@
 		core.fresh = now
 		for i, name := range names {
 			if back := s - 22; s < 2 || i < 4*back {
-				core.Step(now, ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: "x",
+				core.Step(now, step.ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: "x",
 					Session: 1, Seq: uint64(s + 1), Token: core.tokenFor(core.machines[name])}})
 			}
 		}
-		core.Step(now.Add(100*time.Millisecond), Tick{})
+		core.Step(now.Add(100*time.Millisecond), step.Tick{})
 		for _, name := range names {
 			if core.machines[name].lost {
 				t.Fatalf("%s given up %d s after the start", name, s+1)
@@ -177,7 +178,7 @@
 	}
 	for range 60 { // now all of them are gone
 		now = now.Add(time.Second)
-		core.Step(now, Tick{})
+		core.Step(now, step.Tick{})
 	}
 	if !core.machines[names[11]].lost {
 		t.Error("never given up")
@@ -192,7 +193,7 @@
 		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}, Homes: map[string]string{"free": "n0"}})
 	c.stateOK = start
 	for ms := 500; ms <= 16000; ms += 500 {
-		c.Step(start.Add(time.Duration(ms)*time.Millisecond), PeerIn{Frame: &peerpb.Frame{From: "n1", StateOk: ms < 4000 || ms > 10000}})
+		c.Step(start.Add(time.Duration(ms)*time.Millisecond), step.PeerIn{Frame: &peerpb.Frame{From: "n1", StateOk: ms < 4000 || ms > 10000}})
 		if got, want := c.refusedAlone(), ms > 10000+int(refusedProof.Milliseconds())+500; got != want {
 			t.Errorf("refused alone at %d ms: %v, want %v", ms, got, want)
 		}
@@ -217,13 +218,13 @@
 	service, array := job("wk-000001", wire.Daemon, false), job("wk-000002", wire.Array, true)
 	ordinary, spot := c.machines["host-000001"], c.machines["host-000002"]
 	r := wire.Report{Machine: ordinary.name, Endpoint: "e1", Type: "s4", Zone: "x", Session: 1, Seq: 3, Token: c.tokenFor(ordinary)}
-	c.Step(now.Add(time.Second), ReportIn{Req: 1, Report: r})
+	c.Step(now.Add(time.Second), step.ReportIn{Req: 1, Report: r})
 	if len(service.runs) != 0 || len(array.runs) != 0 {
 		t.Fatal("started though a machine may run anything")
 	}
 	c.introduce(spot, &peerpb.Seen{Endpoint: "e2", Type: "s4", Zone: "x", Spot: true})
 	c.placeDue = true
-	c.Step(now.Add(2*time.Second), Tick{})
+	c.Step(now.Add(2*time.Second), step.Tick{})
 	if len(service.runs) != 1 {
 		t.Error("the service waits for a machine on which it cannot be")
 	}
@@ -245,7 +246,7 @@
 			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: names}}, Homes: map[string]string{"free": "n0"}})
 		c.right = now.Add(time.Minute)
 		asked := 0
-		var answer []Completed
+		var answer []step.Completed
 		for s := range 9 { // the last report is 7 s old at the end
 			now = now.Add(time.Second)
 			c.fresh = now
@@ -256,13 +257,13 @@
 			for i, name := range names {
 				rep := wire.Report{Machine: name, Endpoint: name, Type: "s4", Zone: "x", Spot: i == 0, Session: 1, Seq: uint64(s + 1), Token: c.tokenFor(c.machines[name])}
 				if i > 0 || s < 2 {
-					c.Step(now, ReportIn{Req: 1, Report: rep})
+					c.Step(now, step.ReportIn{Req: 1, Report: rep})
 				}
 			}
-			for _, e := range c.Step(now.Add(100*time.Millisecond), Tick{}) {
-				if d, ok := e.(Direct); ok && d.Endpoint == names[0] {
+			for _, e := range c.Step(now.Add(100*time.Millisecond), step.Tick{}) {
+				if d, ok := e.(step.Direct); ok && d.Endpoint == names[0] {
 					asked++
-					done := Completed{ID: d.ID}
+					done := step.Completed{ID: d.ID}
 					if answers {
 						done.Status = 200
 						done.Report = &wire.Report{Machine: names[0], Endpoint: names[0], Type: "s4", Zone: "x", Spot: true, Session: 1, Seq: uint64(100 + s)}
@@ -290,7 +291,7 @@
 		homes   int
 	}{{0.12, 2, 1}, {0.05, 2, 2}, {0.05, 6, 1}, {0, 0.1, 2}} {
 		c.cfg.Cluster.Limits.Cores, c.cfg.Cluster.Workers.ReportS = want.cores, want.reportS
-		c.lead = &leader{since: c.now.Add(-time.Minute), renewals: map[string]*peerpb.Renewal{"n1": {}}, heardAt: map[string]time.Time{"n1": c.now}}
+		c.lead = &leader{since: c.loop.Now.Add(-time.Minute), renewals: map[string]*peerpb.Renewal{"n1": {}}, heardAt: map[string]time.Time{"n1": c.loop.Now}}
 		c.lead.fleet.init()
 		rec := wire.LeaseRecord{Blocks: map[string]wire.Block{"n0": {}, "n1": {}}, Homes: map[string]string{}}
 		c.settleHomes(&rec)
@@ -314,13 +315,13 @@
 			return c.jobs[id]
 		}
 		urgent := submit("wk-000001", wire.Array, "urgent", 40, spot)
-		c.Step(now.Add(time.Second), ReportIn{Req: 1, Report: wire.Report{Machine: "host-000001", Endpoint: "e", Type: "s4", Zone: "x", Session: 1, Seq: 3}})
+		c.Step(now.Add(time.Second), step.ReportIn{Req: 1, Report: wire.Report{Machine: "host-000001", Endpoint: "e", Type: "s4", Zone: "x", Session: 1, Seq: 3}})
 		if len(urgent.runs) != 4 {
 			t.Fatalf("%d urgent tasks started, want 4", len(urgent.runs))
 		}
 		submit("wk-000002", wire.Daemon, "production", 1, false)
 		c.placeDue = true
-		c.Step(now.Add(1700*time.Millisecond), Tick{})
+		c.Step(now.Add(1700*time.Millisecond), step.Tick{})
 		stopped := 0
 		for _, r := range urgent.runs {
 			if r.stop {
@@ -349,10 +350,10 @@
 	} {
 		core, _ := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1"})
 		core.lead = &leader{renewals: map[string]*peerpb.Renewal{"n1": {BusyCpus: 40, BusySpotCpus: 30}}}
-		core.arrived(&wire.JobRecord{AtMs: core.now.Add(-30 * time.Second).UnixMilli(),
+		core.arrived(&wire.JobRecord{AtMs: core.loop.Now.Add(-30 * time.Second).UnixMilli(),
 			Job: wire.Job{Shape: wire.Array, Class: "a", Tasks: int(c.inflow), CPUs: 1, EstimateS: inflowSpan.Seconds()}})
-		core.arrived(&wire.JobRecord{AtMs: core.now.UnixMilli(), Job: wire.Job{Shape: wire.Daemon, Tasks: 1000, CPUs: 1}})
-		core.arrived(&wire.JobRecord{AtMs: core.now.Add(-2 * inflowSpan).UnixMilli(), Job: wire.Job{Shape: wire.Array, Tasks: 1000, CPUs: 1, EstimateS: 60}})
+		core.arrived(&wire.JobRecord{AtMs: core.loop.Now.UnixMilli(), Job: wire.Job{Shape: wire.Daemon, Tasks: 1000, CPUs: 1}})
+		core.arrived(&wire.JobRecord{AtMs: core.loop.Now.Add(-2 * inflowSpan).UnixMilli(), Job: wire.Job{Shape: wire.Array, Tasks: 1000, CPUs: 1, EstimateS: 60}})
 		// 100 tasks of 9 s, to be worked off in 1.5 boot times of 6 s, need as
 		// many processors for that time.
 		waiting := []sched.Demand{{Need: sched.Amount{CPUs: 1}, Count: 100, RunS: 9, SlackS: c.slack, Whole: c.whole}}
@@ -389,12 +390,12 @@
 	} {
 		core, now := newCore(t, []config.Team{team}, lease())
 		core.lead.wrote = now
-		core.Step(now, PeerIn{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, ReadsForm: 2, Renewal: &peerpb.Renewal{
+		core.Step(now, step.PeerIn{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, ReadsForm: 2, Renewal: &peerpb.Renewal{
 			Node: "n1", Incarnation: 9, Number: c.number, Grant: c.grant,
 			Ceilings: []*peerpb.Ceiling{{Team: "red", Cpus: 30}}}}})
 		shares := -1
-		for _, e := range core.Step(now.Add(6*time.Second), Tick{}) {
-			if txn, ok := e.(StateTxn); ok && txn.Control {
+		for _, e := range core.Step(now.Add(6*time.Second), step.Tick{}) {
+			if txn, ok := e.(step.StateTxn); ok && txn.Control {
 				rec := readBack(t, txn.Txn.Then)
 				shares = rec.Shares["red"]["n1"].CPUs
 				if sum := shares + rec.Shares["red"]["n0"].CPUs; sum > 100 {
@@ -444,11 +445,11 @@
 			Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}, "n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 5}}})
 		core.par.Home = 0
 		core.lead.wrote, core.lead.since, core.lead.fleet.listed = now, now.Add(-time.Minute), true
-		core.Step(now, PeerIn{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, ReadsForm: form,
+		core.Step(now, step.PeerIn{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, ReadsForm: form,
 			Renewal: &peerpb.Renewal{Node: "n1", Incarnation: 9, Number: 6}}})
 		wrote := false
-		for _, e := range core.Step(now.Add(6*time.Second), Tick{}) {
-			if txn, ok := e.(StateTxn); ok && txn.Control {
+		for _, e := range core.Step(now.Add(6*time.Second), step.Tick{}) {
+			if txn, ok := e.(step.StateTxn); ok && txn.Control {
 				wrote = true
 				rec := readBack(t, txn.Txn.Then)
 				if (rec.Form == 2) != (form == 2) || (len(rec.Shares) > 0) != (form == 2) {
@@ -477,7 +478,7 @@
 		return &wire.Job{ID: "wk-000001", Team: "free", Shape: wire.Array, Priority: priority, Tasks: 10, CPUs: 2, Image: image}
 	}
 	p := core.peers["n1"]
-	p.heard = core.now
+	p.heard = core.loop.Now
 	for _, c := range []struct {
 		name            string
 		own, other      room
@@ -544,10 +545,11 @@
 		b.Machines = slices.DeleteFunc(b.Machines, func(n string) bool { return n[len(n)-1] == '7' }) // off every page
 		rec.Blocks[node] = b
 	}
-	c.leaseBusy, c.out = false, nil
+	c.leaseBusy = false
+	c.loop.Begin(now)
 	c.writeLease(rec, func() { t.Error("stored") })
-	if len(c.out) != 0 || c.leaseBusy || !c.lead.lean {
-		t.Fatalf("%d effects, busy %v, lean %v after a write that does not fit", len(c.out), c.leaseBusy, c.lead.lean)
+	if len(c.loop.Effects()) != 0 || c.leaseBusy || !c.lead.lean {
+		t.Fatalf("%d effects, busy %v, lean %v after a write that does not fit", len(c.loop.Effects()), c.leaseBusy, c.lead.lean)
 	}
 	for name := range c.owners {
 		c.lead.gone[name] = name[len(name)-1] == '7'
@@ -555,8 +557,8 @@
 	for i, most := range []int{1, 12} { // first the value alone, then as much as fits
 		changes := 0
 		c.leaseBusy = false
-		for _, e := range c.Step(now.Add(time.Duration(1+i)*6*time.Second), Tick{}) {
-			if txn, ok := e.(StateTxn); ok && txn.Control {
+		for _, e := range c.Step(now.Add(time.Duration(1+i)*6*time.Second), step.Tick{}) {
+			if txn, ok := e.(step.StateTxn); ok && txn.Control {
 				changes = len(txn.Txn.Then)
 			}
 		}
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -11,6 +11,7 @@
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -91,7 +92,7 @@
 func (f *fleet) seen(c *Core, s *peerpb.Seen) {
 	r := f.machines[s.GetName()]
 	if r == nil {
-		r = &rented{offerKey: offerKey{s.GetType(), s.GetZone(), s.GetSpot()}, rentedAt: c.now}
+		r = &rented{offerKey: offerKey{s.GetType(), s.GetZone(), s.GetSpot()}, rentedAt: c.loop.Now}
 		f.machines[s.GetName()] = r
 	}
 	r.endpoint, r.session = s.GetEndpoint(), s.GetSession()
@@ -104,19 +105,19 @@
 		return
 	}
 	c.listMachines()
-	if c.now.Sub(l.fleet.judgedAt) >= judgeEvery {
-		l.fleet.judgedAt = c.now
+	if c.loop.Now.Sub(l.fleet.judgedAt) >= judgeEvery {
+		l.fleet.judgedAt = c.loop.Now
 		c.judge()
 		c.introduceOwn()
 	}
 	c.release()
 	// The picture is rebuilt first: the machine list, and a renewal of every
 	// controller or the time that one takes.
-	if !l.fleet.listed || (len(l.renewals) < c.nodes() && c.now.Sub(l.since) < c.par.Publish+time.Second) {
+	if !l.fleet.listed || (len(l.renewals) < c.nodes() && c.loop.Now.Sub(l.since) < c.par.Publish+time.Second) {
 		return
 	}
-	if c.now.Sub(l.fleet.planAt) >= planEvery {
-		l.fleet.planAt = c.now
+	if c.loop.Now.Sub(l.fleet.planAt) >= planEvery {
+		l.fleet.planAt = c.loop.Now
 		c.plan()
 	}
 }
@@ -124,15 +125,15 @@
 // listMachines reads the machine list now and then.
 func (c *Core) listMachines() {
 	f := &c.lead.fleet
-	if f.listing || (!f.listAt.IsZero() && c.now.Sub(f.listAt) < c.cfg.ListEvery()) {
+	if f.listing || (!f.listAt.IsZero() && c.loop.Now.Sub(f.listAt) < c.cfg.ListEvery()) {
 		return
 	}
-	f.listing, f.listAt = true, c.now
+	f.listing, f.listAt = true, c.loop.Now
 	c.listPage(c.lead, "", map[string]bool{})
 }
 
 func (c *Core) listPage(l *leader, after string, names map[string]bool) {
-	c.emit(CloudList{After: after, ID: c.call(func(d Completed) {
+	c.loop.Emit(step.CloudList{After: after, ID: c.loop.Call(func(d step.Completed) {
 		f := &l.fleet
 		if c.lead != l {
 			return
@@ -156,7 +157,7 @@
 		// release makes sure of it before anything is started again.
 		lag := config.Seconds(2*c.cfg.Cluster.Cloud.ListLagS) + 5*time.Second
 		for name, r := range f.machines {
-			if !names[name] && c.now.Sub(r.listedAt) > lag && c.now.Sub(r.rentedAt) > lag {
+			if !names[name] && c.loop.Now.Sub(r.listedAt) > lag && c.loop.Now.Sub(r.rentedAt) > lag {
 				f.leaving[name] = true
 			}
 		}
@@ -172,10 +173,10 @@
 	}
 	r := f.machines[m.Name]
 	if r == nil {
-		r = &rented{offerKey: offerKey{m.Type, m.Zone, m.Spot}, rentedAt: c.now.Add(-config.Seconds(m.AgeS))}
+		r = &rented{offerKey: offerKey{m.Type, m.Zone, m.Spot}, rentedAt: c.loop.Now.Add(-config.Seconds(m.AgeS))}
 		f.machines[m.Name] = r
 	}
-	r.listedAt, r.endpoint = c.now, m.Endpoint
+	r.listedAt, r.endpoint = c.loop.Now, m.Endpoint
 	switch {
 	case m.State == wire.MachineFailed:
 		f.leaving[m.Name] = true
@@ -194,14 +195,14 @@
 	c.gauge()
 	heard := map[string]bool{}
 	for node, r := range l.renewals {
-		if c.now.Sub(l.heardAt[node]) < 2*c.par.Publish {
+		if c.loop.Now.Sub(l.heardAt[node]) < 2*c.par.Publish {
 			for _, n := range c.unpack(r.GetHeard()) {
 				heard[n] = true
 			}
 		}
 	}
 	for n, g := range c.guests {
-		if c.now.Sub(g.heard) < c.guestFresh() {
+		if c.loop.Now.Sub(g.heard) < c.guestFresh() {
 			heard[n] = true
 		}
 	}
@@ -226,7 +227,7 @@
 	for _, m := range c.machineOrder() {
 		idle := 0.0
 		if !m.idle.IsZero() && m.session != 0 {
-			idle = c.now.Sub(m.idle).Seconds()
+			idle = c.loop.Now.Sub(m.idle).Seconds()
 		}
 		c.judgeUse(m.name, idle, m.bad)
 		if m.lost && !heard[m.name] && !l.gone[m.name] {
@@ -383,7 +384,7 @@
 func (c *Core) release() {
 	l := c.lead
 	f := &l.fleet
-	if f.releasing || len(f.leaving) == 0 || c.now.Before(f.releaseAt) {
+	if f.releasing || len(f.leaving) == 0 || c.loop.Now.Before(f.releaseAt) {
 		return
 	}
 	names := sortedKeys(f.leaving)
@@ -392,11 +393,11 @@
 	}
 	f.releasing = true
 	c.log.Info("releasing", "machines", names)
-	c.emit(CloudRelease{Names: names, ID: c.call(func(d Completed) {
+	c.loop.Emit(step.CloudRelease{Names: names, ID: c.loop.Call(func(d step.Completed) {
 		f.releasing = false
-		f.releaseAt = c.now.Add(300 * time.Millisecond)
+		f.releaseAt = c.loop.Now.Add(300 * time.Millisecond)
 		if d.Status != 200 {
-			f.releaseAt = c.now.Add(time.Second)
+			f.releaseAt = c.loop.Now.Add(time.Second)
 			return
 		}
 		if c.lead != l {
@@ -468,7 +469,7 @@
 		}
 		if c.ownerOf(name) != "" {
 			have += t.CPUs
-		} else if c.now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS) {
+		} else if c.loop.Now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS) {
 			// Slower ones may never come and count as absent.
 			coming = append(coming, sched.Offer{Type: r.kind, Zone: r.zone, Spot: r.spot, Size: sizeOf(t)})
 			soonHave += t.CPUs
@@ -545,13 +546,13 @@
 	if f.gaugedAt.IsZero() {
 		f.load = busy
 	} else {
-		f.load += (busy - f.load) * min(1, c.now.Sub(f.gaugedAt).Seconds()/loadMemory.Seconds())
+		f.load += (busy - f.load) * min(1, c.loop.Now.Sub(f.gaugedAt).Seconds()/loadMemory.Seconds())
 	}
-	f.gaugedAt = c.now
+	f.gaugedAt = c.loop.Now
 	f.spot = 0
 	for name, r := range f.machines {
 		t := c.types[r.kind]
-		if r.spot && !f.leaving[name] && !l.recalls[name] && !going[name] && (c.ownerOf(name) != "" || c.now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS)) {
+		if r.spot && !f.leaving[name] && !l.recalls[name] && !going[name] && (c.ownerOf(name) != "" || c.loop.Now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS)) {
 			f.spot += t.CPUs
 		}
 	}
@@ -589,7 +590,7 @@
 	short := f.target - f.spot
 	part := short
 	if n := min(len(offers), max(1, int(c.cfg.Cluster.Cloud.RPS))); n > 1 &&
-		short > muchMissing*f.target && c.now.Sub(f.tight) < tightFor {
+		short > muchMissing*f.target && c.loop.Now.Sub(f.tight) < tightFor {
 		part = short / float64(n)
 	}
 	for _, o := range offers {
@@ -701,7 +702,7 @@
 // inflowRate is the work that comes in, in processors that it keeps busy.
 func (c *Core) inflowRate() float64 {
 	sum := 0.0
-	oldest := c.now.Add(-inflowSpan).UnixMilli() / inflowStep.Milliseconds()
+	oldest := c.loop.Now.Add(-inflowSpan).UnixMilli() / inflowStep.Milliseconds()
 	for step, work := range c.inflow {
 		if step <= oldest {
 			delete(c.inflow, step)
@@ -757,7 +758,7 @@
 		t := c.types[name]
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				if c.now.Before(c.lead.fleet.refused[offerKey{name, zone, spot}]) || (cheap && !spot) {
+				if c.loop.Now.Before(c.lead.fleet.refused[offerKey{name, zone, spot}]) || (cheap && !spot) {
 					continue
 				}
 				price := t.Price
@@ -788,19 +789,19 @@
 	f.renting++
 	key := offerKey{o.Type, o.Zone, o.Spot}
 	req := wire.Rent{Request: fmt.Sprintf("r-%d-%d", l.term, f.requests), Type: o.Type, Zone: o.Zone, Spot: o.Spot, Number: o.Number}
-	asked := c.now
-	c.emit(CloudRent{Rent: req, ID: c.call(func(d Completed) {
+	asked := c.loop.Now
+	c.loop.Emit(step.CloudRent{Rent: req, ID: c.loop.Call(func(d step.Completed) {
 		f.renting--
 		if d.Status != 200 || len(d.Names) < req.Number {
 			if o.Spot {
-				f.tight = c.now
+				f.tight = c.loop.Now
 			}
-			f.refused[key] = c.now.Add(refusedFor)
+			f.refused[key] = c.loop.Now.Add(refusedFor)
 		}
 		c.log.Info("rented", "type", o.Type, "zone", o.Zone, "spot", o.Spot, "asked", req.Number, "got", len(d.Names), "status", d.Status)
 		for _, n := range d.Names {
 			if f.machines[n] == nil {
-				f.machines[n] = &rented{offerKey: key, rentedAt: asked, listedAt: c.now}
+				f.machines[n] = &rented{offerKey: key, rentedAt: asked, listedAt: c.loop.Now}
 			}
 		}
 	})})
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -241,7 +241,7 @@
 	large := c.large()
 	// After a start the others get a moment to show up, and the machine list
 	// to tell the size of the fleet.
-	early := c.now.Sub(l.since) < 3*time.Second
+	early := c.loop.Now.Sub(l.since) < 3*time.Second
 	if early && (len(c.types) == 0 || !l.fleet.listed || (large && len(l.renewals) < c.nodes())) {
 		return
 	}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -9,6 +9,7 @@
 
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/sched"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -103,7 +104,7 @@
 
 // load reads all jobs that are not over, page by page, then the lease value.
 func (c *Core) load() {
-	if c.loading || c.now.Before(c.retryAt) {
+	if c.loading || c.loop.Now.Before(c.retryAt) {
 		return
 	}
 	c.loading = true
@@ -113,11 +114,11 @@
 func (c *Core) loadFailed(what string, status int) {
 	c.log.Info("state service does not answer", "reading", what, "status", status)
 	c.loading = false
-	c.retryAt = c.now.Add(500 * time.Millisecond)
+	c.retryAt = c.loop.Now.Add(500 * time.Millisecond)
 }
 
 func (c *Core) loadPage(after string, rev uint64, seen map[string]bool) {
-	c.emit(StateRange{Prefix: jobPrefix, After: after, ID: c.call(func(d Completed) {
+	c.loop.Emit(step.StateRange{Prefix: jobPrefix, After: after, ID: c.loop.Call(func(d step.Completed) {
 		if d.Status != 200 {
 			c.loadFailed("jobs", d.Status)
 			return
@@ -141,7 +142,7 @@
 				c.jobOver(j)
 			}
 		}
-		sent := c.now
+		sent := c.loop.Now
 		c.fetchLease(func(status int) {
 			if status != 200 && status != 404 {
 				c.loadFailed("leases", status)
@@ -149,14 +150,14 @@
 			}
 			c.loading, c.loaded = false, true
 			c.rev, c.fresh = rev, sent
-			c.leaseSeen = c.now
+			c.leaseSeen = c.loop.Now
 			if b, ok := c.lease.Blocks[c.me]; ok && b.Incarnation >= c.inc && c.grant == 0 {
 				c.inc = b.Incarnation + 1
 			}
 			if c.lease.Leader == c.me && c.lease.Incarnation >= c.inc && c.lead == nil {
 				c.inc = c.lease.Incarnation + 1
 			}
-			c.renewAt = c.now
+			c.renewAt = c.loop.Now
 			c.log.Info("state read", "jobs", len(c.jobs), "revision", rev)
 			c.watch()
 			c.elect()
@@ -167,14 +168,14 @@
 
 // watch keeps one watch open over everything below root.
 func (c *Core) watch() {
-	if c.watching || c.now.Before(c.watchAt) {
+	if c.watching || c.loop.Now.Before(c.watchAt) {
 		return
 	}
 	c.watching = true
-	sent := c.now
+	sent := c.loop.Now
 	// Many changes in a row are read together, to save requests.
 	pause := time.Duration(float64(time.Second) / max(1, 0.4*c.cfg.Cluster.State.RPS/float64(c.nodes())))
-	c.emit(StateWatch{Prefix: root, After: c.rev, Hold: watchHold, ID: c.call(func(d Completed) {
+	c.loop.Emit(step.StateWatch{Prefix: root, After: c.rev, Hold: watchHold, ID: c.loop.Call(func(d step.Completed) {
 		c.watching = false
 		c.watchAt = sent.Add(pause)
 		switch d.Status {
@@ -196,7 +197,7 @@
 			c.loaded = false
 			c.load()
 		default:
-			c.watchAt = c.now.Add(200 * time.Millisecond)
+			c.watchAt = c.loop.Now.Add(200 * time.Millisecond)
 		}
 	})})
 }
@@ -248,7 +249,7 @@
 	}
 	j := c.jobs[rec.ID]
 	if j == nil {
-		j = &job{first: version, waitSince: c.now}
+		j = &job{first: version, waitSince: c.loop.Now}
 		c.jobs[rec.ID] = j
 		c.arrived(&rec)
 	}
@@ -357,7 +358,7 @@
 		if c.writing >= writesAtOnce {
 			return
 		}
-		if j.busy || !j.ready || c.now.Before(j.nextWrite) {
+		if j.busy || !j.ready || c.loop.Now.Before(j.nextWrite) {
 			continue
 		}
 		c.writing++
@@ -379,9 +380,9 @@
 		Then: []wire.Op{{Delete: jobPrefix + id}, {Put: endPrefix + id, Value: rec}},
 	}
 	j.busy = true
-	c.emit(StateTxn{Txn: txn, ID: c.call(func(d Completed) {
+	c.loop.Emit(step.StateTxn{Txn: txn, ID: c.loop.Call(func(d step.Completed) {
 		j.busy = false
-		j.nextWrite = c.now.Add(300 * time.Millisecond)
+		j.nextWrite = c.loop.Now.Add(300 * time.Millisecond)
 		switch {
 		case d.Status == 200:
 			c.applyEnd(id, rec)
@@ -405,7 +406,7 @@
 	if then == nil {
 		then = func(bool) {}
 	}
-	c.emit(StateGet{Key: endPrefix + id, ID: c.call(func(d Completed) {
+	c.loop.Emit(step.StateGet{Key: endPrefix + id, ID: c.loop.Call(func(d step.Completed) {
 		switch d.Status {
 		case 200:
 			c.applyPut(endPrefix+id, d.Pair.Value, d.Pair.Version)
@@ -418,7 +419,7 @@
 		}
 		// Not over a moment ago. The job's record is read second: should the
 		// job end in between, the record is missing and nothing is concluded.
-		c.emit(StateGet{Key: jobPrefix + id, ID: c.call(func(d Completed) {
+		c.loop.Emit(step.StateGet{Key: jobPrefix + id, ID: c.loop.Call(func(d step.Completed) {
 			switch d.Status {
 			case 200:
 				c.applyPut(jobPrefix+id, d.Pair.Value, d.Pair.Version)
@@ -433,12 +434,12 @@
 // ---- the users' side
 
 func (c *Core) answer(req uint64, status int, body any) {
-	c.emit(Reply{Req: req, Status: status, Body: body})
+	c.loop.Emit(step.Reply{Req: req, Status: status, Body: body})
 }
 
 // unavailable tells the user at once to come back.
 func (c *Core) unavailable(req uint64) {
-	c.emit(Reply{Req: req, Status: 503, Body: wire.ErrorAnswer{Error: "not now"}, RetryAfter: 1})
+	c.loop.Emit(step.Reply{Req: req, Status: 503, Body: wire.ErrorAnswer{Error: "not now"}, RetryAfter: 1})
 }
 
 func (c *Core) jobAnswer(j *job) wire.JobAnswer {
@@ -488,10 +489,10 @@
 }
 
 func (c *Core) runVerify() {
-	if c.verify.busy || len(c.verify.queue) == 0 || c.now.Before(c.verify.next) {
+	if c.verify.busy || len(c.verify.queue) == 0 || c.loop.Now.Before(c.verify.next) {
 		return
 	}
-	c.verify.next = c.now.Add(time.Duration(float64(time.Second) / max(1, 0.25*c.cfg.Cluster.State.RPS/float64(c.nodes()))))
+	c.verify.next = c.loop.Now.Add(time.Duration(float64(time.Second) / max(1, 0.25*c.cfg.Cluster.State.RPS/float64(c.nodes()))))
 	// Two conditions a question, four times txn_ops conditions at most.
 	n := min(len(c.verify.queue), max(1, 2*c.cfg.Cluster.State.TxnOps))
 	batch := c.verify.queue[:n:n]
@@ -514,7 +515,7 @@
 	for _, cond := range conds {
 		known[cond.Key[len(jobPrefix):]] = cond.Version > 0
 	}
-	c.emit(StateTxn{Txn: wire.Txn{If: conds}, ID: c.call(func(d Completed) {
+	c.loop.Emit(step.StateTxn{Txn: wire.Txn{If: conds}, ID: c.loop.Call(func(d step.Completed) {
 		c.verify.busy = false
 		failed := map[string]bool{}
 		if d.Status == 409 {
@@ -557,7 +558,7 @@
 	})})
 }
 
-func (c *Core) onPoll(e PollIn) {
+func (c *Core) onPoll(e step.PollIn) {
 	if !wire.ValidJobID(e.ID) {
 		c.answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		return
@@ -580,7 +581,7 @@
 	})
 }
 
-func (c *Core) onCancel(e CancelIn) {
+func (c *Core) onCancel(e step.CancelIn) {
 	if !wire.ValidJobID(e.ID) {
 		c.answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		return
@@ -648,7 +649,7 @@
 	return sched.Amount{CPUs: t.CPUs, Cards: t.Cards, MemoryGB: t.MemoryGB}
 }
 
-func (c *Core) onSubmit(e SubmitIn) {
+func (c *Core) onSubmit(e step.SubmitIn) {
 	bad := func() { c.answer(e.Req, 400, wire.ErrorAnswer{Error: fmt.Sprint(e.Err)}) }
 	if e.Job.ID == "" {
 		bad()
@@ -689,17 +690,17 @@
 		})
 		return
 	}
-	rec := wire.JobRecord{Job: e.Job, Part: c.fileUnder(&e.Job), AtMs: c.now.UnixMilli()}
+	rec := wire.JobRecord{Job: e.Job, Part: c.fileUnder(&e.Job), AtMs: c.loop.Now.UnixMilli()}
 	rec.Owner = c.homeOf(rec.Team)
 	if rec.Part != "" {
 		rec.Owner = c.homeOf(rec.Part)
 	}
-	c.emit(StateTxn{
+	c.loop.Emit(step.StateTxn{
 		Txn: wire.Txn{
 			If:   []wire.Cond{{Key: jobPrefix + id}, {Key: endPrefix + id}},
 			Then: []wire.Op{{Put: jobPrefix + id, Value: rec}},
 		},
-		ID: c.call(func(d Completed) {
+		ID: c.loop.Call(func(d step.Completed) {
 			switch d.Status {
 			case 200:
 				c.applyJob(rec, d.Txn.Revision)
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -12,6 +12,7 @@
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -39,7 +40,7 @@
 // applyValue reads the lease value. One whose pages are not all known waits for
 // them: it grants nothing until it has been read whole.
 func (c *Core) applyValue(p wire.Pair) {
-	since := c.now
+	since := c.loop.Now
 	if c.unread != nil {
 		since = c.unreadSince
 		if c.unread.Version <= c.leaseVersion || c.unread.Version <= p.Version {
@@ -69,8 +70,8 @@
 
 // readLease reads value and pages when a page has been missing for a while.
 func (c *Core) readLease() {
-	if c.unread != nil && !c.leaseReading && c.now.Sub(c.unreadSince) >= unreadFor {
-		c.unreadSince = c.now
+	if c.unread != nil && !c.leaseReading && c.loop.Now.Sub(c.unreadSince) >= unreadFor {
+		c.unreadSince = c.loop.Now
 		c.fetchLease(func(int) {})
 	}
 }
@@ -87,7 +88,7 @@
 	var try func(left int)
 	var pages func(left int, after string)
 	try = func(left int) {
-		c.emit(StateGet{Key: leaseKey, ID: c.call(func(d Completed) {
+		c.loop.Emit(step.StateGet{Key: leaseKey, ID: c.loop.Call(func(d step.Completed) {
 			if d.Status == 200 {
 				c.applyPut(leaseKey, d.Pair.Value, d.Pair.Version)
 			}
@@ -102,7 +103,7 @@
 		})})
 	}
 	pages = func(left int, after string) {
-		c.emit(StateRange{Prefix: leasevalue.PagePrefix, After: after, ID: c.call(func(d Completed) {
+		c.loop.Emit(step.StateRange{Prefix: leasevalue.PagePrefix, After: after, ID: c.loop.Call(func(d step.Completed) {
 			if d.Status != 200 {
 				done(d.Status)
 				return
@@ -131,7 +132,7 @@
 		return
 	}
 	c.indexOwners(c.lease.Blocks, rec.Blocks)
-	c.lease, c.leaseVersion, c.leaseSeen = rec, version, c.now
+	c.lease, c.leaseVersion, c.leaseSeen = rec, version, c.loop.Now
 	if rec.Leader == c.me && rec.Incarnation == c.inc {
 		if c.lead == nil || c.lead.term != rec.Term {
 			c.startLeading(rec.Term)
@@ -169,7 +170,7 @@
 		if c.machines[name] != nil {
 			return
 		}
-		m := &machine{name: name, runs: map[runKey]*run{}, heard: c.now, idle: c.now,
+		m := &machine{name: name, runs: map[runKey]*run{}, heard: c.loop.Now, idle: c.loop.Now,
 			dirty: dirty, fence: c.grant << 24}
 		c.machines[name] = m
 		c.orderDue = true
@@ -299,7 +300,7 @@
 		}
 		u := &peerpb.Use{Name: name, Bad: m.bad, Going: !m.gone.IsZero() || m.missed}
 		if !m.idle.IsZero() && m.session != 0 {
-			u.IdleS = c.now.Sub(m.idle).Seconds()
+			u.IdleS = c.loop.Now.Sub(m.idle).Seconds()
 		}
 		if u.Bad || u.Going || u.IdleS > 1 {
 			r.Use = append(r.Use, u)
@@ -307,7 +308,7 @@
 	}
 	for _, name := range sortedKeys(c.guests) {
 		g := c.guests[name]
-		if c.now.Sub(g.heard) > c.guestFresh() {
+		if c.loop.Now.Sub(g.heard) > c.guestFresh() {
 			continue
 		}
 		if c.ownerOf(name) == "" {
@@ -350,11 +351,11 @@
 // refusedAlone tells whether the state service answers others but not this
 // controller.
 func (c *Core) refusedAlone() bool {
-	if c.now.Sub(c.stateOK) < refusedAfter {
+	if c.loop.Now.Sub(c.stateOK) < refusedAfter {
 		return false
 	}
 	for _, p := range c.peers {
-		if c.now.Sub(p.heard) < linkDead && p.stateOK && c.now.Sub(p.okSince) > refusedProof {
+		if c.loop.Now.Sub(p.heard) < linkDead && p.stateOK && c.loop.Now.Sub(p.okSince) > refusedProof {
 			return true
 		}
 	}
@@ -390,27 +391,27 @@
 		gap = renewGap
 	}
 	last := c.renewAt.Add(-c.par.Publish)
-	if c.now.Before(c.renewAt) && !(c.renewSoon && c.now.Sub(last) >= gap) {
+	if c.loop.Now.Before(c.renewAt) && !(c.renewSoon && c.loop.Now.Sub(last) >= gap) {
 		return
 	}
 	c.renewSoon = false
-	c.renewAt = c.now.Add(c.par.Publish)
+	c.renewAt = c.loop.Now.Add(c.par.Publish)
 	r := c.renewal()
 	r.Resigned = c.grant == 0 && c.refusedAlone()
 	c.promise(r)
-	c.renewalSent[r.Number] = c.now
+	c.renewalSent[r.Number] = c.loop.Now
 	to := []string{c.lease.Leader}
 	if r.Resigned {
 		// The lease value it knows is as old as the refusal; it may even name
 		// itself as the leader. Whoever leads by now has to hear of it.
 		direct, to = true, sortedKeys(c.peers)
-		c.renewAt = c.now.Add(renewGapStore)
+		c.renewAt = c.loop.Now.Add(renewGapStore)
 	}
 	if direct {
 		for _, name := range to {
 			f := c.frame()
 			f.Renewal = r
-			c.emit(PeerSend{To: name, Frame: f})
+			c.loop.Emit(step.PeerSend{To: name, Frame: f})
 		}
 		return
 	}
@@ -421,7 +422,7 @@
 		c.log.Error("renewal", "err", err)
 		return
 	}
-	c.emit(StateTxn{Control: true, ID: c.call(func(Completed) {}),
+	c.loop.Emit(step.StateTxn{Control: true, ID: c.loop.Call(func(step.Completed) {}),
 		Txn: wire.Txn{Then: []wire.Op{{Put: renPrefix + c.me, Value: map[string]string{
 			"pb": base64.StdEncoding.EncodeToString(b)}}}}})
 }
@@ -498,12 +499,12 @@
 
 func (c *Core) startLeading(term uint64) {
 	c.log.Info("leading", "term", term)
-	c.lead = &leader{term: term, since: c.now, dirty: true,
+	c.lead = &leader{term: term, since: c.loop.Now, dirty: true,
 		renewals: map[string]*peerpb.Renewal{}, heardAt: map[string]time.Time{},
 		renewedAt: map[string]time.Time{}, gone: map[string]bool{}, recalls: map[string]bool{}, moves: map[string]string{}}
 	c.lead.fleet.init()
 	for node := range c.lease.Blocks {
-		c.lead.renewedAt[node] = c.now
+		c.lead.renewedAt[node] = c.loop.Now
 	}
 }
 
@@ -522,7 +523,7 @@
 			patience += time.Second
 		}
 	}
-	if c.leaseVersion != 0 && !mine && c.now.Sub(c.leaseSeen) < patience {
+	if c.leaseVersion != 0 && !mine && c.loop.Now.Sub(c.leaseSeen) < patience {
 		return
 	}
 	rec := c.cloneLease()
@@ -580,7 +581,7 @@
 	c.leaseBusy = true
 	if b, ok := rec.Blocks[c.me]; ok && b.Incarnation == c.inc {
 		c.renewals++
-		c.renewalSent[c.renewals] = c.now
+		c.renewalSent[c.renewals] = c.loop.Now
 		b.Renewal = c.renewals
 		rec.Blocks[c.me] = b
 	}
@@ -608,9 +609,9 @@
 		ops = draft.Ops
 		c.valueBytes = draft.Bytes
 	}
-	c.emit(StateTxn{Control: true,
+	c.loop.Emit(step.StateTxn{Control: true,
 		Txn: wire.Txn{If: []wire.Cond{{Key: leaseKey, Version: c.leaseVersion}}, Then: ops},
-		ID: c.call(func(d Completed) {
+		ID: c.loop.Call(func(d step.Completed) {
 			c.leaseBusy = false
 			if d.Status == 200 {
 				if draft != nil {
@@ -621,7 +622,7 @@
 				if c.lead != nil {
 					for node, yes := range renewed {
 						if yes {
-							c.lead.renewedAt[node] = c.now
+							c.lead.renewedAt[node] = c.loop.Now
 						}
 					}
 					c.leadTick()
@@ -677,7 +678,7 @@
 func (c *Core) onRenewal(r *peerpb.Renewal) {
 	l := c.lead
 	if l == nil && r.GetResigned() && r.GetNode() == c.lease.Leader && r.GetIncarnation() > c.lease.Incarnation {
-		c.leaseSeen = c.now.Add(-leaderDead) // nobody leads: no need to wait that long
+		c.leaseSeen = c.loop.Now.Add(-leaderDead) // nobody leads: no need to wait that long
 	}
 	if l == nil || r.GetNode() == c.me {
 		return
@@ -695,7 +696,7 @@
 		(r.GetIncarnation() == b.Incarnation && r.GetNumber() < b.Renewal) {
 		return // late, from before this controller led
 	}
-	l.renewals[r.GetNode()], l.heardAt[r.GetNode()] = r, c.now
+	l.renewals[r.GetNode()], l.heardAt[r.GetNode()] = r, c.loop.Now
 	c.peers[r.GetNode()].tell(r.GetTeams())
 	c.tellKnown(r)
 	c.log.Debug("renewal", "node", r.GetNode(), "number", r.GetNumber(), "heard", len(r.GetHeard()), "demand", len(r.GetDemand()))
@@ -716,9 +717,9 @@
 		c.renewSoon = false
 		l.dirty = true
 	}
-	due := c.now.Sub(l.wrote)
+	due := c.loop.Now.Sub(l.wrote)
 	if !c.leaseBusy && (due >= c.par.Publish || (l.dirty && due >= writeGap)) {
-		l.wrote, l.dirty = c.now, false
+		l.wrote, l.dirty = c.loop.Now, false
 		c.publish()
 	}
 	c.runFleet()
@@ -730,7 +731,7 @@
 	if l.renewals[node].GetResigned() {
 		return false
 	}
-	return node == c.me || (ok && c.now.Sub(at) < 2*c.par.Publish+time.Second)
+	return node == c.me || (ok && c.loop.Now.Sub(at) < 2*c.par.Publish+time.Second)
 }
 
 // publish writes the lease value: renewals, moves, homes and waiting sums.
@@ -752,7 +753,7 @@
 			if old, ok := rec.Blocks[node]; !ok || old.Incarnation != r.GetIncarnation() {
 				// A controller whose lease lapsed and that is back begins
 				// anew; by its old date it would lapse again at once.
-				l.renewedAt[node] = c.now
+				l.renewedAt[node] = c.loop.Now
 			}
 			c.regrant(&rec, node, r.GetIncarnation())
 			b := rec.Blocks[node]
@@ -775,7 +776,7 @@
 		// Who resigned did so as a later incarnation than the block was
 		// granted to, so nothing has to lapse.
 		resigned := l.renewals[node].GetResigned() && l.renewals[node].GetIncarnation() > dead.Incarnation
-		if node == c.me || (!resigned && c.now.Sub(l.renewedAt[node]) <= stretch(c.par.Lease)) {
+		if node == c.me || (!resigned && c.loop.Now.Sub(l.renewedAt[node]) <= stretch(c.par.Lease)) {
 			continue
 		}
 		delete(rec.Blocks, node)
@@ -1028,11 +1029,11 @@
 		}
 		// Where others of its class are started it only waits for its turn:
 		// machines rented for all of it would come when the backlog is gone.
-		long := c.now.Sub(j.waitSince) > starved && c.now.Sub(c.class(j.rec.Class).startedAt) > stuck
+		long := c.loop.Now.Sub(j.waitSince) > starved && c.loop.Now.Sub(c.class(j.rec.Class).startedAt) > stuck
 		list = append(list, sched.Demand{Rank: j.rec.Rank(), Need: c.coarse(j), Types: j.rec.Types,
 			Zone: j.rec.Zone, Spot: j.rec.Spot, Count: n, RunS: c.runSeconds(&j.rec),
 			Whole: j.rec.Shape != wire.Array || long, Starved: long,
-			SlackS: float64(c.dueStart(j)-c.now.UnixMilli()) / 1000})
+			SlackS: float64(c.dueStart(j)-c.loop.Now.UnixMilli()) / 1000})
 	}
 	var out []*peerpb.Demand
 	for _, d := range sched.Merge(list) {
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -25,7 +25,7 @@
 	}
 	var list []entry
 	for _, j := range c.jobs {
-		if !c.owns(j) || !j.ready || j.over || len(j.queue) == 0 || c.now.Before(j.notBefore) {
+		if !c.owns(j) || !j.ready || j.over || len(j.queue) == 0 || c.loop.Now.Before(j.notBefore) {
 			continue
 		}
 		list = append(list, entry{j, sched.Ready{
@@ -56,7 +56,7 @@
 // done now yields to those that can still make it.
 func (c *Core) dueStart(j *job) int64 {
 	run := c.runSeconds(&j.rec)
-	waited := float64(c.now.UnixMilli()-j.rec.AtMs) / 1000
+	waited := float64(c.loop.Now.UnixMilli()-j.rec.AtMs) / 1000
 	best := math.Inf(1)
 	consider := func(within float64) {
 		// Estimates are off: a fifth of the run time is given the benefit of
@@ -113,7 +113,7 @@
 func (c *Core) usable(m *machine) bool {
 	silence := config.Seconds(1.3*c.cfg.Cluster.Workers.ReportS) + 700*time.Millisecond
 	return !m.gave && !m.recall && !m.bad && !m.lost && !m.dirty && m.orphans == 0 && m.gone.IsZero() &&
-		m.session != 0 && m.size.CPUs > 0 && !c.now.Before(m.pauseTo) && c.now.Sub(m.heard) < silence
+		m.session != 0 && m.size.CPUs > 0 && !c.loop.Now.Before(m.pauseTo) && c.loop.Now.Sub(m.heard) < silence
 }
 
 // spot is a usable machine with its room, while places are chosen.
@@ -144,8 +144,8 @@
 // placeSoon places what waits, unless that was done a moment ago; then the
 // next event or tick after the gap does it.
 func (c *Core) placeSoon() {
-	if c.placeDue && c.now.Sub(c.placedAt) >= placeGap {
-		c.placeDue, c.placedAt = false, c.now
+	if c.placeDue && c.loop.Now.Sub(c.placedAt) >= placeGap {
+		c.placeDue, c.placedAt = false, c.loop.Now
 		c.place()
 	}
 }
@@ -198,9 +198,9 @@
 		}
 	}
 	roomiest := mostFree(spots)
-	preempt := c.now.Sub(c.preemptAt) >= preemptGap
+	preempt := c.loop.Now.Sub(c.preemptAt) >= preemptGap
 	if preempt {
-		c.preemptAt = c.now
+		c.preemptAt = c.loop.Now
 	}
 	for _, j := range jobs {
 		// A job's tasks can only be where its constraints let earlier owners
@@ -348,7 +348,7 @@
 			}
 			lost := 0.0
 			if r.state == wire.TaskRunning {
-				lost = c.now.Sub(r.started).Seconds()
+				lost = c.loop.Now.Sub(r.started).Seconds()
 				if r.j.rec.CheckpointS > 0 {
 					lost = r.j.rec.SaveS
 				}
@@ -387,7 +387,7 @@
 		e.s.soon = e.s.soon.Add(need, -1)
 	}
 	for _, v := range stopped {
-		v.spared = c.now.Add(sparedFor)
+		v.spared = c.loop.Now.Add(sparedFor)
 	}
 }
 
@@ -407,7 +407,7 @@
 // mayStop tells whether the attempt may be stopped for the sake of the job.
 // owed says that the job's team is within its guarantee.
 func (c *Core) mayStop(j *job, r *run, owed bool) bool {
-	if r.j.rec.Shape == wire.Group || c.now.Before(r.j.spared) {
+	if r.j.rec.Shape == wire.Group || c.loop.Now.Before(r.j.spared) {
 		return false
 	}
 	// Urgent work among itself is left alone, but a service that may not use
@@ -614,11 +614,11 @@
 func (c *Core) start(j *job, m *machine) *run {
 	i := j.queue[0]
 	j.queue = j.queue[1:]
-	j.waitSince = c.now
-	c.class(j.rec.Class).startedAt = c.now
+	j.waitSince = c.loop.Now
+	c.class(j.rec.Class).startedAt = c.loop.Now
 	c.attempts++
 	r := &run{j: j, i: i, task: taskName(j.rec.ID, i), attempt: c.grant<<24 + c.attempts, m: m,
-		state: runQueued, placed: c.now}
+		state: runQueued, placed: c.loop.Now}
 	m.runs[runKey{r.task, r.attempt}] = r
 	j.runs[i] = r
 	c.count(r, 1)
--- a/internal/controller/progress.go
+++ b/internal/controller/progress.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -72,7 +73,7 @@
 		c.pageOf[key] = p
 	}
 	if p.dirtyAt.IsZero() {
-		p.dirtyAt = c.now
+		p.dirtyAt = c.loop.Now
 	}
 }
 
@@ -106,7 +107,7 @@
 // flushPages stores what has waited long enough.
 func (c *Core) flushPages() {
 	for n, p := range c.pages {
-		if p.busy || p.dirtyAt.IsZero() || c.now.Sub(p.dirtyAt) < flushEvery || c.now.Before(p.nextTry) {
+		if p.busy || p.dirtyAt.IsZero() || c.loop.Now.Sub(p.dirtyAt) < flushEvery || c.loop.Now.Before(p.nextTry) {
 			continue
 		}
 		c.writePage(n, p)
@@ -131,11 +132,11 @@
 		written[entry] = c.facts[entry]
 	}
 	p.busy, p.dirtyAt = true, time.Time{}
-	c.emit(StateTxn{
+	c.loop.Emit(step.StateTxn{
 		// Under the version it was based on: a late transaction of an earlier
 		// process, or an earlier try, cannot take anything back.
 		Txn: wire.Txn{If: []wire.Cond{{Key: key, Version: p.version}}, Then: []wire.Op{{Put: key, Value: value}}},
-		ID: c.call(func(d Completed) {
+		ID: c.loop.Call(func(d step.Completed) {
 			p.busy = false
 			if d.Status == 200 {
 				p.version = d.Txn.Revision
@@ -144,13 +145,13 @@
 				}
 				return
 			}
-			p.dirtyAt = c.now.Add(-flushEvery)
-			p.nextTry = c.now.Add(time.Second)
+			p.dirtyAt = c.loop.Now.Add(-flushEvery)
+			p.nextTry = c.loop.Now.Add(time.Second)
 			if d.Status != 409 {
 				return // not done, or perhaps done: then the version tells
 			}
 			p.busy = true
-			c.emit(StateGet{Key: key, ID: c.call(func(d Completed) {
+			c.loop.Emit(step.StateGet{Key: key, ID: c.loop.Call(func(d step.Completed) {
 				p.busy = false
 				switch d.Status {
 				case 200:
@@ -231,7 +232,7 @@
 // readPages reads all pages of all controllers for the jobs that wait for it:
 // jobs taken over, and all of them after a start.
 func (c *Core) readPages() {
-	if c.pagesBusy || c.now.Before(c.pagesNext) {
+	if c.pagesBusy || c.loop.Now.Before(c.pagesNext) {
 		return
 	}
 	waiting := false
@@ -246,10 +247,10 @@
 	read := c.pageReads
 	var next func(after string)
 	next = func(after string) {
-		c.emit(StateRange{Prefix: pagePrefix, After: after, ID: c.call(func(d Completed) {
+		c.loop.Emit(step.StateRange{Prefix: pagePrefix, After: after, ID: c.loop.Call(func(d step.Completed) {
 			if d.Status != 200 {
 				c.pagesBusy = false
-				c.pagesNext = c.now.Add(300 * time.Millisecond)
+				c.pagesNext = c.loop.Now.Add(300 * time.Millisecond)
 				return
 			}
 			for _, p := range d.Page.Pairs {
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -47,7 +47,7 @@
 func (c *Core) usedByAll(team string) sched.Amount {
 	a := c.used[team]
 	for _, p := range c.peers {
-		if u := p.teams[team]; u != nil && c.now.Sub(p.heard) < useFresh {
+		if u := p.teams[team]; u != nil && c.loop.Now.Sub(p.heard) < useFresh {
 			a.CPUs += u.GetCpus()
 			a.Cards += u.GetCards()
 		}
@@ -120,7 +120,7 @@
 		u := own[team]
 		if node != c.me {
 			u = nil
-			if p := c.peers[node]; p != nil && c.now.Sub(p.heard) < useFresh {
+			if p := c.peers[node]; p != nil && c.loop.Now.Sub(p.heard) < useFresh {
 				u = p.teams[team]
 			}
 		}
@@ -196,10 +196,10 @@
 
 // trade has a renewal sent when there is something to promise.
 func (c *Core) trade() {
-	if c.now.Sub(c.tradedAt) < tradeEvery || len(c.lease.Shares) == 0 {
+	if c.loop.Now.Sub(c.tradedAt) < tradeEvery || len(c.lease.Shares) == 0 {
 		return
 	}
-	c.tradedAt = c.now
+	c.tradedAt = c.loop.Now
 	for team, s := range c.ceilings() {
 		if s != c.promises.Ceiling(team, c.lease.Shares[team][c.me]) {
 			c.renewSoon = true
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -8,6 +8,7 @@
 	"fawncove/internal/config"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -122,7 +123,7 @@
 func (c *Core) tokenFor(m *machine) uint64 { return c.grant<<24 + m.bump }
 
 // mayStart tells whether this controller's block lease allows starts now.
-func (c *Core) mayStart() bool { return c.grant != 0 && c.now.Before(c.right) }
+func (c *Core) mayStart() bool { return c.grant != 0 && c.loop.Now.Before(c.right) }
 
 // answerUntil is until when reports may be answered, which keeps tasks alive.
 // A job cancelled at another controller must be gone cancel_s later: past
@@ -134,13 +135,13 @@
 }
 
 // onReport handles a worker's report.
-func (c *Core) onReport(e ReportIn) {
+func (c *Core) onReport(e step.ReportIn) {
 	r := &e.Report
 	if r.Machine == "" || r.Session == 0 {
 		c.answer(e.Req, 400, wire.ErrorAnswer{Error: "stroj and smjena are needed"})
 		return
 	}
-	if !c.loaded || !c.now.Before(c.answerUntil()) {
+	if !c.loaded || !c.loop.Now.Before(c.answerUntil()) {
 		c.unavailable(e.Req)
 		return
 	}
@@ -164,7 +165,7 @@
 	if slices.ContainsFunc(cmds, func(k wire.Command) bool { return k.Op == wire.OpStart }) && c.right.Before(until) {
 		until = c.right
 	}
-	c.emit(Reply{Req: e.Req, Status: 200, Until: until,
+	c.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: until,
 		Body: wire.ReportAnswer{Token: c.tokenFor(m), Commands: cmds}})
 }
 
@@ -259,7 +260,7 @@
 	m.session, m.seq, m.token = r.Session, r.Seq, max(m.token, r.Token)
 	m.endpoint, m.zone, m.spot = r.Endpoint, r.Zone, r.Spot
 	if full {
-		m.heard = c.now
+		m.heard = c.loop.Now
 		// A machine that was given up and reports after all, say after a cut,
 		// is as good as before, unless it is being returned already.
 		m.lost, m.missed = false, false
@@ -272,7 +273,7 @@
 	}
 	if r.NoticeS != nil {
 		if m.gone.IsZero() {
-			m.gone = c.now.Add(config.Seconds(*r.NoticeS))
+			m.gone = c.loop.Now.Add(config.Seconds(*r.NoticeS))
 			c.renewSoon = true // another can be rented meanwhile
 			// What can be saved is saved now and goes on elsewhere, and
 			// replicas move. The rest runs on: it may still complete.
@@ -312,7 +313,7 @@
 			continue
 		}
 		if t.State == wire.TaskRunning && a.state != wire.TaskRunning {
-			a.started = c.now
+			a.started = c.loop.Now
 			if a.j != nil {
 				m.keep(a.j.rec.Image, a.j.rec.ImageGB, c.types[m.kind].CacheGB, true)
 			}
@@ -348,7 +349,7 @@
 // adoptRun takes up an attempt that an earlier owner started, or one that
 // belongs to no job known here, which is then halted.
 func (c *Core) adoptRun(m *machine, t *wire.TaskReport) *run {
-	a := &run{task: t.Task, attempt: t.Attempt, m: m, stop: true, placed: c.now, started: c.now}
+	a := &run{task: t.Task, attempt: t.Attempt, m: m, stop: true, placed: c.loop.Now, started: c.loop.Now}
 	m.runs[runKey{t.Task, t.Attempt}] = a
 	id, i, ok := splitTask(t.Task)
 	j := c.jobs[id]
@@ -397,7 +398,7 @@
 			j.queue = slices.Insert(j.queue, k, r.i)
 		}
 		if len(j.queue) == 1 {
-			j.waitSince = c.now
+			j.waitSince = c.loop.Now
 		}
 	}
 	c.placeDue = true
@@ -431,9 +432,9 @@
 	case wire.WhyError:
 		c.failed(r)
 	case wire.WhyNoRoom, wire.WhyInUse:
-		m.pauseTo = c.now.Add(2 * time.Second)
+		m.pauseTo = c.loop.Now.Add(2 * time.Second)
 	case wire.WhyUnknown:
-		j.notBefore = c.now.Add(2 * time.Second)
+		j.notBefore = c.loop.Now.Add(2 * time.Second)
 	}
 	c.detach(r, true)
 	if j.doneCount == j.rec.Tasks {
@@ -452,7 +453,7 @@
 	j.failedOn[m.name] = true
 	j.failures++
 	if len(j.failedOn) >= 3 {
-		j.notBefore = c.now.Add(min(time.Minute, time.Second<<min(j.failures, 6)))
+		j.notBefore = c.loop.Now.Add(min(time.Minute, time.Second<<min(j.failures, 6)))
 		return
 	}
 	if m.errors == nil {
@@ -479,7 +480,7 @@
 	}
 	s := c.class(r.j.rec.Class)
 	s.n++
-	took := c.now.Sub(r.started).Seconds()
+	took := c.loop.Now.Sub(r.started).Seconds()
 	w := max(0.05, 1/float64(s.n+3))
 	s.ratio += w * (took/r.j.rec.EstimateS - s.ratio)
 	s.mean += max(0.05, 1/float64(s.n)) * (took - s.mean)
@@ -507,20 +508,20 @@
 		}
 	}
 	if m.idle.IsZero() {
-		m.idle = c.now
+		m.idle = c.loop.Now
 	}
 }
 
 // guestReport handles a machine that is not in this controller's block.
-func (c *Core) guestReport(e ReportIn) {
+func (c *Core) guestReport(e step.ReportIn) {
 	r := &e.Report
 	g := c.guests[r.Machine]
-	if g == nil || r.Session > g.rep.Session || c.now.Sub(g.heard) > config.Seconds(c.cfg.Cluster.Workers.LeaseS) {
-		g = &guest{since: c.now}
+	if g == nil || r.Session > g.rep.Session || c.loop.Now.Sub(g.heard) > config.Seconds(c.cfg.Cluster.Workers.LeaseS) {
+		g = &guest{since: c.loop.Now}
 		c.guests[r.Machine] = g
 		c.renewSoon = true // its owner may take it for lost
 	}
-	g.rep, g.heard = *r, c.now
+	g.rep, g.heard = *r, c.loop.Now
 	owner := c.ownerOf(r.Machine)
 	if owner == "" {
 		c.renewSoon = true // the leader has to hear of it
@@ -533,8 +534,8 @@
 			g.pending = append(g.pending, e.Req)
 			return
 		}
-	} else if owner != c.me && c.linkUp(owner) && c.now.Sub(g.sent) > 5*time.Second {
-		g.sent = c.now
+	} else if owner != c.me && c.linkUp(owner) && c.loop.Now.Sub(g.sent) > 5*time.Second {
+		g.sent = c.loop.Now
 		c.answer(e.Req, 421, wire.Redirect{ReportTo: owner})
 		return
 	}
@@ -542,9 +543,9 @@
 	// tasks alive without a right to start anything. Not for long: a direct
 	// start held back on the way is only void once the session ends.
 	w := c.cfg.Cluster.Workers
-	if c.now.Sub(g.since) > config.Seconds(max(0, w.CancelS-w.LeaseS-7)) {
+	if c.loop.Now.Sub(g.since) > config.Seconds(max(0, w.CancelS-w.LeaseS-7)) {
 		c.unavailable(e.Req)
-		if c.now.Sub(g.since) > config.Seconds(w.CancelS+2*w.LeaseS) {
+		if c.loop.Now.Sub(g.since) > config.Seconds(w.CancelS+2*w.LeaseS) {
 			delete(c.guests, r.Machine)
 		}
 		return
@@ -559,14 +560,14 @@
 		if j := c.jobs[id]; t.State == wire.TaskEnded || (j != nil && !j.over) {
 			continue
 		}
-		if !c.hasEnded(id) && c.now.Sub(c.fresh) > watchHold+time.Second {
+		if !c.hasEnded(id) && c.loop.Now.Sub(c.fresh) > watchHold+time.Second {
 			c.unavailable(e.Req)
 			return
 		}
 		zero := 0.0
 		cmds = append(cmds, wire.Command{Op: wire.OpHalt, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 	}
-	c.emit(Reply{Req: e.Req, Status: 200, Until: c.answerUntil(),
+	c.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: c.answerUntil(),
 		Body: wire.ReportAnswer{Token: r.Token, Commands: cmds}})
 }
 
@@ -588,7 +589,7 @@
 	}
 	for _, name := range sortedKeys(c.guests) {
 		g := c.guests[name]
-		if g == nil || len(g.pending) == 0 || (!all && c.ownerOf(name) == "" && c.now.Sub(g.heard) < 2*time.Second) {
+		if g == nil || len(g.pending) == 0 || (!all && c.ownerOf(name) == "" && c.loop.Now.Sub(g.heard) < 2*time.Second) {
 			continue
 		}
 		reqs := g.pending
@@ -601,7 +602,7 @@
 			c.unavailable(last)
 			continue
 		}
-		c.onReport(ReportIn{Req: last, Report: g.rep})
+		c.onReport(step.ReportIn{Req: last, Report: g.rep})
 	}
 }
 
@@ -628,7 +629,7 @@
 			delete(c.hurried, name)
 			continue
 		}
-		if m.calling || m.asking || m.gave || m.endpoint == "" || m.session == 0 || c.now.Before(m.noDirect) {
+		if m.calling || m.asking || m.gave || m.endpoint == "" || m.session == 0 || c.loop.Now.Before(m.noDirect) {
 			continue
 		}
 		cmds := c.commandsFor(m, viaDirect)
@@ -642,13 +643,13 @@
 				sent = append(sent, r)
 			}
 		}
-		c.emit(Direct{Endpoint: m.endpoint, Until: c.right,
+		c.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: c.right,
 			Body: wire.Commands{Token: c.tokenFor(m), Session: m.session, Commands: cmds},
-			ID:   c.call(func(d Completed) { c.directDone(m, sent, d) })})
+			ID:   c.loop.Call(func(d step.Completed) { c.directDone(m, sent, d) })})
 	}
 }
 
-func (c *Core) directDone(m *machine, sent []*run, d Completed) {
+func (c *Core) directDone(m *machine, sent []*run, d step.Completed) {
 	m.calling = false
 	for _, r := range sent {
 		r.flying = false
@@ -672,7 +673,7 @@
 		if d.Status == 409 && d.Report != nil && d.Report.Machine == m.name {
 			c.observe(m, d.Report, false)
 		}
-		m.noDirect = c.now.Add(2 * time.Second)
+		m.noDirect = c.loop.Now.Add(2 * time.Second)
 	default:
 		// No answer: perhaps executed, perhaps later. A higher token in the
 		// next answer to the worker's report settles that.
@@ -680,7 +681,7 @@
 			m.bump++
 		}
 		m.unanswered++
-		m.noDirect = c.now.Add(config.Seconds(2 * c.cfg.Cluster.Workers.ReportS))
+		m.noDirect = c.loop.Now.Add(config.Seconds(2 * c.cfg.Cluster.Workers.ReportS))
 	}
 	c.touchIdle(m)
 }
@@ -722,7 +723,7 @@
 		if c.asking >= asksAtOnce {
 			return
 		}
-		if m.calling || m.asking || m.endpoint == "" || c.now.Before(m.noDirect) {
+		if m.calling || m.asking || m.endpoint == "" || c.loop.Now.Before(m.noDirect) {
 			continue
 		}
 		session := m.session
@@ -731,9 +732,9 @@
 		}
 		m.calling = true
 		c.asking++
-		c.emit(Direct{Endpoint: m.endpoint, Until: c.right,
+		c.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: c.right,
 			Body: wire.Commands{Token: c.tokenFor(m), Session: session, Commands: []wire.Command{}},
-			ID: c.call(func(d Completed) {
+			ID: c.loop.Call(func(d step.Completed) {
 				c.asking--
 				c.directDone(m, nil, d)
 				if d.Status == 409 && m.session != 0 && m.session != session {
@@ -758,7 +759,7 @@
 	if len(known) > 0 {
 		f := c.frame()
 		f.SpareCpus, f.Known = c.spare, known
-		c.emit(PeerSend{To: r.GetNode(), Frame: f})
+		c.loop.Emit(step.PeerSend{To: r.GetNode(), Frame: f})
 	}
 }
 
@@ -795,7 +796,7 @@
 
 // silent tells whether a machine has missed its reports.
 func (c *Core) silent(m *machine) bool {
-	return c.now.Sub(m.heard) > config.Seconds(aloneReports*c.cfg.Cluster.Workers.ReportS)
+	return c.loop.Now.Sub(m.heard) > config.Seconds(aloneReports*c.cfg.Cluster.Workers.ReportS)
 }
 
 // census counts a zone's machines, all and ordinary ones, and how many of
@@ -832,7 +833,7 @@
 			z = &census{}
 			zones[m.zone] = z
 		}
-		silent := c.now.Sub(m.heard)
+		silent := c.loop.Now.Sub(m.heard)
 		z.all++
 		if !m.spot {
 			z.ordinary++
@@ -853,20 +854,20 @@
 		// They do not all come back in the moment in which a cut ends: some
 		// have first to be sent back by whom they turned to meanwhile.
 		if z.cut() {
-			c.cutUntil[zone] = c.now.Add(config.Seconds(w.LeaseS))
+			c.cutUntil[zone] = c.loop.Now.Add(config.Seconds(w.LeaseS))
 		}
 	}
 	for _, m := range c.machines {
 		if m.lost {
 			continue
 		}
-		silent := c.now.Sub(m.heard)
+		silent := c.loop.Now.Sub(m.heard)
 		patience := limit
 		z := zones[m.zone]
 		if c.silent(m) {
 			c.strangers[m.name] = true
 		}
-		if c.now.Before(c.cutUntil[m.zone]) {
+		if c.loop.Now.Before(c.cutUntil[m.zone]) {
 			patience += cutPatience
 		} else if m.spot && (z.wave() || (!m.dirty && float64(alone) <= max(2, aloneShare*float64(len(c.machines))))) {
 			few := config.Seconds(aloneReports * w.ReportS)
@@ -880,7 +881,7 @@
 			}
 		}
 		if silent > patience ||
-			(!m.gone.IsZero() && c.now.Sub(m.gone) > 2*time.Second && silent > config.Seconds(1.5*w.ReportS)) {
+			(!m.gone.IsZero() && c.loop.Now.Sub(m.gone) > 2*time.Second && silent > config.Seconds(1.5*w.ReportS)) {
 			m.lost = true
 			c.renewSoon = true
 			c.log.Info("machine lost", "machine", m.name, "silent", silent)
@@ -893,7 +894,7 @@
 		}
 	}
 	for name, g := range c.guests {
-		if c.now.Sub(g.heard) > time.Minute {
+		if c.loop.Now.Sub(g.heard) > time.Minute {
 			delete(c.guests, name)
 		}
 	}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -9,13 +9,13 @@
 	"strconv"
 	"time"
 
-	"fawncove/internal/controller"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
 // Backend answers requests.
 type Backend interface {
-	Ask(ctx context.Context, event func(req uint64) controller.Event) (controller.Reply, error)
+	Ask(ctx context.Context, event func(req uint64) step.Event) (step.Reply, error)
 	Healthy() bool
 }
 
@@ -37,18 +37,18 @@
 			return
 		}
 		job, err := wire.ParseJob(body)
-		serve(w, r, b, func(req uint64) controller.Event { return controller.SubmitIn{Req: req, Job: job, Err: err} })
+		serve(w, r, b, func(req uint64) step.Event { return step.SubmitIn{Req: req, Job: job, Err: err} })
 	})
 	mux.HandleFunc("GET /v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
 		id := r.PathValue("id")
-		serve(w, r, b, func(req uint64) controller.Event { return controller.PollIn{Req: req, ID: id} })
+		serve(w, r, b, func(req uint64) step.Event { return step.PollIn{Req: req, ID: id} })
 	})
 	mux.HandleFunc("POST /v1/jobs/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
 		if _, ok := read(w, r); !ok {
 			return
 		}
 		id := r.PathValue("id")
-		serve(w, r, b, func(req uint64) controller.Event { return controller.CancelIn{Req: req, ID: id} })
+		serve(w, r, b, func(req uint64) step.Event { return step.CancelIn{Req: req, ID: id} })
 	})
 	mux.HandleFunc("POST /checkin", func(w http.ResponseWriter, r *http.Request) {
 		body, ok := read(w, r)
@@ -57,10 +57,10 @@
 		}
 		var rep wire.Report
 		if err := wire.Decode(body, &rep); err != nil {
-			write(w, controller.Reply{Status: 400, Body: wire.ErrorAnswer{Error: "malformed report"}})
+			write(w, step.Reply{Status: 400, Body: wire.ErrorAnswer{Error: "malformed report"}})
 			return
 		}
-		serve(w, r, b, func(req uint64) controller.Event { return controller.ReportIn{Req: req, Report: rep} })
+		serve(w, r, b, func(req uint64) step.Event { return step.ReportIn{Req: req, Report: rep} })
 	})
 	return mux
 }
@@ -76,24 +76,24 @@
 	if errors.As(err, &tooLarge) {
 		status = http.StatusRequestEntityTooLarge
 	}
-	write(w, controller.Reply{Status: status, Body: wire.ErrorAnswer{Error: "body too large or cut short"}})
+	write(w, step.Reply{Status: status, Body: wire.ErrorAnswer{Error: "body too large or cut short"}})
 	return nil, false
 }
 
 // serve passes a request to the core and writes its reply.
-func serve(w http.ResponseWriter, r *http.Request, b Backend, event func(req uint64) controller.Event) {
+func serve(w http.ResponseWriter, r *http.Request, b Backend, event func(req uint64) step.Event) {
 	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
 	defer cancel()
 	reply, err := b.Ask(ctx, event)
 	// The right to give this answer is checked when it is written, not when
 	// it was decided: a busy machine may have been in between.
 	if err != nil || (!reply.Until.IsZero() && !time.Now().Before(reply.Until)) {
-		reply = controller.Reply{Status: 503, Body: wire.ErrorAnswer{Error: "not now"}, RetryAfter: 1}
+		reply = step.Reply{Status: 503, Body: wire.ErrorAnswer{Error: "not now"}, RetryAfter: 1}
 	}
 	write(w, reply)
 }
 
-func write(w http.ResponseWriter, reply controller.Reply) {
+func write(w http.ResponseWriter, reply step.Reply) {
 	body, err := wire.Encode(reply.Body)
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/httpapi/httpapi_test.go
@@ -9,18 +9,18 @@
 	"testing"
 	"time"
 
-	"fawncove/internal/controller"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
 // backend replies with what a test sets.
 type backend struct {
-	reply   controller.Reply
+	reply   step.Reply
 	healthy bool
-	got     controller.Event
+	got     step.Event
 }
 
-func (b *backend) Ask(_ context.Context, event func(uint64) controller.Event) (controller.Reply, error) {
+func (b *backend) Ask(_ context.Context, event func(uint64) step.Event) (step.Reply, error) {
 	b.got = event(1)
 	return b.reply, nil
 }
@@ -47,7 +47,7 @@
 
 // TestRoutes speaks to the handler over a loopback socket.
 func TestRoutes(t *testing.T) {
-	b := &backend{reply: controller.Reply{Status: 200, Body: wire.JobAnswer{ID: "wk-000001", State: wire.Pending}}}
+	b := &backend{reply: step.Reply{Status: 200, Body: wire.JobAnswer{ID: "wk-000001", State: wire.Pending}}}
 	s := httptest.NewServer(New(b))
 	defer s.Close()
 	for _, c := range []struct {
@@ -78,7 +78,7 @@
 // TestLateAnswer expects 503 for an answer whose right has ended before it
 // could be written.
 func TestLateAnswer(t *testing.T) {
-	b := &backend{reply: controller.Reply{Status: 200, Body: wire.ReportAnswer{Token: 5}, Until: time.Now().Add(-time.Millisecond)}}
+	b := &backend{reply: step.Reply{Status: 200, Body: wire.ReportAnswer{Token: 5}, Until: time.Now().Add(-time.Millisecond)}}
 	s := httptest.NewServer(New(b))
 	defer s.Close()
 	body, err := wire.Encode(wire.Report{Machine: "host-000001", Session: 1, Seq: 1})
@@ -89,7 +89,7 @@
 	if status != 503 || h.Get("Retry-After") == "" {
 		t.Errorf("status %d, Retry-After %q", status, h.Get("Retry-After"))
 	}
-	if r, ok := b.got.(controller.ReportIn); !ok || r.Report.Machine != "host-000001" {
+	if r, ok := b.got.(step.ReportIn); !ok || r.Report.Machine != "host-000001" {
 		t.Errorf("the core got %+v", b.got)
 	}
 	b.reply.Until = time.Now().Add(time.Hour)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"fawncove/internal/peer"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/statestore"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -29,9 +30,9 @@
 	cloud   *cloud.Cloud
 	workers *client.Client
 	links   map[string]*peer.Link
-	events  chan controller.Event
+	events  chan step.Event
 	asks    chan ask
-	pending map[uint64]chan controller.Reply
+	pending map[uint64]chan step.Reply
 	nextReq uint64
 	usage   usage
 	sockets Sockets
@@ -39,8 +40,8 @@
 }
 
 type ask struct {
-	event func(req uint64) controller.Event
-	reply chan controller.Reply
+	event func(req uint64) step.Event
+	reply chan step.Reply
 }
 
 // New returns a node for a core and its edges. It keeps at most idle direct
@@ -49,9 +50,9 @@
 func New(core *controller.Core, log *slog.Logger, store *statestore.Store, cl *cloud.Cloud, links map[string]*peer.Link, idle int) *Node {
 	return &Node{core: core, log: log, store: store, cloud: cl, links: links,
 		workers: client.New(2, 1<<20, idle),
-		events:  make(chan controller.Event, 256),
+		events:  make(chan step.Event, 256),
 		asks:    make(chan ask, 256),
-		pending: map[uint64]chan controller.Reply{},
+		pending: map[uint64]chan step.Reply{},
 	}
 }
 
@@ -62,29 +63,29 @@
 func (n *Node) Sockets() *Sockets { return &n.sockets }
 
 // Ask hands a request to the core and waits for its reply.
-func (n *Node) Ask(ctx context.Context, event func(req uint64) controller.Event) (controller.Reply, error) {
-	a := ask{event, make(chan controller.Reply, 1)}
+func (n *Node) Ask(ctx context.Context, event func(req uint64) step.Event) (step.Reply, error) {
+	a := ask{event, make(chan step.Reply, 1)}
 	select {
 	case n.asks <- a:
 	case <-ctx.Done():
-		return controller.Reply{}, ctx.Err()
+		return step.Reply{}, ctx.Err()
 	}
 	select {
 	case r := <-a.reply:
 		return r, nil
 	case <-ctx.Done():
-		return controller.Reply{}, ctx.Err()
+		return step.Reply{}, ctx.Err()
 	}
 }
 
 // Peer hands a frame from another controller to the core.
-func (n *Node) Peer(f *peerpb.Frame) { n.events <- controller.PeerIn{Frame: f} }
+func (n *Node) Peer(f *peerpb.Frame) { n.events <- step.PeerIn{Frame: f} }
 
 // Run owns the core until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	n.step(ctx, controller.Tick{})
+	n.step(ctx, step.Tick{})
 	for {
 		select {
 		case <-ctx.Done():
@@ -96,12 +97,12 @@
 			n.pending[n.nextReq] = a.reply
 			n.step(ctx, a.event(n.nextReq))
 		case <-tick.C:
-			n.step(ctx, controller.Tick{})
+			n.step(ctx, step.Tick{})
 		}
 	}
 }
 
-func (n *Node) step(ctx context.Context, ev controller.Event) {
+func (n *Node) step(ctx context.Context, ev step.Event) {
 	now := time.Now()
 	n.usage.event(now)
 	for _, e := range n.core.Step(now, ev) {
@@ -114,8 +115,8 @@
 
 // carryOut does what the core asks for; whatever waits runs on the side and
 // comes back as an event.
-func (n *Node) carryOut(ctx context.Context, e controller.Effect) {
-	back := func(f func() controller.Completed) {
+func (n *Node) carryOut(ctx context.Context, e step.Effect) {
+	back := func(f func() step.Completed) {
 		go func() {
 			done := f()
 			select {
@@ -125,75 +126,75 @@
 		}()
 	}
 	switch e := e.(type) {
-	case controller.Reply:
+	case step.Reply:
 		if ch := n.pending[e.Req]; ch != nil {
 			delete(n.pending, e.Req)
 			ch <- e
 		}
-	case controller.PeerSend:
+	case step.PeerSend:
 		if l := n.links[e.To]; l != nil {
 			l.Send(e.Frame)
 		}
-	case controller.StateTxn:
-		back(func() controller.Completed {
+	case step.StateTxn:
+		back(func() step.Completed {
 			status, a, err := n.store.Txn(ctx, e.Txn, e.Control)
 			n.note("txn", status, err)
-			return controller.Completed{ID: e.ID, State: true, Status: status, Txn: a}
+			return step.Completed{ID: e.ID, State: true, Status: status, Txn: a}
 		})
-	case controller.StateGet:
-		back(func() controller.Completed {
+	case step.StateGet:
+		back(func() step.Completed {
 			status, p, err := n.store.Get(ctx, e.Key)
 			n.note("get", status, err)
-			return controller.Completed{ID: e.ID, State: true, Status: status, Pair: p}
+			return step.Completed{ID: e.ID, State: true, Status: status, Pair: p}
 		})
-	case controller.StateRange:
-		back(func() controller.Completed {
+	case step.StateRange:
+		back(func() step.Completed {
 			status, p, err := n.store.Range(ctx, e.Prefix, e.After, 500)
 			n.note("range", status, err)
-			return controller.Completed{ID: e.ID, State: true, Status: status, Page: p}
+			return step.Completed{ID: e.ID, State: true, Status: status, Page: p}
 		})
-	case controller.StateWatch:
-		back(func() controller.Completed {
+	case step.StateWatch:
+		back(func() step.Completed {
 			status, w, err := n.store.Watch(ctx, e.Prefix, e.After, e.Hold)
 			n.note("watch", status, err)
-			return controller.Completed{ID: e.ID, State: true, Status: status, Watch: w}
+			return step.Completed{ID: e.ID, State: true, Status: status, Watch: w}
 		})
-	case controller.CloudTypes:
-		back(func() controller.Completed {
+	case step.CloudTypes:
+		back(func() step.Completed {
 			status, t, err := n.cloud.Types(ctx)
 			n.note("machine types", status, err)
-			return controller.Completed{ID: e.ID, Status: status, Types: t}
+			return step.Completed{ID: e.ID, Status: status, Types: t}
 		})
-	case controller.CloudRent:
-		back(func() controller.Completed {
+	case step.CloudRent:
+		back(func() step.Completed {
 			status, names, err := n.cloud.Rent(ctx, e.Rent)
 			n.note("rent", status, err)
-			return controller.Completed{ID: e.ID, Status: status, Names: names.Machines}
+			return step.Completed{ID: e.ID, Status: status, Names: names.Machines}
 		})
-	case controller.CloudRelease:
-		back(func() controller.Completed {
+	case step.CloudRelease:
+		back(func() step.Completed {
 			status, err := n.cloud.Release(ctx, e.Names)
 			n.note("release", status, err)
-			return controller.Completed{ID: e.ID, Status: status}
+			return step.Completed{ID: e.ID, Status: status}
 		})
-	case controller.CloudList:
-		back(func() controller.Completed {
+	case step.CloudList:
+		back(func() step.Completed {
 			status, l, err := n.cloud.List(ctx, e.After)
 			n.note("list", status, err)
-			return controller.Completed{ID: e.ID, Status: status, List: l}
+			return step.Completed{ID: e.ID, Status: status, List: l}
 		})
-	case controller.Direct:
-		back(func() controller.Completed {
+	case step.Direct:
+		back(func() step.Completed {
 			// The right is checked again at the last moment.
 			if !time.Now().Before(e.Until) {
-				return controller.Completed{ID: e.ID, Status: statestore.NotSent}
+				return step.Completed{ID: e.ID, Status: statestore.NotSent}
 			}
 			ctx, cancel := context.WithTimeout(ctx, controller.DirectTimeout)
 			defer cancel()
 			var r wire.Report
 			status, err := n.workers.Do(ctx, "POST", "http://"+e.Endpoint+"/commands", e.Body, &r, 200, 409)
 			n.note("commands", status, err)
-			return controller.Completed{ID: e.ID, Status: status, Report: &r}
+			return step.Completed{ID: e.ID, Status: status, Report: &r}
 		})
 	}
 }
--- a/internal/node/usage.go
+++ b/internal/node/usage.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"fawncove/internal/controller"
+	"fawncove/internal/step"
 )
 
 // usageEvery is how often the use of the budgets is logged.
@@ -23,16 +23,16 @@
 }
 
 // count notes an effect that costs something.
-func (u *usage) count(e controller.Effect) {
+func (u *usage) count(e step.Effect) {
 	switch e := e.(type) {
-	case controller.StateTxn:
+	case step.StateTxn:
 		u.reads++
 		u.changes += len(e.Txn.Then)
-	case controller.StateGet, controller.StateRange, controller.StateWatch:
+	case step.StateGet, step.StateRange, step.StateWatch:
 		u.reads++
-	case controller.CloudTypes, controller.CloudRent, controller.CloudRelease, controller.CloudList:
+	case step.CloudTypes, step.CloudRent, step.CloudRelease, step.CloudList:
 		u.calls++
-	case controller.Direct:
+	case step.Direct:
 		u.commands++
 	}
 }
--- a/internal/simtest/actors.go
+++ b/internal/simtest/actors.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"fawncove/internal/config"
-	"fawncove/internal/controller"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -151,7 +151,7 @@
 	flight, session, sent := k.flight, k.session, w.now
 	n := w.nodes[k.node]
 	r := k.body()
-	finish := func(reply controller.Reply) {
+	finish := func(reply step.Reply) {
 		if k.gone || !k.busy || k.flight != flight || w.now < k.hang {
 			return // dropped: too late, or the machine hangs
 		}
@@ -177,14 +177,14 @@
 			}
 		}
 	}
-	w.after(4*time.Second, func() { finish(controller.Reply{}) })
+	w.after(4*time.Second, func() { finish(step.Reply{}) })
 	if !n.up {
-		w.after(time.Millisecond, func() { finish(controller.Reply{}) })
+		w.after(time.Millisecond, func() { finish(step.Reply{}) })
 		return
 	}
 	w.send(k.name, n.name, func() {
-		n.ask(func(req uint64) controller.Event { return controller.ReportIn{Req: req, Report: r} },
-			func(reply controller.Reply) { w.send(n.name, k.name, func() { finish(reply) }) })
+		n.ask(func(req uint64) step.Event { return step.ReportIn{Req: req, Report: r} },
+			func(reply step.Reply) { w.send(n.name, k.name, func() { finish(reply) }) })
 	})
 }
 
@@ -367,23 +367,23 @@
 	}
 }
 
-func (u *user) anyNode(build func(req uint64) controller.Event, then func(controller.Reply)) {
+func (u *user) anyNode(build func(req uint64) step.Event, then func(step.Reply)) {
 	w := u.w
 	n := w.nodes[w.rng.IntN(len(w.nodes))]
 	answered := false
-	once := func(r controller.Reply) {
+	once := func(r step.Reply) {
 		if !answered {
 			answered = true
 			then(r)
 		}
 	}
-	w.after(3*time.Second, func() { once(controller.Reply{}) })
+	w.after(3*time.Second, func() { once(step.Reply{}) })
 	if !n.up {
-		w.after(10*time.Millisecond, func() { once(controller.Reply{}) })
+		w.after(10*time.Millisecond, func() { once(step.Reply{}) })
 		return
 	}
 	w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, func() {
-		n.ask(build, func(r controller.Reply) {
+		n.ask(build, func(r step.Reply) {
 			w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, func() { once(r) })
 		})
 	})
@@ -391,7 +391,7 @@
 
 func (u *user) submit() {
 	u.submitted = true
-	u.anyNode(func(req uint64) controller.Event { return controller.SubmitIn{Req: req, Job: u.job} }, func(r controller.Reply) {
+	u.anyNode(func(req uint64) step.Event { return step.SubmitIn{Req: req, Job: u.job} }, func(r step.Reply) {
 		switch r.Status {
 		case 200, 201:
 			first := !u.accepted
@@ -413,7 +413,7 @@
 
 func (u *user) poll() {
 	accepted := u.accepted
-	u.anyNode(func(req uint64) controller.Event { return controller.PollIn{Req: req, ID: u.job.ID} }, func(r controller.Reply) {
+	u.anyNode(func(req uint64) step.Event { return step.PollIn{Req: req, ID: u.job.ID} }, func(r step.Reply) {
 		switch r.Status {
 		case 200:
 			u.hear(r.Body.(wire.JobAnswer).State)
@@ -427,7 +427,7 @@
 }
 
 func (u *user) cancel() {
-	u.anyNode(func(req uint64) controller.Event { return controller.CancelIn{Req: req, ID: u.job.ID} }, func(r controller.Reply) {
+	u.anyNode(func(req uint64) step.Event { return step.CancelIn{Req: req, ID: u.job.ID} }, func(r step.Reply) {
 		if r.Status != 200 {
 			u.w.after(time.Second, u.cancel)
 			return
--- a/internal/simtest/services.go
+++ b/internal/simtest/services.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"fawncove/internal/controller"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -28,7 +28,7 @@
 	node, prefix string
 	after        uint64
 	until        time.Duration
-	answer       func(controller.Completed)
+	answer       func(step.Completed)
 }
 
 // store stands in for the state service.
@@ -58,17 +58,17 @@
 }
 
 // guard answers 503 while the service is down.
-func (s *store) guard(node string, f func() controller.Completed) func(func(controller.Completed)) {
-	return func(answer func(controller.Completed)) {
+func (s *store) guard(node string, f func() step.Completed) func(func(step.Completed)) {
+	return func(answer func(step.Completed)) {
 		if s.down(node) {
-			answer(controller.Completed{Status: 503})
+			answer(step.Completed{Status: 503})
 			return
 		}
 		answer(f())
 	}
 }
 
-func (s *store) txn(t wire.Txn) controller.Completed {
+func (s *store) txn(t wire.Txn) step.Completed {
 	var failed []string
 	for _, c := range t.If {
 		if s.values[c.Key].version != c.Version {
@@ -76,13 +76,13 @@
 		}
 	}
 	if len(failed) > 0 {
-		return controller.Completed{Status: 409, Txn: wire.TxnAnswer{Failed: failed, Revision: s.rev}}
+		return step.Completed{Status: 409, Txn: wire.TxnAnswer{Failed: failed, Revision: s.rev}}
 	}
 	if s.w.now-s.w.filled >= time.Second {
 		s.w.filled, s.w.writes = s.w.now, s.w.cfg.State.WriteRPS
 	}
 	if s.w.writes -= float64(len(t.Then)); s.w.writes < 0 && len(t.Then) > 0 {
-		return controller.Completed{Status: 429}
+		return step.Completed{Status: 429}
 	}
 	if len(t.Then) > s.w.cfg.State.TxnOps || len(t.If) > 4*s.w.cfg.State.TxnOps {
 		s.w.breakRule("transaction too large: %d conditions, %d changes", len(t.If), len(t.Then))
@@ -107,18 +107,18 @@
 		}
 	}
 	s.wake()
-	return controller.Completed{Status: 200, Txn: wire.TxnAnswer{Revision: s.rev}}
+	return step.Completed{Status: 200, Txn: wire.TxnAnswer{Revision: s.rev}}
 }
 
-func (s *store) get(key string) controller.Completed {
+func (s *store) get(key string) step.Completed {
 	v, ok := s.values[key]
 	if !ok {
-		return controller.Completed{Status: 404}
+		return step.Completed{Status: 404}
 	}
-	return controller.Completed{Status: 200, Pair: wire.Pair{Key: key, Value: v.data, Version: v.version}}
+	return step.Completed{Status: 200, Pair: wire.Pair{Key: key, Value: v.data, Version: v.version}}
 }
 
-func (s *store) page(prefix, after string) controller.Completed {
+func (s *store) page(prefix, after string) step.Completed {
 	p := wire.Page{Revision: s.rev}
 	for _, key := range slices.Sorted(maps.Keys(s.values)) {
 		if !strings.HasPrefix(key, prefix) || key <= after {
@@ -131,16 +131,16 @@
 		v := s.values[key]
 		p.Pairs = append(p.Pairs, wire.Pair{Key: key, Value: v.data, Version: v.version})
 	}
-	return controller.Completed{Status: 200, Page: p}
+	return step.Completed{Status: 200, Page: p}
 }
 
-func (s *store) watch(node, prefix string, after uint64, until time.Duration, answer func(controller.Completed)) {
+func (s *store) watch(node, prefix string, after uint64, until time.Duration, answer func(step.Completed)) {
 	if s.down(node) {
-		answer(controller.Completed{Status: 503})
+		answer(step.Completed{Status: 503})
 		return
 	}
 	if s.rev-min(after, s.rev) > 400 { // the real service keeps more
-		answer(controller.Completed{Status: 410})
+		answer(step.Completed{Status: 410})
 		return
 	}
 	s.waiters = append(s.waiters, &waiter{node, prefix, after, until, answer})
@@ -167,7 +167,7 @@
 			keep = append(keep, x)
 			continue
 		}
-		x.answer(controller.Completed{Status: 200, Watch: c})
+		x.answer(step.Completed{Status: 200, Watch: c})
 	}
 	s.waiters = keep
 }
@@ -186,9 +186,9 @@
 	answers map[string][]string
 }
 
-func (c *simCloud) rent(r wire.Rent) controller.Completed {
+func (c *simCloud) rent(r wire.Rent) step.Completed {
 	if names, ok := c.answers[r.Request]; ok {
-		return controller.Completed{Status: 200, Names: names}
+		return step.Completed{Status: 200, Names: names}
 	}
 	live := 0
 	for _, k := range c.w.workers {
@@ -198,7 +198,7 @@
 	}
 	n := min(r.Number, c.w.most-live)
 	if n <= 0 || c.w.rng.IntN(6) == 0 {
-		return controller.Completed{Status: 503}
+		return step.Completed{Status: 503}
 	}
 	var names []string
 	for range n {
@@ -220,11 +220,11 @@
 		c.w.after(boot, k.begin)
 	}
 	c.answers[r.Request] = names
-	return controller.Completed{Status: 200, Names: names}
+	return step.Completed{Status: 200, Names: names}
 }
 
 // list shows machines some seconds late.
-func (c *simCloud) list() controller.Completed {
+func (c *simCloud) list() step.Completed {
 	lag := time.Duration(c.w.rng.IntN(8000)) * time.Millisecond
 	var l wire.MachineList
 	for _, name := range slices.Sorted(maps.Keys(c.w.workers)) {
@@ -243,7 +243,7 @@
 		l.Machines = append(l.Machines, wire.Machine{Name: name, Endpoint: k.endpoint, Type: k.kind, Zone: k.zone,
 			Spot: k.spot, State: state, AgeS: age.Seconds()})
 	}
-	return controller.Completed{Status: 200, List: l}
+	return step.Completed{Status: 200, List: l}
 }
 
 // kill ends a machine with all that is on it.
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -14,6 +14,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"reflect"
 	"strings"
 	"time"
 
@@ -21,6 +22,7 @@
 
 	"fawncove/internal/config"
 	"fawncove/internal/controller"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -264,7 +266,7 @@
 	life  int // counts the processes
 	up    bool
 	slow  time.Duration // until then everything takes it long
-	waits map[uint64]func(controller.Reply)
+	waits map[uint64]func(step.Reply)
 	next  uint64
 }
 
@@ -281,13 +283,13 @@
 	}
 	n.life++
 	n.up = true
-	n.waits = map[uint64]func(controller.Reply){}
+	n.waits = map[uint64]func(step.Reply){}
 	n.core = controller.New(s, n.w.par, slog.New(slog.NewTextHandler(io.Discard, nil)), uint64(n.clock().UnixMilli()))
 	life := n.life
 	var tick func()
 	tick = func() {
 		if n.up && n.life == life {
-			n.step(controller.Tick{})
+			n.step(step.Tick{})
 			n.w.after(150*time.Millisecond, tick)
 		}
 	}
@@ -316,7 +318,7 @@
 // Slow makes controller i compute slowly for d.
 func (w *World) Slow(i int, d time.Duration) { w.nodes[i].slow = w.now + d }
 
-func (n *simNode) step(ev controller.Event) {
+func (n *simNode) step(ev step.Event) {
 	for _, e := range n.core.Step(n.clock(), ev) {
 		if n.w.trace != nil {
 			n.w.note(n.name, e)
@@ -326,10 +328,10 @@
 }
 
 // note adds an effect to the trace.
-func (w *World) note(node string, e controller.Effect) {
-	text := fmt.Sprintf("%v %s %T ", w.now, node, e)
+func (w *World) note(node string, e step.Effect) {
+	text := fmt.Sprintf("%v %s %s ", w.now, node, reflect.TypeOf(e).Name())
 	body, err := json.Marshal(e)
-	if p, ok := e.(controller.PeerSend); ok {
+	if p, ok := e.(step.PeerSend); ok {
 		text += p.To
 		body, err = proto.MarshalOptions{Deterministic: true}.Marshal(p.Frame)
 	}
@@ -340,14 +342,14 @@
 }
 
 // back hands an outcome to the core if its process still lives.
-func (n *simNode) back(life int, ev controller.Event) {
+func (n *simNode) back(life int, ev step.Event) {
 	if n.up && n.life == life {
 		n.step(ev)
 	}
 }
 
 // ask hands a request to the core; then gets its reply.
-func (n *simNode) ask(build func(req uint64) controller.Event, then func(controller.Reply)) {
+func (n *simNode) ask(build func(req uint64) step.Event, then func(step.Reply)) {
 	if !n.up {
 		return
 	}
@@ -356,22 +358,22 @@
 	n.step(build(n.next))
 }
 
-func (n *simNode) carryOut(e controller.Effect) {
+func (n *simNode) carryOut(e step.Effect) {
 	w, life := n.w, n.life
 	// call sends a request to a regional service; without an answer within
 	// two seconds the core is told so.
-	call := func(id uint64, state bool, timeout time.Duration, serve func(answer func(controller.Completed))) {
+	call := func(id uint64, state bool, timeout time.Duration, serve func(answer func(step.Completed))) {
 		done := false
-		finish := func(c controller.Completed) {
+		finish := func(c step.Completed) {
 			if !done {
 				done = true
 				c.ID, c.State = id, state
 				n.back(life, c)
 			}
 		}
-		w.after(timeout, func() { finish(controller.Completed{}) })
+		w.after(timeout, func() { finish(step.Completed{}) })
 		w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, func() {
-			serve(func(c controller.Completed) {
+			serve(func(c step.Completed) {
 				if w.rng.IntN(400) == 0 {
 					return // the answer is lost
 				}
@@ -381,7 +383,7 @@
 	}
 	const short = 2 * time.Second
 	switch e := e.(type) {
-	case controller.Reply:
+	case step.Reply:
 		if f := n.waits[e.Req]; f != nil {
 			delete(n.waits, e.Req)
 			// The answer is written a little after it was decided.
@@ -390,25 +392,25 @@
 					return
 				}
 				if !e.Until.IsZero() && !n.clock().Before(e.Until) {
-					e = controller.Reply{Req: e.Req, Status: 503}
+					e = step.Reply{Req: e.Req, Status: 503}
 				}
 				f(e)
 			})
 		}
-	case controller.PeerSend:
+	case step.PeerSend:
 		for _, p := range w.nodes {
 			if p.name == e.To {
 				w.send(n.name, p.name, func() {
 					if p.up {
-						p.step(controller.PeerIn{Frame: e.Frame})
+						p.step(step.PeerIn{Frame: e.Frame})
 					}
 				})
 			}
 		}
-	case controller.StateTxn:
-		call(e.ID, true, short, func(answer func(controller.Completed)) {
+	case step.StateTxn:
+		call(e.ID, true, short, func(answer func(step.Completed)) {
 			if w.store.down(n.name) {
-				answer(controller.Completed{Status: 503})
+				answer(step.Completed{Status: 503})
 			} else if w.rng.IntN(150) == 0 {
 				// Applied late, without an answer.
 				w.after(time.Duration(w.rng.IntN(30))*time.Second, func() { w.store.txn(e.Txn) })
@@ -416,50 +418,50 @@
 				answer(w.store.txn(e.Txn))
 			}
 		})
-	case controller.StateGet:
-		call(e.ID, true, short, w.store.guard(n.name, func() controller.Completed { return w.store.get(e.Key) }))
-	case controller.StateRange:
-		call(e.ID, true, short, w.store.guard(n.name, func() controller.Completed { return w.store.page(e.Prefix, e.After) }))
-	case controller.StateWatch:
-		call(e.ID, true, e.Hold+short, func(answer func(controller.Completed)) {
+	case step.StateGet:
+		call(e.ID, true, short, w.store.guard(n.name, func() step.Completed { return w.store.get(e.Key) }))
+	case step.StateRange:
+		call(e.ID, true, short, w.store.guard(n.name, func() step.Completed { return w.store.page(e.Prefix, e.After) }))
+	case step.StateWatch:
+		call(e.ID, true, e.Hold+short, func(answer func(step.Completed)) {
 			w.store.watch(n.name, e.Prefix, e.After, w.now+e.Hold, answer)
 		})
-	case controller.CloudTypes:
-		call(e.ID, false, short, func(answer func(controller.Completed)) {
-			answer(controller.Completed{Status: 200, Types: wire.MachineTypes{Types: machineTypes}})
+	case step.CloudTypes:
+		call(e.ID, false, short, func(answer func(step.Completed)) {
+			answer(step.Completed{Status: 200, Types: wire.MachineTypes{Types: machineTypes}})
 		})
-	case controller.CloudRent:
-		call(e.ID, false, short, func(answer func(controller.Completed)) {
+	case step.CloudRent:
+		call(e.ID, false, short, func(answer func(step.Completed)) {
 			if w.rng.IntN(30) == 0 {
 				w.after(time.Duration(w.rng.IntN(20))*time.Second, func() { w.cloud.rent(e.Rent) })
 				return
 			}
 			answer(w.cloud.rent(e.Rent))
 		})
-	case controller.CloudRelease:
-		call(e.ID, false, short, func(answer func(controller.Completed)) {
+	case step.CloudRelease:
+		call(e.ID, false, short, func(answer func(step.Completed)) {
 			for _, name := range e.Names {
 				w.kill(name)
 				delete(w.workers, name)
 			}
-			answer(controller.Completed{Status: 200})
+			answer(step.Completed{Status: 200})
 		})
-	case controller.CloudList:
-		call(e.ID, false, short, func(answer func(controller.Completed)) { answer(w.cloud.list()) })
-	case controller.Direct:
+	case step.CloudList:
+		call(e.ID, false, short, func(answer func(step.Completed)) { answer(w.cloud.list()) })
+	case step.Direct:
 		if !n.clock().Before(e.Until) {
-			w.after(0, func() { n.back(life, controller.Completed{ID: e.ID, Status: -1}) })
+			w.after(0, func() { n.back(life, step.Completed{ID: e.ID, Status: -1}) })
 			return
 		}
 		done := false
-		finish := func(c controller.Completed) {
+		finish := func(c step.Completed) {
 			if !done {
 				done = true
 				c.ID = e.ID
 				n.back(life, c)
 			}
 		}
-		w.after(short, func() { finish(controller.Completed{}) })
+		w.after(short, func() { finish(step.Completed{}) })
 		var name string
 		if _, err := fmt.Sscanf(e.Endpoint, "worker-%s", &name); err == nil {
 			name = strings.TrimSuffix(name, ":9000")
@@ -471,7 +473,7 @@
 			}
 			k.whenAwake(func() {
 				status, r := k.commands(e.Body)
-				w.send(name, n.name, func() { finish(controller.Completed{Status: status, Report: r}) })
+				w.send(name, n.name, func() { finish(step.Completed{Status: status, Report: r}) })
 			})
 		})
 	}
--- a/internal/simtest/world_test.go
+++ b/internal/simtest/world_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"fawncove/internal/controller"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -316,8 +316,8 @@
 	w := New(1)
 	w.Run(5 * time.Second)
 	ask := func() (status int) {
-		w.nodes[0].ask(func(req uint64) controller.Event { return controller.PollIn{Req: req, ID: "wk-999999"} },
-			func(r controller.Reply) { status = r.Status })
+		w.nodes[0].ask(func(req uint64) step.Event { return step.PollIn{Req: req, ID: "wk-999999"} },
+			func(r step.Reply) { status = r.Status })
 		w.Run(3 * time.Second)
 		return status
 	}
@@ -341,13 +341,13 @@
 	u.submit()
 	w.Run(8 * time.Second)
 	told := ""
-	w.nodes[0].ask(func(req uint64) controller.Event { return controller.CancelIn{Req: req, ID: u.job.ID} },
-		func(r controller.Reply) {
+	w.nodes[0].ask(func(req uint64) step.Event { return step.CancelIn{Req: req, ID: u.job.ID} },
+		func(r step.Reply) {
 			if r.Status != 200 {
 				t.Fatalf("cancel: %d", r.Status)
 			}
-			w.nodes[1].ask(func(req uint64) controller.Event { return controller.PollIn{Req: req, ID: u.job.ID} },
-				func(r controller.Reply) {
+			w.nodes[1].ask(func(req uint64) step.Event { return step.PollIn{Req: req, ID: u.job.ID} },
+				func(r step.Reply) {
 					if a, ok := r.Body.(wire.JobAnswer); ok {
 						told = a.State
 					}
@@ -386,8 +386,8 @@
 	w.Run(time.Second) // soon enough for the machine still to be in a block
 	kept := 0
 	for range 3 { // the first time the worker is sent back to its owner
-		w.nodes[other].ask(func(req uint64) controller.Event { return controller.ReportIn{Req: req, Report: report} },
-			func(r controller.Reply) {
+		w.nodes[other].ask(func(req uint64) step.Event { return step.ReportIn{Req: req, Report: report} },
+			func(r step.Reply) {
 				a, ok := r.Body.(wire.ReportAnswer)
 				if !ok || r.Status != 200 {
 					return
--- a/internal/controller/events.go
+++ b/internal/step/step.go
@@ -1,4 +1,7 @@
-package controller
+// Package step is what a core without input or output consists of: the events
+// that it is handed, the effects that it returns, and the calls among these
+// that it waits for.
+package step
 
 import (
 	"time"
@@ -7,6 +10,47 @@
 	"fawncove/internal/wire"
 )
 
+// Loop is a core's step at work. Its roles share one, in the one goroutine that
+// owns them all.
+type Loop struct {
+	Now time.Time // when the event happened
+
+	out     []Effect
+	next    uint64
+	waiting map[uint64]func(Completed)
+}
+
+// Begin starts a step at now.
+func (l *Loop) Begin(now time.Time) { l.Now, l.out = now, nil }
+
+// Effects are what the step has asked for so far.
+func (l *Loop) Effects() []Effect { return l.out }
+
+// Emit asks for an effect.
+func (l *Loop) Emit(e Effect) { l.out = append(l.out, e) }
+
+// Call registers f for the completion of an effect and returns its id.
+func (l *Loop) Call(f func(Completed)) uint64 {
+	if l.waiting == nil {
+		l.waiting = map[uint64]func(Completed){}
+	}
+	l.next++
+	l.waiting[l.next] = f
+	return l.next
+}
+
+// Complete hands a completion to whom it is for. It tells whether anybody
+// still waited.
+func (l *Loop) Complete(d Completed) bool {
+	f := l.waiting[d.ID]
+	if f == nil {
+		return false
+	}
+	delete(l.waiting, d.ID)
+	f(d)
+	return true
+}
+
 // Event is something that happened.
 type Event any
 
