--- /dev/null
+++ b/internal/cluster/cluster.go
@@ -0,0 +1,206 @@
+// Package cluster is what a controller knows of the cluster as a whole: the
+// settings, the machine types, the lease value and the other controllers. One
+// goroutine owns it; the roles of a controller read it, and only the core that
+// is handed the news changes it.
+package cluster
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/sched"
+	"fawncove/internal/wire"
+)
+
+const (
+	// LinkDead is the silence after which a peer counts as out of reach.
+	LinkDead = 2500 * time.Millisecond
+	// UseFresh is how long what a controller told of its use counts.
+	UseFresh = 10 * time.Second
+
+	// drift is how far two steady clocks may run apart, both ways together.
+	drift = 0.001
+	// margin covers what happens between a check of a right and its use.
+	margin = 500 * time.Millisecond
+)
+
+// Stretch returns how long another machine's d may take on this one's clock.
+func Stretch(d time.Duration) time.Duration { return d + time.Duration(float64(d)*drift) + margin }
+
+// Shrink returns how much of d this machine may use for itself.
+func Shrink(d time.Duration) time.Duration { return d - time.Duration(float64(d)*drift) - margin }
+
+// View is the picture of the cluster.
+type View struct {
+	Cfg   *config.Settings
+	Me    string                      // this controller
+	Types map[string]wire.MachineType // by name; empty until read
+	Peers map[string]*Peer            // the other controllers by name
+
+	// Lease is the lease value as last read whole, and Version its version; 0
+	// means that none has been read.
+	Lease   wire.LeaseRecord
+	Version uint64
+	owners  map[string]string // machine -> controller, by the lease value
+}
+
+// Peer is what is known of another controller.
+type Peer struct {
+	Area    string
+	Heard   time.Time
+	StateOK bool
+	OKSince time.Time // since when it says so without a break
+	Spare   float64   // processors free beyond what waits
+	Form    uint32    // the newest form of the lease value that it reads
+	Teams   map[string]*peerpb.TeamUse
+	Room    Room
+}
+
+// Room is what is free on a controller's machines at a moment, in processors.
+type Room struct {
+	Free   float64
+	Size   float64            // of all its machines
+	Images map[string]float64 // free on machines that have an image
+}
+
+// Take counts a job that was filed there against the room, until the
+// controller tells its new figures.
+func (r *Room) Take(j *wire.Job) {
+	cpus := float64(j.Tasks) * j.CPUs
+	r.Free = max(0, r.Free-cpus)
+	if n, ok := r.Images[j.Image]; ok {
+		r.Images[j.Image] = max(0, n-cpus)
+	}
+}
+
+// Worth rates the room for an urgent job: the part of it that could start at
+// once, and more so where its image is.
+func (r *Room) Worth(j *wire.Job) float64 {
+	cpus := max(1e-6, float64(j.Tasks)*j.CPUs)
+	return (min(cpus, r.Images[j.Image]) + 0.5*min(cpus, r.Free)) / cpus
+}
+
+// New returns the view of the controller described by cfg, before it has read
+// or heard anything.
+func New(cfg *config.Settings) *View {
+	v := &View{Cfg: cfg, Me: cfg.HostName, Types: map[string]wire.MachineType{},
+		Peers: map[string]*Peer{}, owners: map[string]string{}}
+	for _, p := range cfg.Peers {
+		v.Peers[p.HostName] = &Peer{Area: p.Area}
+	}
+	return v
+}
+
+// Tell notes what a controller's tasks use and want.
+func (p *Peer) Tell(uses []*peerpb.TeamUse) {
+	for _, u := range uses {
+		if p.Teams == nil {
+			p.Teams = map[string]*peerpb.TeamUse{}
+		}
+		p.Teams[u.GetTeam()] = u
+	}
+}
+
+// LinkUp tells whether another controller has been heard a moment ago.
+func (v *View) LinkUp(name string, now time.Time) bool {
+	p := v.Peers[name]
+	return p != nil && !p.Heard.IsZero() && now.Sub(p.Heard) < LinkDead
+}
+
+// AreaOf is the zone of a controller; "" of one that is not known.
+func (v *View) AreaOf(node string) string {
+	if node == v.Me {
+		return v.Cfg.Area
+	}
+	if p := v.Peers[node]; p != nil {
+		return p.Area
+	}
+	return ""
+}
+
+// OwnerOf names the controller that holds a machine, or "".
+func (v *View) OwnerOf(machine string) string { return v.owners[machine] }
+
+// Leased tells how many machines are in blocks.
+func (v *View) Leased() int { return len(v.owners) }
+
+// TeamOf returns the settings of a team.
+func (v *View) TeamOf(name string) (t config.Team, ok bool) {
+	i := slices.IndexFunc(v.Cfg.Cluster.Teams, func(t config.Team) bool { return t.Name == name })
+	if i < 0 {
+		return t, false
+	}
+	return v.Cfg.Cluster.Teams[i], true
+}
+
+// LimitOf is the most that a team's tasks may use; of an unknown team, none.
+func (v *View) LimitOf(team string) sched.Limit {
+	t, _ := v.TeamOf(team)
+	return sched.Limit{CPUs: t.CPUsMax, Cards: t.GPUsMax}
+}
+
+// GuaranteeOf is what a team is guaranteed, as a limit.
+func (v *View) GuaranteeOf(team string) sched.Limit {
+	t, _ := v.TeamOf(team)
+	return sched.Limit{CPUs: t.CPUs, Cards: t.GPUs}
+}
+
+// SizeOf is the room on a machine of a type.
+func SizeOf(t wire.MachineType) sched.Amount {
+	return sched.Amount{CPUs: t.CPUs, Cards: t.Cards, MemoryGB: t.MemoryGB}
+}
+
+// Unlimited tells whether a team has neither a limit nor a guarantee.
+func Unlimited(t config.Team) bool {
+	return t.CPUs <= 0 && t.CPUsMax <= 0 && t.GPUs <= 0 && t.GPUsMax <= 0
+}
+
+// Parts lists the parts of a team's jobs by name.
+func Parts(homes map[string]string, team string) []string {
+	var out []string
+	for home := range homes {
+		if wire.IsPart(home, team) {
+			out = append(out, home)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// SortedKeys lists a map's keys in order, wherever the order shows in the
+// effects: the same events always have the same outcome.
+func SortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// Take makes a newer lease value the current one. Blocks that did not change
+// cost a comparison only: the value is written often and is long.
+func (v *View) Take(rec wire.LeaseRecord, version uint64) {
+	before, after := v.Lease.Blocks, rec.Blocks
+	v.Lease, v.Version = rec, version
+	same := func(node string) bool {
+		a, b := before[node], after[node]
+		return slices.Equal(a.Machines, b.Machines) && slices.Equal(a.Old, b.Old)
+	}
+	for node, b := range before {
+		if same(node) {
+			continue
+		}
+		for _, names := range [][]string{b.Machines, b.Old} {
+			for _, name := range names {
+				delete(v.owners, name)
+			}
+		}
+	}
+	for node, b := range after {
+		if same(node) {
+			continue
+		}
+		for _, names := range [][]string{b.Machines, b.Old} {
+			for _, name := range names {
+				v.owners[name] = node
+			}
+		}
+	}
+}
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/wire"
@@ -32,7 +33,7 @@
 	c := New(s, Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
 	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 	c.loop.Now, c.fresh, c.stateOK, c.loaded = now, now, now, true
-	c.types["b8"] = wire.MachineType{Name: "b8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"x", "y"}}
+	c.view.Types["b8"] = wire.MachineType{Name: "b8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"x", "y"}}
 	rec := wire.LeaseRecord{Form: 2, Term: 3, Leader: "n0", Incarnation: 7, Homes: map[string]string{"red": "n0"},
 		Blocks: map[string]wire.Block{}, Shares: map[string]wire.Shares{"red": {}}}
 	for i := range 5 {
@@ -52,8 +53,8 @@
 	part.Blocks = map[string]wire.Block{}
 	for done := false; !done; {
 		done = true
-		budget := c.book.Budget(c.cfg.ValueLimits())
-		for _, node := range sortedKeys(rec.Blocks) {
+		budget := c.book.Budget(c.view.Cfg.ValueLimits())
+		for _, node := range cluster.SortedKeys(rec.Blocks) {
 			blk := rec.Blocks[node]
 			have := len(part.Blocks[node].Machines)
 			all := blk.Machines
@@ -65,7 +66,7 @@
 			part.Blocks[node] = blk
 		}
 		part.Beat++
-		d, err := c.book.Write(&part, c.cfg.ValueLimits())
+		d, err := c.book.Write(&part, c.view.Cfg.ValueLimits())
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -83,9 +84,9 @@
 		}
 	}
 	c.right = now.Add(time.Hour)
-	for i, name := range sortedKeys(c.machines) {
+	for i, name := range cluster.SortedKeys(c.machines) {
 		m := c.machines[name]
-		m.kind, m.zone, m.spot, m.session, m.endpoint, m.size = "b8", "x", true, 1, "10.0.0.1:9000", sizeOf(c.types["b8"])
+		m.kind, m.zone, m.spot, m.session, m.endpoint, m.size = "b8", "x", true, 1, "10.0.0.1:9000", cluster.SizeOf(c.view.Types["b8"])
 		if i%25 == 0 {
 			c.applyJob(wire.JobRecord{Job: wire.Job{ID: fmt.Sprintf("wk-%06d", i), Class: "c", Team: "red", Shape: wire.Array, Priority: "standard",
 				Tasks: 150, CPUs: 4, MemoryGB: 4, Spot: true, EstimateS: 60, Image: "img", ImageGB: 1}, Part: wire.PartName("red", 1)}, uint64(10+i))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
@@ -34,32 +35,19 @@
 }
 
 const (
-	// drift is how far two steady clocks may run apart, both ways together.
-	drift = 0.001
-	// margin covers what happens between a check of a right and its use.
-	margin = 500 * time.Millisecond
 	// watchHold bounds how old this controller's knowledge of cancellations
 	// gets while the state service answers.
 	watchHold = 2 * time.Second
-	// linkDead is the silence after which a peer counts as out of reach.
-	linkDead = 2500 * time.Millisecond
 )
 
-// stretch returns how long another machine's d may take on this one's clock.
-func stretch(d time.Duration) time.Duration { return d + time.Duration(float64(d)*drift) + margin }
-
-// shrink returns how much of d this machine may use for itself.
-func shrink(d time.Duration) time.Duration { return d - time.Duration(float64(d)*drift) - margin }
-
 // Core is the state of one controller.
 type Core struct {
-	cfg *config.Settings
+	view *cluster.View
 	// budgets are the limits of the settings that bound the fleet, but for the
 	// lease value, whose size is known.
 	budgets []config.Budget
 	par     Params
 	log     *slog.Logger
-	me      string
 	inc     uint64
 
 	loop step.Loop
@@ -88,14 +76,10 @@
 	pagesBusy bool
 	pagesNext time.Time
 
-	types     map[string]wire.MachineType
 	typesAt   time.Time
 	typesBusy bool
 
 	// The lease value and this controller's rights under it.
-	lease        wire.LeaseRecord
-	owners       map[string]string // machine -> controller, by the lease value
-	leaseVersion uint64
 	leaseSeen    time.Time
 	leaseBusy    bool
 	book         leasevalue.Book // the pages beside the lease value
@@ -119,7 +103,6 @@
 	stopping map[string]sched.Amount // the part of used that is being stopped
 	attempts uint64
 	guests   map[string]*guest
-	peers    map[string]*peerState
 	classes  map[string]*classStats
 	inflow   map[int64]float64 // accepted work by step of time, see arrived
 	placeDue bool
@@ -134,35 +117,21 @@
 	cutUntil  map[string]time.Time // zones whose machines may yet come back together
 	preemptAt time.Time
 	pingAt    time.Time
-	spare     float64 // processors free here beyond what waits
-	room      room    // free here now
+	spare     float64      // processors free here beyond what waits
+	room      cluster.Room // free here now
 	progress  map[string]*peerpb.Progress
 }
 
-// peerState is what is known of another controller.
-type peerState struct {
-	area    string
-	heard   time.Time
-	stateOK bool
-	okSince time.Time // since when it says so without a break
-	spare   float64   // processors free beyond what waits
-	form    uint32    // the newest form of the lease value that it reads
-	teams   map[string]*peerpb.TeamUse
-	room    room
-}
-
 // New returns the core of the controller described by cfg. incarnation must
 // be larger than that of every earlier process of the same name.
 func New(cfg *config.Settings, par Params, log *slog.Logger, incarnation uint64) *Core {
-	c := &Core{cfg: cfg, par: par, log: log, me: cfg.HostName, inc: incarnation,
+	c := &Core{view: cluster.New(cfg), par: par, log: log, inc: incarnation,
 		jobs:        map[string]*job{},
 		ended:       map[string]wire.EndRecord{},
 		ending:      map[string]bool{},
 		pageOf:      map[string]*page{},
 		facts:       map[string][]byte{},
-		types:       map[string]wire.MachineType{},
 		renewalSent: map[uint64]time.Time{},
-		owners:      map[string]string{},
 		homes:       map[string]uint64{},
 		machines:    map[string]*machine{},
 		used:        map[string]sched.Amount{},
@@ -171,7 +140,6 @@
 		strangers:   map[string]bool{},
 		guests:      map[string]*guest{},
 		cutUntil:    map[string]time.Time{},
-		peers:       map[string]*peerState{},
 		classes:     map[string]*classStats{},
 		inflow:      map[int64]float64{},
 		progress:    map[string]*peerpb.Progress{},
@@ -181,9 +149,6 @@
 			c.budgets = append(c.budgets, b)
 		}
 	}
-	for _, p := range cfg.Peers {
-		c.peers[p.HostName] = &peerState{area: p.Area}
-	}
 	return c
 }
 
@@ -219,14 +184,14 @@
 // Healthy tells whether users can be served here: everything is read, and
 // where the state service is out of reach, nobody else does better.
 func (c *Core) Healthy() bool {
-	if !c.loaded || len(c.types) == 0 || c.leaseVersion == 0 {
+	if !c.loaded || len(c.view.Types) == 0 || c.view.Version == 0 {
 		return false
 	}
 	if c.loop.Now.Sub(c.stateOK) < 4*time.Second {
 		return true
 	}
-	for _, p := range c.peers {
-		if c.loop.Now.Sub(p.heard) < linkDead && p.stateOK {
+	for _, p := range c.view.Peers {
+		if c.loop.Now.Sub(p.Heard) < cluster.LinkDead && p.StateOK {
 			return false
 		}
 	}
@@ -234,10 +199,10 @@
 }
 
 // LeaseForm is the form of the lease value as this controller last read it.
-func (c *Core) LeaseForm() int { return c.lease.Form }
+func (c *Core) LeaseForm() int { return c.view.Lease.Form }
 
 // Parted tells how many teams' limits are held in shares.
-func (c *Core) Parted() int { return len(c.lease.Shares) }
+func (c *Core) Parted() int { return len(c.view.Lease.Shares) }
 
 // Holds tells how many machines are in this controller's block.
 func (c *Core) Holds() int { return len(c.machines) }
@@ -270,7 +235,7 @@
 // the leader's prices now and then.
 func (c *Core) loadTypes() {
 	every := 30 * time.Second
-	if len(c.types) == 0 {
+	if len(c.view.Types) == 0 {
 		every = time.Second
 	} else if c.lead == nil {
 		return
@@ -286,7 +251,7 @@
 		}
 		for _, t := range d.Types.Types {
 			if t.Name != "" && t.CPUs > 0 {
-				c.types[t.Name] = t
+				c.view.Types[t.Name] = t
 			}
 		}
 	})})
@@ -304,8 +269,8 @@
 	f.SpareCpus = c.spare
 	f.Teams = c.usesOfTeams()
 	c.room = c.roomNow()
-	c.room.size = size
-	f.FreeCpus, f.ImageCpus, f.SizeCpus = c.room.free, c.room.images, size
+	c.room.Size = size
+	f.FreeCpus, f.ImageCpus, f.SizeCpus = c.room.Free, c.room.Images, size
 	for _, j := range c.jobs {
 		if c.owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
 			j.shown = [2]int{j.doneCount, j.running()}
@@ -313,33 +278,33 @@
 		}
 	}
 	slices.SortFunc(f.Progress, func(a, b *peerpb.Progress) int { return strings.Compare(a.GetId(), b.GetId()) })
-	for _, name := range sortedKeys(c.peers) {
+	for _, name := range cluster.SortedKeys(c.view.Peers) {
 		c.loop.Emit(step.PeerSend{To: name, Frame: f})
 	}
 }
 
 // frame is the beginning of every message to another controller.
 func (c *Core) frame() *peerpb.Frame {
-	return &peerpb.Frame{From: c.me, Incarnation: c.inc, StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
+	return &peerpb.Frame{From: c.view.Me, Incarnation: c.inc, StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
 }
 
 func (c *Core) onPeer(f *peerpb.Frame) {
-	p := c.peers[f.GetFrom()]
+	p := c.view.Peers[f.GetFrom()]
 	if p == nil {
 		c.log.Warn("frame from an unknown peer", "from", f.GetFrom())
 		return
 	}
-	if f.GetStateOk() && (!p.stateOK || c.loop.Now.Sub(p.heard) > linkDead) {
-		p.okSince = c.loop.Now
+	if f.GetStateOk() && (!p.StateOK || c.loop.Now.Sub(p.Heard) > cluster.LinkDead) {
+		p.OKSince = c.loop.Now
 	}
-	p.heard, p.stateOK, p.form = c.loop.Now, f.GetStateOk(), f.GetReadsForm()
+	p.Heard, p.StateOK, p.Form = c.loop.Now, f.GetStateOk(), f.GetReadsForm()
 	if f.GetRenewal() == nil {
-		p.spare = f.GetSpareCpus()
+		p.Spare = f.GetSpareCpus()
 	}
 	if f.GetImageCpus() != nil {
-		p.room = room{f.GetFreeCpus(), f.GetSizeCpus(), f.GetImageCpus()}
+		p.Room = cluster.Room{Free: f.GetFreeCpus(), Size: f.GetSizeCpus(), Images: f.GetImageCpus()}
 	}
-	p.tell(f.GetTeams())
+	p.Tell(f.GetTeams())
 	for _, g := range f.GetProgress() {
 		if j := c.jobs[g.GetId()]; j != nil {
 			j.told = [2]int{int(g.GetDone()), int(g.GetRunning())}
@@ -356,28 +321,13 @@
 	}
 }
 
-// tell notes what a controller's tasks use and want.
-func (p *peerState) tell(uses []*peerpb.TeamUse) {
-	for _, u := range uses {
-		if p.teams == nil {
-			p.teams = map[string]*peerpb.TeamUse{}
-		}
-		p.teams[u.GetTeam()] = u
-	}
-}
-
 // usesOfTeams lists what this controller's tasks use and want, where others
 // have to know it.
 func (c *Core) usesOfTeams() []*peerpb.TeamUse {
 	uses := c.teamUse()
 	var out []*peerpb.TeamUse
-	for _, team := range sortedKeys(uses) {
+	for _, team := range cluster.SortedKeys(uses) {
 		out = append(out, uses[team])
 	}
 	return out
 }
-
-func (c *Core) linkUp(name string) bool {
-	p := c.peers[name]
-	return p != nil && !p.heard.IsZero() && c.loop.Now.Sub(p.heard) < linkDead
-}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
@@ -29,7 +30,7 @@
 	c := New(s, Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
 	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 	c.loop.Now, c.fresh, c.loaded = now, now, true
-	c.types["s4"] = wire.MachineType{Name: "s4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 6, Zones: []string{"x", "y"}}
+	c.view.Types["s4"] = wire.MachineType{Name: "s4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 6, Zones: []string{"x", "y"}}
 	c.applyLease(rec, 5)
 	return c, now
 }
@@ -290,7 +291,7 @@
 		reportS float64
 		homes   int
 	}{{0.12, 2, 1}, {0.05, 2, 2}, {0.05, 6, 1}, {0, 0.1, 2}} {
-		c.cfg.Cluster.Limits.Cores, c.cfg.Cluster.Workers.ReportS = want.cores, want.reportS
+		c.view.Cfg.Cluster.Limits.Cores, c.view.Cfg.Cluster.Workers.ReportS = want.cores, want.reportS
 		c.lead = &leader{since: c.loop.Now.Add(-time.Minute), renewals: map[string]*peerpb.Renewal{"n1": {}}, heardAt: map[string]time.Time{"n1": c.loop.Now}}
 		c.lead.fleet.init()
 		rec := wire.LeaseRecord{Blocks: map[string]wire.Block{"n0": {}, "n1": {}}, Homes: map[string]string{}}
@@ -477,23 +478,23 @@
 	job := func(priority, image string) *wire.Job {
 		return &wire.Job{ID: "wk-000001", Team: "free", Shape: wire.Array, Priority: priority, Tasks: 10, CPUs: 2, Image: image}
 	}
-	p := core.peers["n1"]
-	p.heard = core.loop.Now
+	p := core.view.Peers["n1"]
+	p.Heard = core.loop.Now
 	for _, c := range []struct {
 		name            string
-		own, other      room
+		own, other      cluster.Room
 		ownSpare, spare float64
 		priority, image string
 		want            string
 	}{
-		{"the larger block has a little more to spare", room{size: 300}, room{size: 900}, 80, 120, "standard", "a", "free #1"},
-		{"the smaller one is full", room{size: 300}, room{size: 900}, -400, 500, "standard", "a", "free #2"},
-		{"urgent, both have room", room{free: 50, size: 300}, room{free: 150, size: 900}, 50, 150, "urgent", "a", "free #1"},
-		{"urgent, only the larger one has room", room{size: 300}, room{free: 150, size: 900}, -10, 150, "urgent", "a", "free #2"},
-		{"urgent, even blocks, one has the image", room{free: 50, size: 300},
-			room{free: 50, size: 300, images: map[string]float64{"a": 40}}, 50, 50, "urgent", "a", "free #2"},
+		{"the larger block has a little more to spare", cluster.Room{Size: 300}, cluster.Room{Size: 900}, 80, 120, "standard", "a", "free #1"},
+		{"the smaller one is full", cluster.Room{Size: 300}, cluster.Room{Size: 900}, -400, 500, "standard", "a", "free #2"},
+		{"urgent, both have room", cluster.Room{Free: 50, Size: 300}, cluster.Room{Free: 150, Size: 900}, 50, 150, "urgent", "a", "free #1"},
+		{"urgent, only the larger one has room", cluster.Room{Size: 300}, cluster.Room{Free: 150, Size: 900}, -10, 150, "urgent", "a", "free #2"},
+		{"urgent, even blocks, one has the image", cluster.Room{Free: 50, Size: 300},
+			cluster.Room{Free: 50, Size: 300, Images: map[string]float64{"a": 40}}, 50, 50, "urgent", "a", "free #2"},
 	} {
-		core.room, core.spare, p.room, p.spare = c.own, c.ownSpare, c.other, c.spare
+		core.room, core.spare, p.Room, p.Spare = c.own, c.ownSpare, c.other, c.spare
 		if got := core.fileUnder(job(c.priority, c.image)); got != c.want {
 			t.Errorf("%s: filed under %s, want %s", c.name, got, c.want)
 		}
@@ -551,7 +552,7 @@
 	if len(c.loop.Effects()) != 0 || c.leaseBusy || !c.lead.lean {
 		t.Fatalf("%d effects, busy %v, lean %v after a write that does not fit", len(c.loop.Effects()), c.leaseBusy, c.lead.lean)
 	}
-	for name := range c.owners {
+	for name := range c.lead.fleet.machines {
 		c.lead.gone[name] = name[len(name)-1] == '7'
 	}
 	for i, most := range []int{1, 12} { // first the value alone, then as much as fits
--- a/internal/controller/fleet.go
+++ b/internal/controller/fleet.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
@@ -101,7 +102,7 @@
 // runFleet rents, lists and returns machines. Only the leader does.
 func (c *Core) runFleet() {
 	l := c.lead
-	if l == nil || c.leaseVersion == 0 {
+	if l == nil || c.view.Version == 0 {
 		return
 	}
 	c.listMachines()
@@ -125,7 +126,7 @@
 // listMachines reads the machine list now and then.
 func (c *Core) listMachines() {
 	f := &c.lead.fleet
-	if f.listing || (!f.listAt.IsZero() && c.loop.Now.Sub(f.listAt) < c.cfg.ListEvery()) {
+	if f.listing || (!f.listAt.IsZero() && c.loop.Now.Sub(f.listAt) < c.view.Cfg.ListEvery()) {
 		return
 	}
 	f.listing, f.listAt = true, c.loop.Now
@@ -155,7 +156,7 @@
 		c.introduceOwn()
 		// Missing for longer than any list can lag: taken by the cloud. The
 		// release makes sure of it before anything is started again.
-		lag := config.Seconds(2*c.cfg.Cluster.Cloud.ListLagS) + 5*time.Second
+		lag := config.Seconds(2*c.view.Cfg.Cluster.Cloud.ListLagS) + 5*time.Second
 		for name, r := range f.machines {
 			if !names[name] && c.loop.Now.Sub(r.listedAt) > lag && c.loop.Now.Sub(r.rentedAt) > lag {
 				f.leaving[name] = true
@@ -180,9 +181,9 @@
 	switch {
 	case m.State == wire.MachineFailed:
 		f.leaving[m.Name] = true
-	case m.State == wire.MachineBooting && c.ownerOf(m.Name) == "":
+	case m.State == wire.MachineBooting && c.view.OwnerOf(m.Name) == "":
 		// Never came up: some take several times as long, a few for ever.
-		if t, ok := c.types[m.Type]; ok && m.AgeS > neverUp*t.BootS+15 {
+		if t, ok := c.view.Types[m.Type]; ok && m.AgeS > neverUp*t.BootS+15 {
 			f.leaving[m.Name] = true
 		}
 	}
@@ -208,12 +209,12 @@
 	}
 	// What stands empty here may be what somebody else waits for.
 	c.balance()
-	own := l.renewals[c.me]
-	for _, node := range sortedKeys(l.renewals) {
+	own := l.renewals[c.view.Me]
+	for _, node := range cluster.SortedKeys(l.renewals) {
 		r := l.renewals[node]
 		for _, n := range c.unpack(r.GetLost()) {
 			// Somebody else may hear what its holder does not.
-			if !heard[n] && !l.gone[n] && c.ownerOf(n) == node {
+			if !heard[n] && !l.gone[n] && c.view.OwnerOf(n) == node {
 				l.fleet.leaving[n] = true
 			}
 		}
@@ -236,7 +237,7 @@
 	}
 	c.retire()
 	for n := range l.recalls {
-		if owner := c.ownerOf(n); l.gone[n] || owner == "" || owner == l.moves[n] {
+		if owner := c.view.OwnerOf(n); l.gone[n] || owner == "" || owner == l.moves[n] {
 			delete(l.recalls, n)
 			delete(l.moves, n)
 		}
@@ -258,7 +259,7 @@
 	}
 	free := 0.0
 	kept := map[string]bool{}
-	for _, node := range sortedKeys(l.renewals) {
+	for _, node := range cluster.SortedKeys(l.renewals) {
 		r := l.renewals[node]
 		for _, d := range r.GetDemand() {
 			if !d.GetSpot() {
@@ -272,8 +273,8 @@
 	}
 	var dear []string
 	for name, r := range f.machines {
-		cpus := c.types[r.kind].CPUs
-		if c.ownerOf(name) == "" || f.leaving[name] {
+		cpus := c.view.Types[r.kind].CPUs
+		if c.view.OwnerOf(name) == "" || f.leaving[name] {
 			continue
 		}
 		free -= spareShare * cpus
@@ -287,14 +288,14 @@
 		return
 	}
 	perCPU := func(name string) float64 {
-		t := c.types[f.machines[name].kind]
+		t := c.view.Types[f.machines[name].kind]
 		return t.Price / max(t.CPUs, 1)
 	}
 	slices.SortFunc(dear, func(a, b string) int {
 		return cmp.Or(cmp.Compare(perCPU(b), perCPU(a)), cmp.Compare(a, b))
 	})
 	for _, name := range dear {
-		if cpus := c.types[f.machines[name].kind].CPUs; cpus <= free {
+		if cpus := c.view.Types[f.machines[name].kind].CPUs; cpus <= free {
 			l.recalls[name] = true
 			l.dirty = true
 			free -= cpus
@@ -307,22 +308,22 @@
 // goes to and fro.
 func (c *Core) balance() {
 	l := c.lead
-	for _, node := range sortedKeys(l.renewals) {
+	for _, node := range cluster.SortedKeys(l.renewals) {
 		if !l.alive(c, node) || len(l.renewals[node].GetDemand()) == 0 {
 			continue
 		}
 		want := demands(l.renewals[node])
-		for _, holder := range sortedKeys(l.renewals) {
+		for _, holder := range cluster.SortedKeys(l.renewals) {
 			if holder == node || !l.alive(c, holder) {
 				continue
 			}
 			own := demands(l.renewals[holder])
 			for _, u := range l.renewals[holder].GetUse() {
 				r := l.fleet.machines[u.GetName()]
-				if r == nil || u.GetBad() || u.GetGoing() || u.GetIdleS() < 1 || l.recalls[u.GetName()] || c.ownerOf(u.GetName()) != holder {
+				if r == nil || u.GetBad() || u.GetGoing() || u.GetIdleS() < 1 || l.recalls[u.GetName()] || c.view.OwnerOf(u.GetName()) != holder {
 					continue
 				}
-				empty := []sched.Offer{{Type: r.kind, Zone: r.zone, Spot: r.spot, Size: sizeOf(c.types[r.kind])}}
+				empty := []sched.Offer{{Type: r.kind, Zone: r.zone, Spot: r.spot, Size: cluster.SizeOf(c.view.Types[r.kind])}}
 				left := sched.Absorb(want, empty)
 				if slices.Equal(counts(left), counts(want)) || !slices.Equal(counts(sched.Absorb(own, empty)), counts(own)) {
 					continue
@@ -365,13 +366,13 @@
 		if !r.spot {
 			share = idleDear
 		}
-		if t, ok := c.types[r.kind]; ok {
+		if t, ok := c.view.Types[r.kind]; ok {
 			boot = t.BootS
 		}
 	}
 	cpus := 0.0
 	if r := l.fleet.machines[name]; r != nil && r.spot {
-		cpus = c.types[r.kind].CPUs
+		cpus = c.view.Types[r.kind].CPUs
 	}
 	if bad || (idleS > share*boot && (cpus == 0 || l.fleet.spot-cpus >= l.fleet.target)) {
 		l.fleet.spot -= cpus
@@ -387,7 +388,7 @@
 	if f.releasing || len(f.leaving) == 0 || c.loop.Now.Before(f.releaseAt) {
 		return
 	}
-	names := sortedKeys(f.leaving)
+	names := cluster.SortedKeys(f.leaving)
 	if len(names) > wire.MaxRelease {
 		names = names[:wire.MaxRelease]
 	}
@@ -421,13 +422,13 @@
 func (c *Core) plan() {
 	l := c.lead
 	f := &l.fleet
-	if f.renting > 0 || len(c.types) == 0 {
+	if f.renting > 0 || len(c.view.Types) == 0 {
 		return
 	}
 	var waiting []sched.Demand
-	l.renewals[c.me] = c.renewal()
+	l.renewals[c.view.Me] = c.renewal()
 	c.renewals--
-	for _, node := range sortedKeys(l.renewals) {
+	for _, node := range cluster.SortedKeys(l.renewals) {
 		waiting = append(waiting, demands(l.renewals[node])...)
 	}
 	waiting = sched.Merge(waiting)
@@ -461,17 +462,17 @@
 	f := &l.fleet
 	var coming []sched.Offer
 	have, soonHave := 0.0, 0.0
-	for _, name := range sortedKeys(f.machines) {
+	for _, name := range cluster.SortedKeys(f.machines) {
 		r := f.machines[name]
-		t, ok := c.types[r.kind]
+		t, ok := c.view.Types[r.kind]
 		if !ok || f.leaving[name] || l.recalls[name] || (r.spot && !spot) {
 			continue
 		}
-		if c.ownerOf(name) != "" {
+		if c.view.OwnerOf(name) != "" {
 			have += t.CPUs
 		} else if c.loop.Now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS) {
 			// Slower ones may never come and count as absent.
-			coming = append(coming, sched.Offer{Type: r.kind, Zone: r.zone, Spot: r.spot, Size: sizeOf(t)})
+			coming = append(coming, sched.Offer{Type: r.kind, Zone: r.zone, Spot: r.spot, Size: cluster.SizeOf(t)})
 			soonHave += t.CPUs
 		}
 	}
@@ -484,7 +485,7 @@
 		return
 	}
 	soon := 0.0
-	for _, t := range c.types {
+	for _, t := range c.view.Types {
 		if soon == 0 || t.BootS < soon {
 			soon = t.BootS
 		}
@@ -551,8 +552,8 @@
 	f.gaugedAt = c.loop.Now
 	f.spot = 0
 	for name, r := range f.machines {
-		t := c.types[r.kind]
-		if r.spot && !f.leaving[name] && !l.recalls[name] && !going[name] && (c.ownerOf(name) != "" || c.loop.Now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS)) {
+		t := c.view.Types[r.kind]
+		if r.spot && !f.leaving[name] && !l.recalls[name] && !going[name] && (c.view.OwnerOf(name) != "" || c.loop.Now.Sub(r.rentedAt) < config.Seconds(2.5*t.BootS)) {
 			f.spot += t.CPUs
 		}
 	}
@@ -589,7 +590,7 @@
 	left := rentMost
 	short := f.target - f.spot
 	part := short
-	if n := min(len(offers), max(1, int(c.cfg.Cluster.Cloud.RPS))); n > 1 &&
+	if n := min(len(offers), max(1, int(c.view.Cfg.Cluster.Cloud.RPS))); n > 1 &&
 		short > muchMissing*f.target && c.loop.Now.Sub(f.tight) < tightFor {
 		part = short / float64(n)
 	}
@@ -609,14 +610,14 @@
 // follow each other, so that is little more than a character each, not the four
 // of the worst case by which growth once stopped at a seventh of the value.
 func (c *Core) plainSize() int {
-	b, err := wire.Encode(c.lease)
+	b, err := wire.Encode(c.view.Lease)
 	if err != nil {
 		c.log.Error("lease value", "err", err)
 		return math.MaxInt32
 	}
 	var coming []string
 	for name := range c.lead.fleet.machines {
-		if c.ownerOf(name) == "" {
+		if c.view.OwnerOf(name) == "" {
 			coming = append(coming, name)
 		}
 	}
@@ -636,13 +637,13 @@
 		}
 	}
 	size := c.valueBytes
-	if c.lease.Form < 2 {
+	if c.view.Lease.Form < 2 {
 		size = c.plainSize()
 		if c.mayPage() {
 			return true // pages come in time
 		}
 	}
-	return c.below("names in the lease value", float64(size), leasevalue.FullPart*1024*c.cfg.Cluster.State.ValueKB)
+	return c.below("names in the lease value", float64(size), leasevalue.FullPart*1024*c.view.Cfg.Cluster.State.ValueKB)
 }
 
 // ceilingPart is to which part of a ceiling a budget has to come down before the
@@ -723,7 +724,7 @@
 // same machine time, so it is worked off as early as its aims ask for.
 func (c *Core) behind(waiting []sched.Demand, size float64) []sched.Demand {
 	soon := 0.0
-	for _, t := range c.types {
+	for _, t := range c.view.Types {
 		if soon == 0 || t.BootS < soon {
 			soon = t.BootS
 		}
@@ -754,8 +755,8 @@
 // offers lists what can be rented: the cheap kind, spot machines, or all.
 func (c *Core) offers(cheap bool) []sched.Offer {
 	var out []sched.Offer
-	for _, name := range sortedKeys(c.types) {
-		t := c.types[name]
+	for _, name := range cluster.SortedKeys(c.view.Types) {
+		t := c.view.Types[name]
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				if c.loop.Now.Before(c.lead.fleet.refused[offerKey{name, zone, spot}]) || (cheap && !spot) {
@@ -765,7 +766,7 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				out = append(out, sched.Offer{Type: name, Zone: zone, Spot: spot, Size: sizeOf(t), Price: price, BootS: t.BootS})
+				out = append(out, sched.Offer{Type: name, Zone: zone, Spot: spot, Size: cluster.SizeOf(t), Price: price, BootS: t.BootS})
 			}
 		}
 	}
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/wire"
 )
@@ -23,25 +24,20 @@
 // given up for dead and is back gets a new one, as its old one has moved.
 const partsMost = 8
 
-// unlimited tells whether a team has neither a limit nor a guarantee.
-func unlimited(t config.Team) bool {
-	return t.CPUs <= 0 && t.CPUsMax <= 0 && t.GPUs <= 0 && t.GPUsMax <= 0
-}
-
 // many tells whether the fleet is more than one controller should hold.
 func (c *Core) many() bool { return c.fleetSize() > min(c.par.Home, c.machinesPerHome()) }
 
 // partable tells whether a team's jobs may be parted now. Every share of a
 // limit must have room for the largest task, which is at most a machine.
 func (c *Core) partable(t config.Team) bool {
-	if unlimited(t) {
+	if cluster.Unlimited(t) {
 		return c.large()
 	}
 	if !c.many() || !c.mayPage() {
 		return false
 	}
 	n := float64(c.nodes())
-	for _, m := range c.types {
+	for _, m := range c.view.Types {
 		if (t.CPUsMax > 0 && t.CPUsMax < n*m.CPUs) || (t.GPUsMax > 0 && t.GPUsMax < n*m.Cards) {
 			return false
 		}
@@ -49,70 +45,34 @@
 	return true
 }
 
-// parts lists the parts of a team by name.
-func parts(homes map[string]string, team string) []string {
-	var out []string
-	for home := range homes {
-		if wire.IsPart(home, team) {
-			out = append(out, home)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// room is what is free on a controller's machines at a moment.
-type room struct {
-	free   float64            // processors
-	size   float64            // processors of all its machines
-	images map[string]float64 // those on machines that have an image
-}
-
 // imagesMost bounds the images that a controller tells of.
 const imagesMost = 64
 
 // roomNow sums up what is free on this controller's machines.
-func (c *Core) roomNow() room {
-	r := room{images: map[string]float64{}}
+func (c *Core) roomNow() cluster.Room {
+	r := cluster.Room{Images: map[string]float64{}}
 	for _, m := range c.machines {
 		if !c.usable(m) {
 			continue
 		}
 		free := max(0, m.free().CPUs)
-		r.free += free
+		r.Free += free
 		for i := range m.images {
 			if m.images[i].there && free > 0 {
-				r.images[m.images[i].name] += free
+				r.Images[m.images[i].name] += free
 			}
 		}
 	}
-	if len(r.images) > imagesMost {
-		names := sortedKeys(r.images)
-		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(r.images[b], r.images[a]) })
+	if len(r.Images) > imagesMost {
+		names := cluster.SortedKeys(r.Images)
+		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(r.Images[b], r.Images[a]) })
 		for _, n := range names[imagesMost:] {
-			delete(r.images, n)
+			delete(r.Images, n)
 		}
 	}
 	return r
 }
 
-// take counts a job that was filed there against the room, until the
-// controller tells its new figures.
-func (r *room) take(j *wire.Job) {
-	cpus := float64(j.Tasks) * j.CPUs
-	r.free = max(0, r.free-cpus)
-	if n, ok := r.images[j.Image]; ok {
-		r.images[j.Image] = max(0, n-cpus)
-	}
-}
-
-// worth rates the room for an urgent job: the part of it that could start at
-// once, and more so where its image is.
-func (r *room) worth(j *wire.Job) float64 {
-	cpus := max(1e-6, float64(j.Tasks)*j.CPUs)
-	return (min(cpus, r.images[j.Image]) + 0.5*min(cpus, r.free)) / cpus
-}
-
 // Machines follow the work, and work that went only where room is would follow
 // the machines: in a quiet night one controller came to hold thirteen times as
 // many as another. So what a block has beyond the mean counts against it:
@@ -128,22 +88,22 @@
 // beyond the mean. It returns "" when the team has one home.
 func (c *Core) fileUnder(j *wire.Job) string {
 	best, bestWorth, bestSpare := "", 0.0, 0.0
-	own := parts(c.lease.Homes, j.Team)
+	own := cluster.Parts(c.view.Lease.Homes, j.Team)
 	mean := c.meanSize(own)
 	for _, part := range own {
-		node := c.lease.Homes[part]
+		node := c.view.Lease.Homes[part]
 		spare, r := c.spare, &c.room
-		if node != c.me {
-			if !c.linkUp(node) {
+		if node != c.view.Me {
+			if !c.view.LinkUp(node, c.loop.Now) {
 				continue
 			}
-			spare, r = c.peers[node].spare, &c.peers[node].room
+			spare, r = c.view.Peers[node].Spare, &c.view.Peers[node].Room
 		}
-		more := r.size - mean
+		more := r.Size - mean
 		spare -= evenSpare * more
 		worth := 0.0
 		if j.Rank() <= 1 {
-			worth = r.worth(j) - evenWorth*more/max(1, mean)
+			worth = r.Worth(j) - evenWorth*more/max(1, mean)
 		}
 		if best == "" || worth > bestWorth+0.05 || (worth > bestWorth-0.05 && spare > bestSpare) {
 			best, bestWorth, bestSpare = part, worth, spare
@@ -151,12 +111,12 @@
 	}
 	// Until the controller tells its new figures the job counts against them.
 	if cpus := float64(j.Tasks) * j.CPUs; best == "" {
-	} else if node := c.lease.Homes[best]; node == c.me {
+	} else if node := c.view.Lease.Homes[best]; node == c.view.Me {
 		c.spare -= cpus
-		c.room.take(j)
+		c.room.Take(j)
 	} else {
-		c.peers[node].spare -= cpus
-		c.peers[node].room.take(j)
+		c.view.Peers[node].Spare -= cpus
+		c.view.Peers[node].Room.Take(j)
 	}
 	return best
 }
@@ -167,15 +127,15 @@
 	seen := map[string]bool{}
 	sum := 0.0
 	for _, part := range own {
-		node := c.lease.Homes[part]
+		node := c.view.Lease.Homes[part]
 		switch {
 		case seen[node]:
-		case node == c.me:
+		case node == c.view.Me:
 			seen[node] = true
-			sum += c.room.size
-		case c.linkUp(node):
+			sum += c.room.Size
+		case c.view.LinkUp(node, c.loop.Now):
 			seen[node] = true
-			sum += c.peers[node].room.size
+			sum += c.view.Peers[node].Room.Size
 		}
 	}
 	return sum / float64(max(1, len(seen)))
@@ -206,10 +166,10 @@
 // teams may use, whichever is more.
 func (c *Core) fleetSize() int {
 	biggest, most := 0.0, 0.0
-	for _, t := range c.types {
+	for _, t := range c.view.Types {
 		biggest = max(biggest, t.CPUs)
 	}
-	for _, t := range c.cfg.Cluster.Teams {
+	for _, t := range c.view.Cfg.Cluster.Teams {
 		most += max(t.CPUs, t.CPUsMax)
 	}
 	return max(len(c.lead.fleet.machines), int(most/max(1, biggest)))
@@ -224,11 +184,11 @@
 // where their homes are, so there are no more homes than the controllers'
 // processors ask for.
 func (c *Core) machinesPerHome() int {
-	cores := c.cfg.Cluster.Limits.Cores
+	cores := c.view.Cfg.Cluster.Limits.Cores
 	if cores <= 0 {
 		cores = 1
 	}
-	return max(homeLeast, int(config.ReportsPerCore*cores*c.cfg.Cluster.Workers.ReportS))
+	return max(homeLeast, int(config.ReportsPerCore*cores*c.view.Cfg.Cluster.Workers.ReportS))
 }
 
 // homeLeast bounds machinesPerHome from below, for very small controllers.
@@ -242,11 +202,11 @@
 	// After a start the others get a moment to show up, and the machine list
 	// to tell the size of the fleet.
 	early := c.loop.Now.Sub(l.since) < 3*time.Second
-	if early && (len(c.types) == 0 || !l.fleet.listed || (large && len(l.renewals) < c.nodes())) {
+	if early && (len(c.view.Types) == 0 || !l.fleet.listed || (large && len(l.renewals) < c.nodes())) {
 		return
 	}
 	live := []string{}
-	for _, node := range sortedKeys(rec.Blocks) {
+	for _, node := range cluster.SortedKeys(rec.Blocks) {
 		if l.alive(c, node) {
 			live = append(live, node)
 		}
@@ -254,7 +214,7 @@
 	// The weight of a controller is the guarantees it is home to.
 	weight := map[string]float64{}
 	weigh := func(t config.Team) float64 { return 1 + t.CPUs }
-	teams := slices.Clone(c.cfg.Cluster.Teams)
+	teams := slices.Clone(c.view.Cfg.Cluster.Teams)
 	slices.SortStableFunc(teams, func(a, b config.Team) int { return cmp.Compare(weigh(b), weigh(a)) })
 	for _, t := range teams {
 		weight[rec.Homes[t.Name]] += weigh(t)
@@ -275,13 +235,13 @@
 			// Parting a small fleet leaves room unused on every part.
 			switch {
 			case !more && homes > 0 && weight[node] == 0:
-			case !large && homes == 0 && node != c.me:
+			case !large && homes == 0 && node != c.view.Me:
 			case best == "", large && weight[node] < weight[best], !large && weight[node] > weight[best]:
 				best = node
 			}
 		}
 		if best == "" {
-			best = c.me
+			best = c.view.Me
 		}
 		if weight[best] == 0 {
 			homes++
@@ -290,11 +250,11 @@
 		weight[best] += weigh(t)
 	}
 	for _, t := range teams {
-		own := parts(rec.Homes, t.Name)
+		own := cluster.Parts(rec.Homes, t.Name)
 		if !c.partable(t) && len(own) == 0 {
 			continue
 		}
-		if len(own) == 0 && !unlimited(t) {
+		if len(own) == 0 && !cluster.Unlimited(t) {
 			// Earlier versions know nothing of shares, and must not read on.
 			rec.Form = 2
 			if t.CPUsMax > 0 || t.GPUsMax > 0 {
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/sched"
 	"fawncove/internal/step"
@@ -151,11 +152,11 @@
 			c.loading, c.loaded = false, true
 			c.rev, c.fresh = rev, sent
 			c.leaseSeen = c.loop.Now
-			if b, ok := c.lease.Blocks[c.me]; ok && b.Incarnation >= c.inc && c.grant == 0 {
+			if b, ok := c.view.Lease.Blocks[c.view.Me]; ok && b.Incarnation >= c.inc && c.grant == 0 {
 				c.inc = b.Incarnation + 1
 			}
-			if c.lease.Leader == c.me && c.lease.Incarnation >= c.inc && c.lead == nil {
-				c.inc = c.lease.Incarnation + 1
+			if c.view.Lease.Leader == c.view.Me && c.view.Lease.Incarnation >= c.inc && c.lead == nil {
+				c.inc = c.view.Lease.Incarnation + 1
 			}
 			c.renewAt = c.loop.Now
 			c.log.Info("state read", "jobs", len(c.jobs), "revision", rev)
@@ -174,7 +175,7 @@
 	c.watching = true
 	sent := c.loop.Now
 	// Many changes in a row are read together, to save requests.
-	pause := time.Duration(float64(time.Second) / max(1, 0.4*c.cfg.Cluster.State.RPS/float64(c.nodes())))
+	pause := time.Duration(float64(time.Second) / max(1, 0.4*c.view.Cfg.Cluster.State.RPS/float64(c.nodes())))
 	c.loop.Emit(step.StateWatch{Prefix: root, After: c.rev, Hold: watchHold, ID: c.loop.Call(func(d step.Completed) {
 		c.watching = false
 		c.watchAt = sent.Add(pause)
@@ -202,7 +203,7 @@
 	})})
 }
 
-func (c *Core) nodes() int { return c.cfg.Controllers() }
+func (c *Core) nodes() int { return c.view.Cfg.Controllers() }
 
 // applyPut takes a changed key into the picture.
 func (c *Core) applyPut(key string, value []byte, version uint64) {
@@ -349,7 +350,7 @@
 	if len(c.ending) == 0 {
 		return
 	}
-	for _, id := range sortedKeys(c.ending) {
+	for _, id := range cluster.SortedKeys(c.ending) {
 		j := c.jobs[id]
 		if j == nil || j.over || !c.owns(j) {
 			delete(c.ending, id)
@@ -492,9 +493,9 @@
 	if c.verify.busy || len(c.verify.queue) == 0 || c.loop.Now.Before(c.verify.next) {
 		return
 	}
-	c.verify.next = c.loop.Now.Add(time.Duration(float64(time.Second) / max(1, 0.25*c.cfg.Cluster.State.RPS/float64(c.nodes()))))
+	c.verify.next = c.loop.Now.Add(time.Duration(float64(time.Second) / max(1, 0.25*c.view.Cfg.Cluster.State.RPS/float64(c.nodes()))))
 	// Two conditions a question, four times txn_ops conditions at most.
-	n := min(len(c.verify.queue), max(1, 2*c.cfg.Cluster.State.TxnOps))
+	n := min(len(c.verify.queue), max(1, 2*c.view.Cfg.Cluster.State.TxnOps))
 	batch := c.verify.queue[:n:n]
 	c.verify.queue = slices.Clone(c.verify.queue[n:])
 	c.verify.busy = true
@@ -612,11 +613,11 @@
 
 // refusal tells why a job can never run, or that this cannot be said yet.
 func (c *Core) refusal(j *wire.Job) (status int, why string) {
-	if len(c.types) == 0 {
+	if len(c.view.Types) == 0 {
 		return 503, "machine types not known yet"
 	}
 	var team *sched.Limit
-	for _, t := range c.cfg.Cluster.Teams {
+	for _, t := range c.view.Cfg.Cluster.Teams {
 		if t.Name == j.Team {
 			team = &sched.Limit{CPUs: t.CPUsMax, Cards: t.GPUsMax}
 		}
@@ -626,9 +627,9 @@
 	}
 	need := sched.Amount{CPUs: j.CPUs, Cards: j.Cards, MemoryGB: j.MemoryGB}
 	fits := false
-	for name, t := range c.types {
+	for name, t := range c.view.Types {
 		if (len(j.Types) == 0 || slices.Contains(j.Types, name)) &&
-			(j.Zone == "" || slices.Contains(t.Zones, j.Zone)) && need.Fits(sizeOf(t)) {
+			(j.Zone == "" || slices.Contains(t.Zones, j.Zone)) && need.Fits(cluster.SizeOf(t)) {
 			fits = true
 		}
 	}
@@ -645,10 +646,6 @@
 	return 0, ""
 }
 
-func sizeOf(t wire.MachineType) sched.Amount {
-	return sched.Amount{CPUs: t.CPUs, Cards: t.Cards, MemoryGB: t.MemoryGB}
-}
-
 func (c *Core) onSubmit(e step.SubmitIn) {
 	bad := func() { c.answer(e.Req, 400, wire.ErrorAnswer{Error: fmt.Sprint(e.Err)}) }
 	if e.Job.ID == "" {
@@ -725,4 +722,4 @@
 
 func (c *Core) hasEnded(id string) bool { _, ok := c.ended[id]; return ok }
 
-func (c *Core) homeOf(team string) string { return c.lease.Homes[team] }
+func (c *Core) homeOf(team string) string { return c.view.Lease.Homes[team] }
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
@@ -43,11 +44,11 @@
 	since := c.loop.Now
 	if c.unread != nil {
 		since = c.unreadSince
-		if c.unread.Version <= c.leaseVersion || c.unread.Version <= p.Version {
+		if c.unread.Version <= c.view.Version || c.unread.Version <= p.Version {
 			c.unread = nil
 		}
 	}
-	if p.Version <= c.leaseVersion {
+	if p.Version <= c.view.Version {
 		return
 	}
 	rec, err := c.book.Read(p.Value)
@@ -128,12 +129,12 @@
 // applyLease takes over a newer lease value and what it means for this
 // controller's block, homes and rights.
 func (c *Core) applyLease(rec wire.LeaseRecord, version uint64) {
-	if version <= c.leaseVersion {
+	if version <= c.view.Version {
 		return
 	}
-	c.indexOwners(c.lease.Blocks, rec.Blocks)
-	c.lease, c.leaseVersion, c.leaseSeen = rec, version, c.loop.Now
-	if rec.Leader == c.me && rec.Incarnation == c.inc {
+	c.view.Take(rec, version)
+	c.leaseSeen = c.loop.Now
+	if rec.Leader == c.view.Me && rec.Incarnation == c.inc {
 		if c.lead == nil || c.lead.term != rec.Term {
 			c.startLeading(rec.Term)
 		}
@@ -141,7 +142,7 @@
 		c.log.Info("no longer leader", "leader", rec.Leader, "term", rec.Term)
 		c.lead = nil
 	}
-	b, ok := rec.Blocks[c.me]
+	b, ok := rec.Blocks[c.view.Me]
 	if !ok || b.Incarnation != c.inc {
 		if c.grant != 0 {
 			c.log.Info("block lost", "machines", len(c.machines))
@@ -155,7 +156,7 @@
 	}
 	c.promises.Honoured(b.Renewal)
 	if sent, ok := c.renewalSent[b.Renewal]; ok {
-		if until := sent.Add(shrink(c.par.Lease)); until.After(c.right) {
+		if until := sent.Add(cluster.Shrink(c.par.Lease)); until.After(c.right) {
 			c.right = until
 		}
 		for n := range c.renewalSent {
@@ -208,18 +209,18 @@
 		}
 	}
 	for home := range c.homes {
-		if rec.Homes[home] != c.me {
+		if rec.Homes[home] != c.view.Me {
 			delete(c.homes, home)
 		}
 	}
 	gained := map[string]bool{}
 	for home, node := range rec.Homes {
-		if _, known := c.homes[home]; node == c.me && !known {
+		if _, known := c.homes[home]; node == c.view.Me && !known {
 			c.homes[home], gained[home] = version, true
 		}
 	}
 	if len(gained) > 0 {
-		for _, id := range sortedKeys(c.jobs) {
+		for _, id := range cluster.SortedKeys(c.jobs) {
 			if j := c.jobs[id]; gained[j.home()] {
 				c.adopt(j)
 			}
@@ -230,35 +231,6 @@
 	c.releaseGuests(false)
 }
 
-// indexOwners keeps track of who holds which machine. Blocks that did not
-// change cost a comparison only: the value is written often and is long.
-func (c *Core) indexOwners(before, after map[string]wire.Block) {
-	same := func(node string) bool {
-		a, b := before[node], after[node]
-		return slices.Equal(a.Machines, b.Machines) && slices.Equal(a.Old, b.Old)
-	}
-	for node, b := range before {
-		if same(node) {
-			continue
-		}
-		for _, names := range [][]string{b.Machines, b.Old} {
-			for _, name := range names {
-				delete(c.owners, name)
-			}
-		}
-	}
-	for node, b := range after {
-		if same(node) {
-			continue
-		}
-		for _, names := range [][]string{b.Machines, b.Old} {
-			for _, name := range names {
-				c.owners[name] = node
-			}
-		}
-	}
-}
-
 // loseBlock forgets all that the right to a block was the ground of.
 func (c *Core) loseBlock() {
 	c.grant, c.right = 0, time.Time{}
@@ -280,8 +252,8 @@
 func (c *Core) renewal() *peerpb.Renewal {
 	c.renewals++
 	var gave, lost, heard, unknown, bound []string
-	r := &peerpb.Renewal{Node: c.me, Incarnation: c.inc, Number: c.renewals, Waiting: map[string]int32{}}
-	for _, name := range sortedKeys(c.machines) {
+	r := &peerpb.Renewal{Node: c.view.Me, Incarnation: c.inc, Number: c.renewals, Waiting: map[string]int32{}}
+	for _, name := range cluster.SortedKeys(c.machines) {
 		m := c.machines[name]
 		switch {
 		case m.gave:
@@ -306,12 +278,12 @@
 			r.Use = append(r.Use, u)
 		}
 	}
-	for _, name := range sortedKeys(c.guests) {
+	for _, name := range cluster.SortedKeys(c.guests) {
 		g := c.guests[name]
 		if c.loop.Now.Sub(g.heard) > c.guestFresh() {
 			continue
 		}
-		if c.ownerOf(name) == "" {
+		if c.view.OwnerOf(name) == "" {
 			r.Seen = append(r.Seen, &peerpb.Seen{Name: name, Endpoint: g.rep.Endpoint,
 				Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot, Session: g.rep.Session})
 		} else {
@@ -324,9 +296,9 @@
 		if !c.owns(j) || j.over || len(j.queue) == 0 {
 			continue
 		}
-		for kind, t := range c.types {
+		for kind, t := range c.view.Types {
 			if len(j.rec.Types) == 0 || slices.Contains(j.rec.Types, kind) {
-				if j.need().Fits(sizeOf(t)) {
+				if j.need().Fits(cluster.SizeOf(t)) {
 					r.Waiting[kind] += int32(len(j.queue))
 				}
 			}
@@ -354,8 +326,8 @@
 	if c.loop.Now.Sub(c.stateOK) < refusedAfter {
 		return false
 	}
-	for _, p := range c.peers {
-		if c.loop.Now.Sub(p.heard) < linkDead && p.stateOK && c.loop.Now.Sub(p.okSince) > refusedProof {
+	for _, p := range c.view.Peers {
+		if c.loop.Now.Sub(p.Heard) < cluster.LinkDead && p.StateOK && c.loop.Now.Sub(p.OKSince) > refusedProof {
 			return true
 		}
 	}
@@ -382,10 +354,10 @@
 // it can be reached, else through the state service, which no cut between
 // zones touches.
 func (c *Core) renew() {
-	if c.lead != nil || c.lease.Leader == "" {
+	if c.lead != nil || c.view.Lease.Leader == "" {
 		return // the leader renews its own with every write
 	}
-	direct := c.linkUp(c.lease.Leader)
+	direct := c.view.LinkUp(c.view.Lease.Leader, c.loop.Now)
 	gap := renewGapStore
 	if direct {
 		gap = renewGap
@@ -400,11 +372,11 @@
 	r.Resigned = c.grant == 0 && c.refusedAlone()
 	c.promise(r)
 	c.renewalSent[r.Number] = c.loop.Now
-	to := []string{c.lease.Leader}
+	to := []string{c.view.Lease.Leader}
 	if r.Resigned {
 		// The lease value it knows is as old as the refusal; it may even name
 		// itself as the leader. Whoever leads by now has to hear of it.
-		direct, to = true, sortedKeys(c.peers)
+		direct, to = true, cluster.SortedKeys(c.view.Peers)
 		c.renewAt = c.loop.Now.Add(renewGapStore)
 	}
 	if direct {
@@ -416,14 +388,14 @@
 		return
 	}
 	// As base64 in a value of limited size.
-	trim(r, int(0.9*1024*c.cfg.Cluster.State.ValueKB*3/4)-64)
+	trim(r, int(0.9*1024*c.view.Cfg.Cluster.State.ValueKB*3/4)-64)
 	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
 	if err != nil {
 		c.log.Error("renewal", "err", err)
 		return
 	}
 	c.loop.Emit(step.StateTxn{Control: true, ID: c.loop.Call(func(step.Completed) {}),
-		Txn: wire.Txn{Then: []wire.Op{{Put: renPrefix + c.me, Value: map[string]string{
+		Txn: wire.Txn{Then: []wire.Op{{Put: renPrefix + c.view.Me, Value: map[string]string{
 			"pb": base64.StdEncoding.EncodeToString(b)}}}}})
 }
 
@@ -503,7 +475,7 @@
 		renewals: map[string]*peerpb.Renewal{}, heardAt: map[string]time.Time{},
 		renewedAt: map[string]time.Time{}, gone: map[string]bool{}, recalls: map[string]bool{}, moves: map[string]string{}}
 	c.lead.fleet.init()
-	for node := range c.lease.Blocks {
+	for node := range c.view.Lease.Blocks {
 		c.lead.renewedAt[node] = c.loop.Now
 	}
 }
@@ -514,28 +486,28 @@
 	if c.lead != nil || c.leaseBusy {
 		return
 	}
-	mine := c.lease.Leader == c.me
+	mine := c.view.Lease.Leader == c.view.Me
 	// The controllers wait a little longer one after the other, so that they
 	// do not all try in the same moment.
 	patience := leaderDead
-	for name := range c.peers {
-		if name < c.me {
+	for name := range c.view.Peers {
+		if name < c.view.Me {
 			patience += time.Second
 		}
 	}
-	if c.leaseVersion != 0 && !mine && c.loop.Now.Sub(c.leaseSeen) < patience {
+	if c.view.Version != 0 && !mine && c.loop.Now.Sub(c.leaseSeen) < patience {
 		return
 	}
 	rec := c.cloneLease()
 	rec.Term++
-	rec.Leader, rec.Incarnation = c.me, c.inc
+	rec.Leader, rec.Incarnation = c.view.Me, c.inc
 	rec.Beat++
-	c.regrant(&rec, c.me, c.inc)
+	c.regrant(&rec, c.view.Me, c.inc)
 	c.writeLease(rec, func() {})
 }
 
 func (c *Core) cloneLease() wire.LeaseRecord {
-	r := c.lease
+	r := c.view.Lease
 	r.Blocks = maps.Clone(r.Blocks)
 	if r.Blocks == nil {
 		r.Blocks = map[string]wire.Block{}
@@ -545,8 +517,8 @@
 		r.Homes = map[string]string{}
 	}
 	if r.Shares != nil {
-		r.Shares = make(map[string]wire.Shares, len(c.lease.Shares))
-		for team, s := range c.lease.Shares {
+		r.Shares = make(map[string]wire.Shares, len(c.view.Lease.Shares))
+		for team, s := range c.view.Lease.Shares {
 			r.Shares[team] = maps.Clone(s)
 		}
 	}
@@ -579,23 +551,23 @@
 // is called once it is stored.
 func (c *Core) writeLease(rec wire.LeaseRecord, then func()) {
 	c.leaseBusy = true
-	if b, ok := rec.Blocks[c.me]; ok && b.Incarnation == c.inc {
+	if b, ok := rec.Blocks[c.view.Me]; ok && b.Incarnation == c.inc {
 		c.renewals++
 		c.renewalSent[c.renewals] = c.loop.Now
 		b.Renewal = c.renewals
-		rec.Blocks[c.me] = b
+		rec.Blocks[c.view.Me] = b
 	}
 	// Noted now: the watch may show this write before its answer comes.
 	renewed := map[string]bool{}
 	for node, b := range rec.Blocks {
-		old := c.lease.Blocks[node]
+		old := c.view.Lease.Blocks[node]
 		renewed[node] = b.Renewal != old.Renewal || b.Incarnation != old.Incarnation
 	}
 	ops := []wire.Op{{Put: leaseKey, Value: rec}}
 	var draft *leasevalue.Draft
 	if rec.Form >= 2 {
 		var err error
-		if draft, err = c.book.Write(&rec, c.cfg.ValueLimits()); err != nil {
+		if draft, err = c.book.Write(&rec, c.view.Cfg.ValueLimits()); err != nil {
 			// Publishing keeps within what a write can take, but for several
 			// takeovers at once. The same again would fail again, and with it
 			// every renewal: the next write leaves out what can wait.
@@ -610,7 +582,7 @@
 		c.valueBytes = draft.Bytes
 	}
 	c.loop.Emit(step.StateTxn{Control: true,
-		Txn: wire.Txn{If: []wire.Cond{{Key: leaseKey, Version: c.leaseVersion}}, Then: ops},
+		Txn: wire.Txn{If: []wire.Cond{{Key: leaseKey, Version: c.view.Version}}, Then: ops},
 		ID: c.loop.Call(func(d step.Completed) {
 			c.leaseBusy = false
 			if d.Status == 200 {
@@ -648,14 +620,14 @@
 // mayPage tells whether the lease value can be stored with pages: whether all
 // controllers read that form. One that does not would be granted nothing.
 func (c *Core) mayPage() bool {
-	if c.lease.Form >= 2 {
+	if c.view.Lease.Form >= 2 {
 		return true
 	}
-	if c.cfg.Cluster.State.TxnOps < leasevalue.LeastOps {
+	if c.view.Cfg.Cluster.State.TxnOps < leasevalue.LeastOps {
 		return false
 	}
-	for _, p := range c.peers {
-		if p.form < 2 {
+	for _, p := range c.view.Peers {
+		if p.Form < 2 {
 			return false
 		}
 	}
@@ -668,7 +640,7 @@
 	if rec.Form >= 2 || !c.mayPage() {
 		return
 	}
-	if float64(c.plainSize()) > formPart*1024*c.cfg.Cluster.State.ValueKB {
+	if float64(c.plainSize()) > formPart*1024*c.view.Cfg.Cluster.State.ValueKB {
 		rec.Form = 2
 		c.log.Info("lease value is stored with pages from now on")
 	}
@@ -677,13 +649,13 @@
 // onRenewal takes in a controller's renewal.
 func (c *Core) onRenewal(r *peerpb.Renewal) {
 	l := c.lead
-	if l == nil && r.GetResigned() && r.GetNode() == c.lease.Leader && r.GetIncarnation() > c.lease.Incarnation {
+	if l == nil && r.GetResigned() && r.GetNode() == c.view.Lease.Leader && r.GetIncarnation() > c.view.Lease.Incarnation {
 		c.leaseSeen = c.loop.Now.Add(-leaderDead) // nobody leads: no need to wait that long
 	}
-	if l == nil || r.GetNode() == c.me {
+	if l == nil || r.GetNode() == c.view.Me {
 		return
 	}
-	if c.peers[r.GetNode()] == nil {
+	if c.view.Peers[r.GetNode()] == nil {
 		c.log.Warn("renewal from an unknown controller", "node", r.GetNode())
 		return
 	}
@@ -692,15 +664,15 @@
 		(r.GetIncarnation() == old.GetIncarnation() && r.GetNumber() <= old.GetNumber())) {
 		return // late
 	}
-	if b := c.lease.Blocks[r.GetNode()]; r.GetIncarnation() < b.Incarnation ||
+	if b := c.view.Lease.Blocks[r.GetNode()]; r.GetIncarnation() < b.Incarnation ||
 		(r.GetIncarnation() == b.Incarnation && r.GetNumber() < b.Renewal) {
 		return // late, from before this controller led
 	}
 	l.renewals[r.GetNode()], l.heardAt[r.GetNode()] = r, c.loop.Now
-	c.peers[r.GetNode()].tell(r.GetTeams())
+	c.view.Peers[r.GetNode()].Tell(r.GetTeams())
 	c.tellKnown(r)
 	c.log.Debug("renewal", "node", r.GetNode(), "number", r.GetNumber(), "heard", len(r.GetHeard()), "demand", len(r.GetDemand()))
-	if b, ok := c.lease.Blocks[r.GetNode()]; !ok || b.Incarnation != r.GetIncarnation() ||
+	if b, ok := c.view.Lease.Blocks[r.GetNode()]; !ok || b.Incarnation != r.GetIncarnation() ||
 		r.GetResigned() || len(r.GetGave())+len(r.GetLost())+len(r.GetSeen()) > 0 {
 		l.dirty = true
 	}
@@ -731,7 +703,7 @@
 	if l.renewals[node].GetResigned() {
 		return false
 	}
-	return node == c.me || (ok && c.loop.Now.Sub(at) < 2*c.par.Publish+time.Second)
+	return node == c.view.Me || (ok && c.loop.Now.Sub(at) < 2*c.par.Publish+time.Second)
 }
 
 // publish writes the lease value: renewals, moves, homes and waiting sums.
@@ -740,16 +712,16 @@
 	own := c.renewal()
 	c.promise(own)
 	c.renewals-- // numbered when written
-	l.renewals[c.me] = own
+	l.renewals[c.view.Me] = own
 	rec := c.cloneLease()
 	rec.Beat++
-	c.honour(&rec, c.me, own)
-	c.regrant(&rec, c.me, c.inc)
-	nodes := sortedKeys(l.renewals)
+	c.honour(&rec, c.view.Me, own)
+	c.regrant(&rec, c.view.Me, c.inc)
+	nodes := cluster.SortedKeys(l.renewals)
 	gave := map[string]map[string]bool{} // by controller
 	for _, node := range nodes {
 		r := l.renewals[node]
-		if node != c.me && !r.GetResigned() {
+		if node != c.view.Me && !r.GetResigned() {
 			if old, ok := rec.Blocks[node]; !ok || old.Incarnation != r.GetIncarnation() {
 				// A controller whose lease lapsed and that is back begins
 				// anew; by its old date it would lapse again at once.
@@ -771,12 +743,12 @@
 	// Blocks whose leases have lapsed go to one successor, machines and homes
 	// together, since tasks are only ever on their owner's machines.
 	lapsed := func() {}
-	for _, node := range sortedKeys(rec.Blocks) {
+	for _, node := range cluster.SortedKeys(rec.Blocks) {
 		dead := rec.Blocks[node]
 		// Who resigned did so as a later incarnation than the block was
 		// granted to, so nothing has to lapse.
 		resigned := l.renewals[node].GetResigned() && l.renewals[node].GetIncarnation() > dead.Incarnation
-		if node == c.me || (!resigned && c.loop.Now.Sub(l.renewedAt[node]) <= stretch(c.par.Lease)) {
+		if node == c.view.Me || (!resigned && c.loop.Now.Sub(l.renewedAt[node]) <= cluster.Stretch(c.par.Lease)) {
 			continue
 		}
 		delete(rec.Blocks, node)
@@ -810,7 +782,7 @@
 	// this one is as true at the next, a moment later.
 	leave, enter := func(string) bool { return true }, func(string) bool { return true }
 	if rec.Form >= 2 {
-		budget := c.book.Budget(c.cfg.ValueLimits())
+		budget := c.book.Budget(c.view.Cfg.ValueLimits())
 		if l.lean {
 			budget.Close()
 		}
@@ -823,11 +795,11 @@
 	}
 	// Machines that are gone or given back leave their blocks.
 	recalls := map[string][]string{}
-	for i, n := range sortedKeys(l.recalls) {
-		if l.lean || rec.Form >= 2 && i >= leasevalue.RecallsMost(c.cfg.ValueLimits()) {
+	for i, n := range cluster.SortedKeys(l.recalls) {
+		if l.lean || rec.Form >= 2 && i >= leasevalue.RecallsMost(c.view.Cfg.ValueLimits()) {
 			break // the others follow when these are back
 		}
-		recalls[c.ownerOf(n)] = append(recalls[c.ownerOf(n)], n)
+		recalls[c.view.OwnerOf(n)] = append(recalls[c.view.OwnerOf(n)], n)
 	}
 	var free []string
 	// settled tells whether a machine that was given back goes to another
@@ -836,7 +808,7 @@
 		_, ok := rec.Blocks[l.moves[n]]
 		return ok && l.alive(c, l.moves[n])
 	}
-	for _, node := range sortedKeys(rec.Blocks) {
+	for _, node := range cluster.SortedKeys(rec.Blocks) {
 		b := rec.Blocks[node]
 		keep := func(names []string) []string {
 			if !slices.ContainsFunc(names, func(n string) bool { return l.gone[n] || gave[node][n] }) {
@@ -890,7 +862,7 @@
 	for _, node := range nodes {
 		for _, s := range l.renewals[node].GetSeen() {
 			n := s.GetName()
-			if fresh[n] || c.ownerOf(n) != "" || l.gone[n] || l.fleet.leaving[n] {
+			if fresh[n] || c.view.OwnerOf(n) != "" || l.gone[n] || l.fleet.leaving[n] {
 				continue
 			}
 			fresh[n] = true
@@ -904,7 +876,7 @@
 	}
 	for node, names := range joined {
 		b := rec.Blocks[node]
-		b.Machines = append(slices.Clone(b.Machines), sortedKeys(names)...)
+		b.Machines = append(slices.Clone(b.Machines), cluster.SortedKeys(names)...)
 		slices.Sort(b.Machines)
 		rec.Blocks[node] = b
 	}
@@ -922,8 +894,8 @@
 
 // successor chooses who takes over a dead controller's block.
 func (c *Core) successor(rec *wire.LeaseRecord, dead string) string {
-	best := c.me
-	for _, node := range sortedKeys(rec.Blocks) {
+	best := c.view.Me
+	for _, node := range cluster.SortedKeys(rec.Blocks) {
 		if node == dead || !c.lead.alive(c, node) {
 			continue
 		}
@@ -948,7 +920,7 @@
 	busy, size, given := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	waits := map[string][]sched.Demand{}
 	var live []string
-	for _, node := range sortedKeys(rec.Blocks) {
+	for _, node := range cluster.SortedKeys(rec.Blocks) {
 		if !l.alive(c, node) {
 			continue
 		}
@@ -969,11 +941,11 @@
 	}
 	return func(s *peerpb.Seen) string {
 		best, bestFill, bestNeed := "", -1.0, -1.0
-		kind := c.types[s.GetType()]
+		kind := c.view.Types[s.GetType()]
 		for _, node := range live {
 			fill := -given[node]
 			for i := range waits[node] {
-				if d := &waits[node][i]; d.Allows(s.GetType(), s.GetZone(), s.GetSpot()) && d.Need.Fits(sizeOf(kind)) {
+				if d := &waits[node][i]; d.Allows(s.GetType(), s.GetZone(), s.GetSpot()) && d.Need.Fits(cluster.SizeOf(kind)) {
 					fill += float64(d.Count) * d.Need.CPUs
 				}
 			}
@@ -982,7 +954,7 @@
 				fill = kind.CPUs
 			}
 			need := busy[node] / (8 + size[node])
-			if c.areaOf(node) == s.GetZone() {
+			if c.view.AreaOf(node) == s.GetZone() {
 				need *= 1.01
 			}
 			if fill > bestFill || (fill == bestFill && need > bestNeed) {
@@ -990,7 +962,7 @@
 			}
 		}
 		if best == "" {
-			return c.me
+			return c.view.Me
 		}
 		size[best] += max(1, kind.CPUs)
 		given[best] += kind.CPUs
@@ -1001,21 +973,11 @@
 // cpusOf is the size of a rented machine, as the leader knows it.
 func (c *Core) cpusOf(name string) float64 {
 	if r := c.lead.fleet.machines[name]; r != nil {
-		return c.types[r.kind].CPUs
+		return c.view.Types[r.kind].CPUs
 	}
 	return 0
 }
 
-func (c *Core) areaOf(node string) string {
-	if node == c.me {
-		return c.cfg.Area
-	}
-	if p := c.peers[node]; p != nil {
-		return p.area
-	}
-	return ""
-}
-
 // demandMost bounds the groups of waiting tasks that a renewal carries.
 const demandMost = 80
 
@@ -1051,8 +1013,8 @@
 // it from every machine it may use.
 func (c *Core) coarse(j *job) sched.Amount {
 	rough := sched.Coarse(j.need())
-	for kind, t := range c.types {
-		if (len(j.rec.Types) == 0 || slices.Contains(j.rec.Types, kind)) && j.need().Fits(sizeOf(t)) && !rough.Fits(sizeOf(t)) {
+	for kind, t := range c.view.Types {
+		if (len(j.rec.Types) == 0 || slices.Contains(j.rec.Types, kind)) && j.need().Fits(cluster.SizeOf(t)) && !rough.Fits(cluster.SizeOf(t)) {
 			return j.need()
 		}
 	}
@@ -1075,12 +1037,3 @@
 	room(limit.Cards, used.Cards, need.Cards)
 	return n
 }
-
-func (c *Core) limitOf(team string) sched.Limit {
-	for _, t := range c.cfg.Cluster.Teams {
-		if t.Name == team {
-			return sched.Limit{CPUs: t.CPUsMax, Cards: t.GPUsMax}
-		}
-	}
-	return sched.Limit{}
-}
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -31,7 +31,7 @@
 		list = append(list, entry{j, sched.Ready{
 			Rank:      j.rec.Rank(),
 			Borrowing: c.borrowing(j),
-			Rating:    sched.Rate(successorKind(&j.rec), c.lease.Waiting, c.par.K2),
+			Rating:    sched.Rate(successorKind(&j.rec), c.view.Lease.Waiting, c.par.K2),
 			Due:       c.dueStart(j),
 			Arrival:   j.rec.AtMs,
 			ID:        j.rec.ID,
@@ -68,7 +68,7 @@
 	if j.rec.DeadlineS != nil {
 		consider(*j.rec.DeadlineS)
 	}
-	for _, o := range c.cfg.Cluster.Objectives {
+	for _, o := range c.view.Cfg.Cluster.Objectives {
 		switch {
 		case o.Class != j.rec.Class || o.WithinS <= 0:
 		case o.Kind == "finished":
@@ -94,7 +94,7 @@
 // borrowing tells whether one more task of the job takes its team beyond its
 // guarantee; a team without one always borrows.
 func (c *Core) borrowing(j *job) bool {
-	g := c.guarantee(j.rec.Team)
+	g := c.view.GuaranteeOf(j.rec.Team)
 	return !g.Any() || !g.Allows(c.usedByAll(j.rec.Team), j.need())
 }
 
@@ -111,7 +111,7 @@
 
 // usable tells whether new tasks may be placed on a machine.
 func (c *Core) usable(m *machine) bool {
-	silence := config.Seconds(1.3*c.cfg.Cluster.Workers.ReportS) + 700*time.Millisecond
+	silence := config.Seconds(1.3*c.view.Cfg.Cluster.Workers.ReportS) + 700*time.Millisecond
 	return !m.gave && !m.recall && !m.bad && !m.lost && !m.dirty && m.orphans == 0 && m.gone.IsZero() &&
 		m.session != 0 && m.size.CPUs > 0 && !c.loop.Now.Before(m.pauseTo) && c.loop.Now.Sub(m.heard) < silence
 }
@@ -273,7 +273,7 @@
 
 func (c *Core) costOf(j *job, s *spot) float64 {
 	return sched.Cost(j.need(), sched.Place{Free: s.free, Size: s.m.size,
-		FetchS: s.m.fetchSeconds(j, c.types[s.m.kind].FetchGBPS), Dear: s.dear}, j.rec.Rank() <= 1)
+		FetchS: s.m.fetchSeconds(j, c.view.Types[s.m.kind].FetchGBPS), Dear: s.dear}, j.rec.Rank() <= 1)
 }
 
 const (
@@ -307,7 +307,7 @@
 	used := c.used[j.rec.Team].Add(hidden, 1)
 	all := c.usedByAll(j.rec.Team).Add(hidden, 1)
 	limit := c.ceilingOf(j.rec.Team)
-	within := c.guarantee(j.rec.Team)
+	within := c.view.GuaranteeOf(j.rec.Team)
 	owed := within.Any() && within.Allows(all, need)
 	if j.rec.Rank() > 1 && !owed {
 		return
@@ -423,7 +423,7 @@
 	// The other team keeps its own guarantee without the task, all that is
 	// being stopped already taken off: else both teams would stop each
 	// other's tasks in turn.
-	g := c.guarantee(r.j.rec.Team)
+	g := c.view.GuaranteeOf(r.j.rec.Team)
 	left := c.usedByAll(r.j.rec.Team).Add(c.stopping[r.j.rec.Team], -1).Add(r.j.need(), -1)
 	return !g.Any() || (left.CPUs >= g.CPUs && left.Cards >= g.Cards)
 }
@@ -433,16 +433,6 @@
 // stop each other without end.
 const sparedFor = 5 * time.Second
 
-// guarantee is what the team is guaranteed, as a limit.
-func (c *Core) guarantee(team string) sched.Limit {
-	for _, t := range c.cfg.Cluster.Teams {
-		if t.Name == team {
-			return sched.Limit{CPUs: t.CPUs, Cards: t.GPUs}
-		}
-	}
-	return sched.Limit{}
-}
-
 // placeOne places the job's next task, if its team's limit and some machine
 // have room for it.
 func (c *Core) placeOne(j *job, spots []*spot, hidden sched.Amount) *run {
@@ -511,7 +501,7 @@
 // machine as a multiple of the cheapest there is.
 func (c *Core) dearness() func(m *machine) float64 {
 	cheapest := 0.0
-	for _, t := range c.types {
+	for _, t := range c.view.Types {
 		for _, p := range []float64{t.Price, t.SpotPrice} {
 			if p > 0 && (cheapest == 0 || p/t.CPUs < cheapest) {
 				cheapest = p / t.CPUs
@@ -519,7 +509,7 @@
 		}
 	}
 	return func(m *machine) float64 {
-		t := c.types[m.kind]
+		t := c.view.Types[m.kind]
 		price := t.Price
 		if m.spot {
 			price = t.SpotPrice
@@ -622,7 +612,7 @@
 	m.runs[runKey{r.task, r.attempt}] = r
 	j.runs[i] = r
 	c.count(r, 1)
-	m.keep(j.rec.Image, j.rec.ImageGB, c.types[m.kind].CacheGB, false)
+	m.keep(j.rec.Image, j.rec.ImageGB, c.view.Types[m.kind].CacheGB, false)
 	m.idle = time.Time{}
 	c.hurry(m)
 	c.log.Debug("placed", "task", r.task, "attempt", r.attempt, "machine", m.name)
--- a/internal/controller/progress.go
+++ b/internal/controller/progress.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
@@ -79,7 +80,7 @@
 
 // pageFor returns a page with room, a new one if need be.
 func (c *Core) pageFor(bytes int) *page {
-	most := int(pageFill * 1024 * c.cfg.Cluster.State.ValueKB)
+	most := int(pageFill * 1024 * c.view.Cfg.Cluster.State.ValueKB)
 	for _, p := range c.pages {
 		if p.size == 0 || p.size+bytes <= most {
 			return p
@@ -116,7 +117,7 @@
 
 // writePage stores a page as it stands. Only then may the workers forget.
 func (c *Core) writePage(n int, p *page) {
-	key := pagePrefix + c.me + "/" + strconv.Itoa(n)
+	key := pagePrefix + c.view.Me + "/" + strconv.Itoa(n)
 	value := make(map[string]string, len(p.entries))
 	for entry := range p.entries {
 		raw := c.facts[entry]
@@ -263,7 +264,7 @@
 				return
 			}
 			c.pagesBusy = false
-			for _, id := range sortedKeys(c.jobs) {
+			for _, id := range cluster.SortedKeys(c.jobs) {
 				// Only a read that began after the job became this
 				// controller's shows all that earlier owners stored.
 				if j := c.jobs[id]; j.reading && j.readFrom <= read && !j.over && c.owns(j) {
@@ -279,7 +280,7 @@
 
 // ownPage takes up a page that an earlier process of this controller wrote.
 func (c *Core) ownPage(key string, version uint64, entries map[string]string) {
-	num, ok := strings.CutPrefix(key, pagePrefix+c.me+"/")
+	num, ok := strings.CutPrefix(key, pagePrefix+c.view.Me+"/")
 	n, err := strconv.Atoi(num)
 	if !ok || err != nil || n < 0 || n > 1000 {
 		return
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
@@ -21,19 +22,17 @@
 	tradeEvery = 300 * time.Millisecond
 	// nothing is a ceiling of no processors; 0 would mean no limit.
 	nothing = 1e-9
-	// useFresh is how long what a controller told of its use counts.
-	useFresh = 10 * time.Second
 )
 
 // ceilingOf is what the team's tasks may use on this controller's machines:
 // its limit, or this controller's share of that.
 func (c *Core) ceilingOf(team string) sched.Limit {
-	l := c.limitOf(team)
-	shares, parted := c.lease.Shares[team]
+	l := c.view.LimitOf(team)
+	shares, parted := c.view.Lease.Shares[team]
 	if !parted || !l.Any() {
 		return l
 	}
-	s := c.promises.Ceiling(team, shares[c.me])
+	s := c.promises.Ceiling(team, shares[c.view.Me])
 	if l.CPUs > 0 {
 		l.CPUs = max(nothing, float64(s.CPUs))
 	}
@@ -46,8 +45,8 @@
 // usedByAll is what a team's tasks use on all controllers, as far as known.
 func (c *Core) usedByAll(team string) sched.Amount {
 	a := c.used[team]
-	for _, p := range c.peers {
-		if u := p.teams[team]; u != nil && c.loop.Now.Sub(p.heard) < useFresh {
+	for _, p := range c.view.Peers {
+		if u := p.Teams[team]; u != nil && c.loop.Now.Sub(p.Heard) < cluster.UseFresh {
 			a.CPUs += u.GetCpus()
 			a.Cards += u.GetCards()
 		}
@@ -74,7 +73,7 @@
 		return m.size
 	}
 	size := m.size
-	for _, t := range c.types {
+	for _, t := range c.view.Types {
 		size = sched.Amount{CPUs: max(size.CPUs, t.CPUs), Cards: max(size.Cards, t.Cards)}
 	}
 	return size
@@ -84,8 +83,8 @@
 // with a limit or a guarantee.
 func (c *Core) teamUse() map[string]*peerpb.TeamUse {
 	out := map[string]*peerpb.TeamUse{}
-	for _, t := range c.cfg.Cluster.Teams {
-		if !unlimited(t) {
+	for _, t := range c.view.Cfg.Cluster.Teams {
+		if !cluster.Unlimited(t) {
 			u := c.used[t.Name]
 			out[t.Name] = &peerpb.TeamUse{Team: t.Name, Cpus: u.CPUs, Cards: u.Cards, WantCpus: u.CPUs, WantCards: u.Cards}
 		}
@@ -118,10 +117,10 @@
 			continue
 		}
 		u := own[team]
-		if node != c.me {
+		if node != c.view.Me {
 			u = nil
-			if p := c.peers[node]; p != nil && c.loop.Now.Sub(p.heard) < useFresh {
-				u = p.teams[team]
+			if p := c.view.Peers[node]; p != nil && c.loop.Now.Sub(p.Heard) < cluster.UseFresh {
+				u = p.Teams[team]
 			}
 		}
 		if u == nil {
@@ -141,16 +140,16 @@
 // already and no value honours yet.
 func (c *Core) ceilings() map[string]wire.Share {
 	out := map[string]wire.Share{}
-	if c.grant == 0 || len(c.lease.Shares) == 0 {
+	if c.grant == 0 || len(c.view.Lease.Shares) == 0 {
 		return out
 	}
 	own := c.teamUse()
 	hidden := c.hidden()
-	for _, team := range sortedKeys(c.lease.Shares) {
-		shares := c.lease.Shares[team]
-		limit, used := c.limitOf(team), c.used[team].Add(hidden, 1)
-		cpus, cards := c.needs(c.lease.Homes, shares, team, own)
-		now := c.promises.Ceiling(team, shares[c.me])
+	for _, team := range cluster.SortedKeys(c.view.Lease.Shares) {
+		shares := c.view.Lease.Shares[team]
+		limit, used := c.view.LimitOf(team), c.used[team].Add(hidden, 1)
+		cpus, cards := c.needs(c.view.Lease.Homes, shares, team, own)
+		now := c.promises.Ceiling(team, shares[c.view.Me])
 		least := wire.Share{CPUs: int(math.Ceil(used.CPUs)), Cards: int(math.Ceil(used.Cards))}
 		next := now
 		if n, yes := c.spared(cpus, limit.CPUs, used.CPUs, now.CPUs, func(node string) int { return shares[node].CPUs }); yes {
@@ -159,8 +158,8 @@
 		if n, yes := c.spared(cards, limit.Cards, used.Cards, now.Cards, func(node string) int { return shares[node].Cards }); yes {
 			next.Cards = n
 		}
-		next.CPUs, next.Cards = max(next.CPUs, min(least.CPUs, shares[c.me].CPUs)), max(next.Cards, min(least.Cards, shares[c.me].Cards))
-		if next.CPUs < shares[c.me].CPUs || next.Cards < shares[c.me].Cards {
+		next.CPUs, next.Cards = max(next.CPUs, min(least.CPUs, shares[c.view.Me].CPUs)), max(next.Cards, min(least.Cards, shares[c.view.Me].Cards))
+		if next.CPUs < shares[c.view.Me].CPUs || next.Cards < shares[c.view.Me].Cards {
 			out[team] = next
 		}
 	}
@@ -179,11 +178,11 @@
 		sum += of(node)
 	}
 	if float64(sum) > limit {
-		return share.Lower(now, targets[c.me], used, false) // the settings have changed
+		return share.Lower(now, targets[c.view.Me], used, false) // the settings have changed
 	}
 	short, stuck := false, false
 	for node, t := range targets {
-		if node != c.me {
+		if node != c.view.Me {
 			short = short || share.Short(float64(of(node)), t, needs[node])
 			stuck = stuck || share.Stuck(float64(of(node)), t, needs[node])
 		}
@@ -191,17 +190,17 @@
 	if !short {
 		return 0, false
 	}
-	return share.Lower(now, targets[c.me], used, stuck)
+	return share.Lower(now, targets[c.view.Me], used, stuck)
 }
 
 // trade has a renewal sent when there is something to promise.
 func (c *Core) trade() {
-	if c.loop.Now.Sub(c.tradedAt) < tradeEvery || len(c.lease.Shares) == 0 {
+	if c.loop.Now.Sub(c.tradedAt) < tradeEvery || len(c.view.Lease.Shares) == 0 {
 		return
 	}
 	c.tradedAt = c.loop.Now
 	for team, s := range c.ceilings() {
-		if s != c.promises.Ceiling(team, c.lease.Shares[team][c.me]) {
+		if s != c.promises.Ceiling(team, c.view.Lease.Shares[team][c.view.Me]) {
 			c.renewSoon = true
 		}
 	}
@@ -216,7 +215,7 @@
 func (c *Core) promise(r *peerpb.Renewal) {
 	ceilings := c.ceilings()
 	r.Grant = c.grant
-	for _, team := range sortedKeys(ceilings) {
+	for _, team := range cluster.SortedKeys(ceilings) {
 		s := ceilings[team]
 		c.promises.Promise(r.GetNumber(), team, s)
 		r.Ceilings = append(r.Ceilings, &peerpb.Ceiling{Team: team, Cpus: int64(s.CPUs), Cards: int64(s.Cards)})
@@ -260,7 +259,7 @@
 func (c *Core) beginShares(rec *wire.LeaseRecord, t config.Team, live []string) {
 	limit := wire.Share{CPUs: int(t.CPUsMax), Cards: int(t.GPUsMax)}
 	shares := wire.Shares{}
-	if home := c.lease.Homes[t.Name]; home != "" {
+	if home := c.view.Lease.Homes[t.Name]; home != "" {
 		// Its home at this moment, should it have moved with this write.
 		shares[rec.Homes[t.Name]] = limit
 	} else {
@@ -279,8 +278,8 @@
 func (c *Core) raiseShares(rec *wire.LeaseRecord) bool {
 	worth := false
 	own := c.teamUse()
-	for _, team := range sortedKeys(rec.Shares) {
-		shares, limit := rec.Shares[team], c.limitOf(team)
+	for _, team := range cluster.SortedKeys(rec.Shares) {
+		shares, limit := rec.Shares[team], c.view.LimitOf(team)
 		cpus, cards := c.needs(rec.Homes, shares, team, own)
 		for node := range cpus {
 			if _, ok := rec.Blocks[node]; !ok {
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -1,10 +1,10 @@
 package controller
 
 import (
-	"maps"
 	"slices"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
@@ -130,8 +130,8 @@
 // this moment somebody else may have cancelled a task that an answer given
 // here would keep alive for another lease_s.
 func (c *Core) answerUntil() time.Time {
-	w := c.cfg.Cluster.Workers
-	return c.fresh.Add(shrink(config.Seconds(w.CancelS-w.LeaseS) - 2*time.Second))
+	w := c.view.Cfg.Cluster.Workers
+	return c.fresh.Add(cluster.Shrink(config.Seconds(w.CancelS-w.LeaseS) - 2*time.Second))
 }
 
 // onReport handles a worker's report.
@@ -216,10 +216,6 @@
 	return cmds
 }
 
-// sortedKeys lists a map's keys in order, wherever the order shows in the
-// effects: the same events always have the same outcome.
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
-
 func sortedRuns(m *machine) []runKey {
 	keys := make([]runKey, 0, len(m.runs))
 	for k := range m.runs {
@@ -268,8 +264,8 @@
 	if m.kind != r.Type {
 		m.kind = r.Type
 	}
-	if t, ok := c.types[m.kind]; ok {
-		m.size = sizeOf(t)
+	if t, ok := c.view.Types[m.kind]; ok {
+		m.size = cluster.SizeOf(t)
 	}
 	if r.NoticeS != nil {
 		if m.gone.IsZero() {
@@ -315,7 +311,7 @@
 		if t.State == wire.TaskRunning && a.state != wire.TaskRunning {
 			a.started = c.loop.Now
 			if a.j != nil {
-				m.keep(a.j.rec.Image, a.j.rec.ImageGB, c.types[m.kind].CacheGB, true)
+				m.keep(a.j.rec.Image, a.j.rec.ImageGB, c.view.Types[m.kind].CacheGB, true)
 			}
 		}
 		a.state = t.State
@@ -516,17 +512,17 @@
 func (c *Core) guestReport(e step.ReportIn) {
 	r := &e.Report
 	g := c.guests[r.Machine]
-	if g == nil || r.Session > g.rep.Session || c.loop.Now.Sub(g.heard) > config.Seconds(c.cfg.Cluster.Workers.LeaseS) {
+	if g == nil || r.Session > g.rep.Session || c.loop.Now.Sub(g.heard) > config.Seconds(c.view.Cfg.Cluster.Workers.LeaseS) {
 		g = &guest{since: c.loop.Now}
 		c.guests[r.Machine] = g
 		c.renewSoon = true // its owner may take it for lost
 	}
 	g.rep, g.heard = *r, c.loop.Now
-	owner := c.ownerOf(r.Machine)
+	owner := c.view.OwnerOf(r.Machine)
 	if owner == "" {
 		c.renewSoon = true // the leader has to hear of it
-		if c.lead == nil && c.linkUp(c.lease.Leader) {
-			c.answer(e.Req, 421, wire.Redirect{ReportTo: c.lease.Leader})
+		if c.lead == nil && c.view.LinkUp(c.view.Lease.Leader, c.loop.Now) {
+			c.answer(e.Req, 421, wire.Redirect{ReportTo: c.view.Lease.Leader})
 			return
 		}
 		if c.lead != nil && r.Token <= c.grant<<24 {
@@ -534,7 +530,7 @@
 			g.pending = append(g.pending, e.Req)
 			return
 		}
-	} else if owner != c.me && c.linkUp(owner) && c.loop.Now.Sub(g.sent) > 5*time.Second {
+	} else if owner != c.view.Me && c.view.LinkUp(owner, c.loop.Now) && c.loop.Now.Sub(g.sent) > 5*time.Second {
 		g.sent = c.loop.Now
 		c.answer(e.Req, 421, wire.Redirect{ReportTo: owner})
 		return
@@ -542,7 +538,7 @@
 	// The owner is out of reach for this worker. Its own token keeps its
 	// tasks alive without a right to start anything. Not for long: a direct
 	// start held back on the way is only void once the session ends.
-	w := c.cfg.Cluster.Workers
+	w := c.view.Cfg.Cluster.Workers
 	if c.loop.Now.Sub(g.since) > config.Seconds(max(0, w.CancelS-w.LeaseS-7)) {
 		c.unavailable(e.Req)
 		if c.loop.Now.Sub(g.since) > config.Seconds(w.CancelS+2*w.LeaseS) {
@@ -575,7 +571,7 @@
 // that has died since would otherwise not be released, and all that may have
 // run on it would wait.
 func (c *Core) guestFresh() time.Duration {
-	return min(10*time.Second, config.Seconds(aloneReports*c.cfg.Cluster.Workers.ReportS))
+	return min(10*time.Second, config.Seconds(aloneReports*c.view.Cfg.Cluster.Workers.ReportS))
 }
 
 // releaseGuests answers reports that waited for their machine's block.
@@ -587,9 +583,9 @@
 	if !pending {
 		return
 	}
-	for _, name := range sortedKeys(c.guests) {
+	for _, name := range cluster.SortedKeys(c.guests) {
 		g := c.guests[name]
-		if g == nil || len(g.pending) == 0 || (!all && c.ownerOf(name) == "" && c.loop.Now.Sub(g.heard) < 2*time.Second) {
+		if g == nil || len(g.pending) == 0 || (!all && c.view.OwnerOf(name) == "" && c.loop.Now.Sub(g.heard) < 2*time.Second) {
 			continue
 		}
 		reqs := g.pending
@@ -598,7 +594,7 @@
 			c.unavailable(req)
 		}
 		last := reqs[len(reqs)-1]
-		if c.ownerOf(name) == "" {
+		if c.view.OwnerOf(name) == "" {
 			c.unavailable(last)
 			continue
 		}
@@ -606,14 +602,6 @@
 	}
 }
 
-// ownerOf names the controller that holds a machine.
-func (c *Core) ownerOf(name string) string {
-	if c.machines[name] != nil {
-		return c.me
-	}
-	return c.owners[name]
-}
-
 // hurry notes that a machine has commands that should go out at once.
 func (c *Core) hurry(m *machine) { c.hurried[m.name] = true }
 
@@ -623,7 +611,7 @@
 	if len(c.hurried) == 0 || !c.mayStart() {
 		return
 	}
-	for _, name := range sortedKeys(c.hurried) {
+	for _, name := range cluster.SortedKeys(c.hurried) {
 		m := c.machines[name]
 		if m == nil {
 			delete(c.hurried, name)
@@ -681,7 +669,7 @@
 			m.bump++
 		}
 		m.unanswered++
-		m.noDirect = c.loop.Now.Add(config.Seconds(2 * c.cfg.Cluster.Workers.ReportS))
+		m.noDirect = c.loop.Now.Add(config.Seconds(2 * c.view.Cfg.Cluster.Workers.ReportS))
 	}
 	c.touchIdle(m)
 }
@@ -714,7 +702,7 @@
 	if len(c.strangers) == 0 || !c.mayStart() {
 		return
 	}
-	for _, name := range sortedKeys(c.strangers) {
+	for _, name := range cluster.SortedKeys(c.strangers) {
 		m := c.machines[name]
 		if m == nil || m.gave || m.lost || (m.session != 0 && !m.dirty && !c.silent(m)) {
 			delete(c.strangers, name)
@@ -752,7 +740,7 @@
 func (c *Core) tellKnown(r *peerpb.Renewal) {
 	var known []*peerpb.Seen
 	for _, name := range c.unpack(r.GetUnknown()) {
-		if m := c.lead.fleet.machines[name]; m != nil && m.endpoint != "" && c.owners[name] == r.GetNode() {
+		if m := c.lead.fleet.machines[name]; m != nil && m.endpoint != "" && c.view.OwnerOf(name) == r.GetNode() {
 			known = append(known, m.seen(name))
 		}
 	}
@@ -796,7 +784,7 @@
 
 // silent tells whether a machine has missed its reports.
 func (c *Core) silent(m *machine) bool {
-	return c.loop.Now.Sub(m.heard) > config.Seconds(aloneReports*c.cfg.Cluster.Workers.ReportS)
+	return c.loop.Now.Sub(m.heard) > config.Seconds(aloneReports*c.view.Cfg.Cluster.Workers.ReportS)
 }
 
 // census counts a zone's machines, all and ordinary ones, and how many of
@@ -820,8 +808,8 @@
 // checkMachines looks for machines that fell silent.
 func (c *Core) checkMachines() {
 	c.releaseGuests(false)
-	w := c.cfg.Cluster.Workers
-	limit := stretch(config.Seconds(w.LeaseS)) + time.Second
+	w := c.view.Cfg.Cluster.Workers
+	limit := cluster.Stretch(config.Seconds(w.LeaseS)) + time.Second
 	// Machines of a zone that fall silent together are cut off rather than
 	// dead. They come back as they were when the cut ends, so they are given
 	// more time; new ones would take a boot time and may not be had at all.
