--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 
 	"fawncove/internal/cloud"
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/controller"
 	"fawncove/internal/httpapi"
@@ -81,7 +82,7 @@
 	for _, p := range s.Peers {
 		links[p.HostName] = peer.Dial(ctx, p.Endpoint)
 	}
-	core := controller.New(s, controller.Defaults(), logger, uint64(time.Now().UnixMilli()))
+	core := controller.New(s, cluster.Defaults(), logger, uint64(time.Now().UnixMilli()))
 	n := node.New(core, logger,
 		statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, s.Controllers()),
 		cloud.New(s.External.Cloud, s.Cluster.Cloud.RPS, 0.8), links, 2*s.Cluster.Limits.Sockets/5)
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -12,6 +12,7 @@
 	"fawncove/internal/config"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
+	"fawncove/internal/share"
 	"fawncove/internal/wire"
 )
 
@@ -33,9 +34,24 @@
 // Shrink returns how much of d this machine may use for itself.
 func Shrink(d time.Duration) time.Duration { return d - time.Duration(float64(d)*drift) - margin }
 
+// Params are the open defaults of the design.
+type Params struct {
+	Lease   time.Duration // how long a block lease lasts
+	Publish time.Duration // how often the leader publishes
+	K2      int           // the look-ahead threshold
+	Pack    int           // fleets smaller than this have all homes in one place
+	Home    int           // fleets larger than this have the jobs of limited teams parted too
+}
+
+// Defaults are the starting values.
+func Defaults() Params {
+	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 700}
+}
+
 // View is the picture of the cluster.
 type View struct {
 	Cfg   *config.Settings
+	Par   Params
 	Me    string                      // this controller
 	Types map[string]wire.MachineType // by name; empty until read
 	Peers map[string]*Peer            // the other controllers by name
@@ -44,7 +60,10 @@
 	// means that none has been read.
 	Lease   wire.LeaseRecord
 	Version uint64
-	owners  map[string]string // machine -> controller, by the lease value
+	// ValueBytes is the size of the lease value that this controller wrote
+	// last, without pages.
+	ValueBytes int
+	owners     map[string]string // machine -> controller, by the lease value
 }
 
 // Peer is what is known of another controller.
@@ -85,8 +104,8 @@
 
 // New returns the view of the controller described by cfg, before it has read
 // or heard anything.
-func New(cfg *config.Settings) *View {
-	v := &View{Cfg: cfg, Me: cfg.HostName, Types: map[string]wire.MachineType{},
+func New(cfg *config.Settings, par Params) *View {
+	v := &View{Cfg: cfg, Par: par, Me: cfg.HostName, Types: map[string]wire.MachineType{},
 		Peers: map[string]*Peer{}, owners: map[string]string{}}
 	for _, p := range cfg.Peers {
 		v.Peers[p.HostName] = &Peer{Area: p.Area}
@@ -204,3 +223,31 @@
 		}
 	}
 }
+
+// Needs collects what every controller that is home to jobs of the team needs,
+// processors and cards; own is what this one's tasks use and want. Those not
+// heard of lately keep what they have.
+func (v *View) Needs(homes map[string]string, shares wire.Shares, team string, own map[string]*peerpb.TeamUse, now time.Time) (cpus, cards map[string]share.Need) {
+	cpus, cards = map[string]share.Need{}, map[string]share.Need{}
+	for home, node := range homes {
+		if _, done := cpus[node]; done || (home != team && !wire.IsPart(home, team)) {
+			continue
+		}
+		u := own[team]
+		if node != v.Me {
+			u = nil
+			if p := v.Peers[node]; p != nil && now.Sub(p.Heard) < UseFresh {
+				u = p.Teams[team]
+			}
+		}
+		if u == nil {
+			s := shares[node]
+			cpus[node] = share.Need{Used: float64(s.CPUs), Want: float64(s.CPUs)}
+			cards[node] = share.Need{Used: float64(s.Cards), Want: float64(s.Cards)}
+			continue
+		}
+		cpus[node] = share.Need{Used: u.GetCpus(), Want: u.GetWantCpus(), Must: u.GetMustCpus()}
+		cards[node] = share.Need{Used: u.GetCards(), Want: u.GetWantCards(), Must: u.GetMustCards()}
+	}
+	return cpus, cards
+}
--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -11,6 +11,7 @@
 	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
@@ -30,7 +31,7 @@
 	for i := 1; i < 5; i++ {
 		s.Peers = append(s.Peers, config.Peer{HostName: fmt.Sprintf("n%d", i), Area: "y"})
 	}
-	c := New(s, Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
+	c := New(s, cluster.Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
 	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 	c.loop.Now, c.fresh, c.stateOK, c.loaded = now, now, now, true
 	c.view.Types["b8"] = wire.MachineType{Name: "b8", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 30, Zones: []string{"x", "y"}}
@@ -74,15 +75,27 @@
 	}
 	rec.Beat = part.Beat
 	c.applyLease(rec, 5)
-	c.lead.since, c.lead.fleet.listed = now.Add(-time.Minute), true
-	for node, blk := range rec.Blocks {
-		for _, name := range blk.Machines {
-			c.lead.fleet.machines[name] = &rented{offerKey: offerKey{"b8", "x", true}, rentedAt: now}
-		}
+	for node := range rec.Blocks {
 		if node != "n0" {
 			c.onPeer(&peerpb.Frame{From: node, Incarnation: 7, ReadsForm: 2, Renewal: &peerpb.Renewal{Node: node, Incarnation: 7, Number: 1}})
 		}
 	}
+	var list wire.MachineList
+	for _, blk := range rec.Blocks {
+		for _, name := range blk.Machines {
+			list.Machines = append(list.Machines, wire.Machine{Name: name, Type: "b8", Zone: "x", Spot: true, State: wire.MachineRunning})
+		}
+	}
+	listed := false
+	c.lead.Run()
+	for _, e := range c.loop.Effects() {
+		if e, ok := e.(step.CloudList); ok && !listed {
+			listed = c.loop.Complete(step.Completed{ID: e.ID, Status: 200, List: list})
+		}
+	}
+	if !listed {
+		b.Fatal("the leader does not ask for the machine list")
+	}
 	c.right = now.Add(time.Hour)
 	for i, name := range cluster.SortedKeys(c.machines) {
 		m := c.machines[name]
@@ -114,7 +127,7 @@
 		for i := 0; b.Loop(); i += 17 {
 			c.leaseBusy = false
 			c.loop.Begin(c.loop.Now)
-			c.lead.gone[fmt.Sprintf("host-%06d", i%n)] = true
+			c.lead.Gone(fmt.Sprintf("host-%06d", i%n))
 			c.publish()
 		}
 	})
@@ -124,7 +137,7 @@
 func BenchmarkApply(b *testing.B) {
 	atSizes(b, func(b *testing.B, c *Core, _ time.Time, _ int) {
 		for version := uint64(1000); b.Loop(); version++ {
-			rec := c.cloneLease()
+			rec := c.view.Lease.Clone()
 			blk := rec.Blocks["n1"]
 			blk.Machines = slices.Clone(blk.Machines)
 			slices.Reverse(blk.Machines[:2])
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,6 +12,7 @@
 
 	"fawncove/internal/cluster"
 	"fawncove/internal/config"
+	"fawncove/internal/leader"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
@@ -20,20 +21,6 @@
 	"fawncove/internal/wire"
 )
 
-// Params are the open defaults of the design.
-type Params struct {
-	Lease   time.Duration // how long a block lease lasts
-	Publish time.Duration // how often the leader publishes
-	K2      int           // the look-ahead threshold
-	Pack    int           // fleets smaller than this have all homes in one place
-	Home    int           // fleets larger than this have the jobs of limited teams parted too
-}
-
-// Defaults are the starting values.
-func Defaults() Params {
-	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 700}
-}
-
 const (
 	// watchHold bounds how old this controller's knowledge of cancellations
 	// gets while the state service answers.
@@ -43,12 +30,8 @@
 // Core is the state of one controller.
 type Core struct {
 	view *cluster.View
-	// budgets are the limits of the settings that bound the fleet, but for the
-	// lease value, whose size is known.
-	budgets []config.Budget
-	par     Params
-	log     *slog.Logger
-	inc     uint64
+	log  *slog.Logger
+	inc  uint64
 
 	loop step.Loop
 
@@ -86,7 +69,6 @@
 	unread       *wire.Pair      // a lease value whose pages are not all known
 	unreadSince  time.Time
 	leaseReading bool
-	valueBytes   int       // of the lease value written last, with pages
 	right        time.Time // until when this controller may start tasks
 	grant        uint64
 	renewals     uint64
@@ -94,7 +76,7 @@
 	renewAt      time.Time
 	renewSoon    bool
 	homes        map[string]uint64 // team -> revision at which it became ours
-	lead         *leader
+	lead         *leader.Leader
 	promises     share.Holder // to use less of a share
 	tradedAt     time.Time
 
@@ -104,7 +86,7 @@
 	attempts uint64
 	guests   map[string]*guest
 	classes  map[string]*classStats
-	inflow   map[int64]float64 // accepted work by step of time, see arrived
+	inflow   sched.Inflow
 	placeDue bool
 	placedAt time.Time
 	choices  []choice   // reused by placeTasks
@@ -124,8 +106,8 @@
 
 // New returns the core of the controller described by cfg. incarnation must
 // be larger than that of every earlier process of the same name.
-func New(cfg *config.Settings, par Params, log *slog.Logger, incarnation uint64) *Core {
-	c := &Core{view: cluster.New(cfg), par: par, log: log, inc: incarnation,
+func New(cfg *config.Settings, par cluster.Params, log *slog.Logger, incarnation uint64) *Core {
+	c := &Core{view: cluster.New(cfg, par), log: log, inc: incarnation,
 		jobs:        map[string]*job{},
 		ended:       map[string]wire.EndRecord{},
 		ending:      map[string]bool{},
@@ -141,14 +123,8 @@
 		guests:      map[string]*guest{},
 		cutUntil:    map[string]time.Time{},
 		classes:     map[string]*classStats{},
-		inflow:      map[int64]float64{},
 		progress:    map[string]*peerpb.Progress{},
 	}
-	for _, b := range cfg.Budgets() {
-		if b.Field != "cluster.state.value_kb" {
-			c.budgets = append(c.budgets, b)
-		}
-	}
 	return c
 }
 
@@ -173,6 +149,9 @@
 			c.stateOK = now
 		}
 		c.loop.Complete(e)
+		if c.lead != nil && c.lead.Again() {
+			c.leadTick()
+		}
 	default:
 		c.log.Error("unknown event", "type", fmt.Sprintf("%T", ev))
 	}
@@ -324,7 +303,7 @@
 // usesOfTeams lists what this controller's tasks use and want, where others
 // have to know it.
 func (c *Core) usesOfTeams() []*peerpb.TeamUse {
-	uses := c.teamUse()
+	uses := c.Uses()
 	var out []*peerpb.TeamUse
 	for _, team := range cluster.SortedKeys(uses) {
 		out = append(out, uses[team])
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,9 +10,7 @@
 
 	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
 	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
@@ -27,7 +24,7 @@
 			Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
 			State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
 			Cloud:   config.Cloud{RPS: 5, ListLagS: 4}}}
-	c := New(s, Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
+	c := New(s, cluster.Defaults(), slog.New(slog.NewTextHandler(io.Discard, nil)), 7)
 	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
 	c.loop.Now, c.fresh, c.loaded = now, now, true
 	c.view.Types["s4"] = wire.MachineType{Name: "s4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 6, Zones: []string{"x", "y"}}
@@ -282,27 +279,6 @@
 	}
 }
 
-// TestHomesFollowProcessors expects homes for teams with limits to be as few as
-// the controllers' processors allow: room that is apart is room lost.
-func TestHomesFollowProcessors(t *testing.T) {
-	c, _ := newCore(t, []config.Team{{Name: "a", CPUs: 900, CPUsMax: 1000}, {Name: "b", CPUsMax: 800}}, wire.LeaseRecord{Term: 3, Leader: "n1"})
-	for _, want := range []struct {
-		cores   float64
-		reportS float64
-		homes   int
-	}{{0.12, 2, 1}, {0.05, 2, 2}, {0.05, 6, 1}, {0, 0.1, 2}} {
-		c.view.Cfg.Cluster.Limits.Cores, c.view.Cfg.Cluster.Workers.ReportS = want.cores, want.reportS
-		c.lead = &leader{since: c.loop.Now.Add(-time.Minute), renewals: map[string]*peerpb.Renewal{"n1": {}}, heardAt: map[string]time.Time{"n1": c.loop.Now}}
-		c.lead.fleet.init()
-		rec := wire.LeaseRecord{Blocks: map[string]wire.Block{"n0": {}, "n1": {}}, Homes: map[string]string{}}
-		c.settleHomes(&rec)
-		homes := map[string]bool{rec.Homes["a"]: true, rec.Homes["b"]: true}
-		if len(homes) != want.homes {
-			t.Errorf("%v cores, reports every %v s: %d homes, want %d", want.cores, want.reportS, len(homes), want.homes)
-		}
-	}
-}
-
 // TestServicesFindRoom fills all ordinary machines with urgent tasks. A service
 // that may use no others gets room at once where these could run on spot
 // machines as well, and is left to wait where they could not.
@@ -335,138 +311,6 @@
 	}
 }
 
-// TestBehind expects dear machines to be wanted for what a fleet cannot work
-// off beside what comes in, and not for work that can wait.
-func TestBehind(t *testing.T) {
-	for _, c := range []struct {
-		name          string
-		inflow, slack float64 // processors; seconds
-		whole         bool
-		want          int
-	}{
-		{"keeps up and works off", 10, 0, false, 0},
-		{"no capacity left for the backlog", 60, 0, false, 50},
-		{"may wait", 60, 100, false, 0},
-		{"may wait, but is a gang", 60, 100, true, 100},
-	} {
-		core, _ := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1"})
-		core.lead = &leader{renewals: map[string]*peerpb.Renewal{"n1": {BusyCpus: 40, BusySpotCpus: 30}}}
-		core.arrived(&wire.JobRecord{AtMs: core.loop.Now.Add(-30 * time.Second).UnixMilli(),
-			Job: wire.Job{Shape: wire.Array, Class: "a", Tasks: int(c.inflow), CPUs: 1, EstimateS: inflowSpan.Seconds()}})
-		core.arrived(&wire.JobRecord{AtMs: core.loop.Now.UnixMilli(), Job: wire.Job{Shape: wire.Daemon, Tasks: 1000, CPUs: 1}})
-		core.arrived(&wire.JobRecord{AtMs: core.loop.Now.Add(-2 * inflowSpan).UnixMilli(), Job: wire.Job{Shape: wire.Array, Tasks: 1000, CPUs: 1, EstimateS: 60}})
-		// 100 tasks of 9 s, to be worked off in 1.5 boot times of 6 s, need as
-		// many processors for that time.
-		waiting := []sched.Demand{{Need: sched.Amount{CPUs: 1}, Count: 100, RunS: 9, SlackS: c.slack, Whole: c.whole}}
-		if got := core.behind(waiting, 120)[0].Count; got != c.want {
-			t.Errorf("%s: %d tasks want dear machines, want %d", c.name, got, c.want)
-		}
-	}
-}
-
-// TestCeilingsAreHonouredOnce: a promise to use less of a share counts only
-// with the write that honours its renewal, and only under the grant it was made
-// under. Else the share that was raised since, or that came with a dead
-// controller's machines, would be lowered below what already runs there, and
-// the difference given to others.
-func TestCeilingsAreHonouredOnce(t *testing.T) {
-	team := config.Team{Name: "red", CPUsMax: 100}
-	lease := func() wire.LeaseRecord {
-		return wire.LeaseRecord{Form: 2, Term: 3, Leader: "n0", Incarnation: 7,
-			Homes: map[string]string{"red": "n0", "red #1": "n0", "red #2": "n1"},
-			Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7},
-				"n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 5}},
-			Shares: map[string]wire.Shares{"red": {"n0": {CPUs: 20}, "n1": {CPUs: 80}}}}
-	}
-	for _, c := range []struct {
-		name   string
-		number uint64
-		grant  uint64
-		lower  bool
-	}{
-		{"a new renewal", 6, 3<<16 + 1, true},
-		{"one that the value honours already", 5, 3<<16 + 1, false},
-		{"one of an earlier grant", 6, 3 << 16, false},
-		{"one without a grant", 6, 0, false},
-	} {
-		core, now := newCore(t, []config.Team{team}, lease())
-		core.lead.wrote = now
-		core.Step(now, step.PeerIn{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, ReadsForm: 2, Renewal: &peerpb.Renewal{
-			Node: "n1", Incarnation: 9, Number: c.number, Grant: c.grant,
-			Ceilings: []*peerpb.Ceiling{{Team: "red", Cpus: 30}}}}})
-		shares := -1
-		for _, e := range core.Step(now.Add(6*time.Second), step.Tick{}) {
-			if txn, ok := e.(step.StateTxn); ok && txn.Control {
-				rec := readBack(t, txn.Txn.Then)
-				shares = rec.Shares["red"]["n1"].CPUs
-				if sum := shares + rec.Shares["red"]["n0"].CPUs; sum > 100 {
-					t.Errorf("%s: shares of %d", c.name, sum)
-				}
-			}
-		}
-		if shares < 0 {
-			t.Fatalf("%s: nothing was written", c.name)
-		}
-		if lowered := shares < 80; lowered != c.lower {
-			t.Errorf("%s: the share is %d afterwards", c.name, shares)
-		}
-	}
-}
-
-// readBack reads a lease value as it would be stored.
-func readBack(t *testing.T, ops []wire.Op) wire.LeaseRecord {
-	t.Helper()
-	var book leasevalue.Book
-	for _, op := range ops[1:] {
-		raw, err := wire.Encode(op.Value)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if _, err := book.ReadPage(op.Put, raw); err != nil {
-			t.Fatal(err)
-		}
-	}
-	raw, err := wire.Encode(ops[0].Value)
-	if err != nil {
-		t.Fatal(err)
-	}
-	rec, err := book.Read(raw)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return rec
-}
-
-// TestOldControllersKeepTheOldForm: as long as one controller reads nothing
-// newer, the lease value is stored as before and no limit is parted.
-func TestOldControllersKeepTheOldForm(t *testing.T) {
-	for _, form := range []uint32{0, 2} {
-		core, now := newCore(t, []config.Team{{Name: "red", CPUsMax: 100}}, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7,
-			Homes:  map[string]string{"red": "n0"},
-			Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}, "n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 5}}})
-		core.par.Home = 0
-		core.lead.wrote, core.lead.since, core.lead.fleet.listed = now, now.Add(-time.Minute), true
-		core.Step(now, step.PeerIn{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, ReadsForm: form,
-			Renewal: &peerpb.Renewal{Node: "n1", Incarnation: 9, Number: 6}}})
-		wrote := false
-		for _, e := range core.Step(now.Add(6*time.Second), step.Tick{}) {
-			if txn, ok := e.(step.StateTxn); ok && txn.Control {
-				wrote = true
-				rec := readBack(t, txn.Txn.Then)
-				if (rec.Form == 2) != (form == 2) || (len(rec.Shares) > 0) != (form == 2) {
-					t.Errorf("the others read form %d: stored in form %d with shares %v", form, rec.Form, rec.Shares)
-				}
-				if form == 2 && rec.Shares["red"]["n0"].CPUs != 100 {
-					t.Errorf("the home until now has to begin with the whole limit: %v", rec.Shares)
-				}
-			}
-		}
-		if !wrote {
-			t.Fatal("nothing was written")
-		}
-	}
-}
-
 // TestJobsAreFiledEvenly guards against the machines of a quiet fleet ending up
 // with one controller: they follow the work, so a job must not go to a large
 // block only because it is large, though it goes there when it cannot start
@@ -501,46 +345,11 @@
 	}
 }
 
-// TestCeilingIsLoggedOnce: a fleet that hovers at its ceiling is held there
-// without a line in the log for every machine that comes and goes.
-func TestCeilingIsLoggedOnce(t *testing.T) {
-	core, _ := newCore(t, nil, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7,
-		Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}}})
-	var log countingHandler
-	core.log = slog.New(&log)
-	core.budgets = []config.Budget{{Name: "sockets", Field: "cluster.limits.sockets", Machines: 100}}
-	machines := core.lead.fleet.machines
-	fill := func(n int) {
-		clear(machines)
-		for i := range n {
-			machines[fmt.Sprintf("host-%06d", i)] = &rented{}
-		}
-	}
-	for _, c := range []struct {
-		machines int
-		room     bool
-		lines    int
-	}{{90, true, 0}, {100, false, 1}, {99, false, 1}, {104, false, 1}, {98, false, 1}, {96, true, 2}, {99, true, 2}, {100, false, 3}} {
-		fill(c.machines)
-		if got := core.roomForMore(); got != c.room || log.lines != c.lines {
-			t.Errorf("%d machines of 100: room %v after %d lines, want %v after %d", c.machines, got, log.lines, c.room, c.lines)
-		}
-	}
-}
-
-// countingHandler counts the lines logged.
-type countingHandler struct{ lines int }
-
-func (h *countingHandler) Enabled(context.Context, slog.Level) bool  { return true }
-func (h *countingHandler) Handle(context.Context, slog.Record) error { h.lines++; return nil }
-func (h *countingHandler) WithAttrs([]slog.Attr) slog.Handler        { return h }
-func (h *countingHandler) WithGroup(string) slog.Handler             { return h }
-
 // TestWriteThatIsTooLargeIsCutDown guards against a leader that tries the same
 // write, too large for a transaction, until all leases have lapsed.
 func TestWriteThatIsTooLargeIsCutDown(t *testing.T) {
 	c, now := largeFleet(t, 10000)
-	rec := c.cloneLease()
+	rec := c.view.Lease.Clone()
 	for node, b := range rec.Blocks {
 		b.Machines = slices.Clone(b.Machines)
 		b.Machines = slices.DeleteFunc(b.Machines, func(n string) bool { return n[len(n)-1] == '7' }) // off every page
@@ -549,11 +358,11 @@
 	c.leaseBusy = false
 	c.loop.Begin(now)
 	c.writeLease(rec, func() { t.Error("stored") })
-	if len(c.loop.Effects()) != 0 || c.leaseBusy || !c.lead.lean {
-		t.Fatalf("%d effects, busy %v, lean %v after a write that does not fit", len(c.loop.Effects()), c.leaseBusy, c.lead.lean)
+	if len(c.loop.Effects()) != 0 || c.leaseBusy {
+		t.Fatalf("%d effects, busy %v after a write that does not fit", len(c.loop.Effects()), c.leaseBusy)
 	}
-	for name := range c.lead.fleet.machines {
-		c.lead.gone[name] = name[len(name)-1] == '7'
+	for i := 7; i < 10000; i += 10 {
+		c.lead.Gone(fmt.Sprintf("host-%06d", i))
 	}
 	for i, most := range []int{1, 12} { // first the value alone, then as much as fits
 		changes := 0
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -252,7 +252,9 @@
 	if j == nil {
 		j = &job{first: version, waitSince: c.loop.Now}
 		c.jobs[rec.ID] = j
-		c.arrived(&rec)
+		if rec.Shape != wire.Daemon { // one is never done; its processors are taken off what there is
+			c.inflow.Add(time.UnixMilli(rec.AtMs), float64(rec.Tasks)*rec.CPUs*max(1, c.runSeconds(&rec)))
+		}
 	}
 	if version <= j.version {
 		return
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/base64"
 	"errors"
-	"maps"
 	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"fawncove/internal/cluster"
+	"fawncove/internal/leader"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
@@ -21,8 +21,6 @@
 	// leaderDead is how long the lease value may stay unchanged before
 	// another controller takes the lead: two missed publications.
 	leaderDead = 10 * time.Second
-	// writeGap spaces the leader's writes of the lease value.
-	writeGap = 100 * time.Millisecond
 	// renewGap spaces renewals that something urgent brought about; those
 	// through the state service cost a write, so they come less often.
 	renewGap      = 200 * time.Millisecond
@@ -135,12 +133,12 @@
 	c.view.Take(rec, version)
 	c.leaseSeen = c.loop.Now
 	if rec.Leader == c.view.Me && rec.Incarnation == c.inc {
-		if c.lead == nil || c.lead.term != rec.Term {
+		if c.lead == nil || c.lead.Term() != rec.Term {
 			c.startLeading(rec.Term)
 		}
 	} else if c.lead != nil {
 		c.log.Info("no longer leader", "leader", rec.Leader, "term", rec.Term)
-		c.lead = nil
+		c.stopLeading()
 	}
 	b, ok := rec.Blocks[c.view.Me]
 	if !ok || b.Incarnation != c.inc {
@@ -156,7 +154,7 @@
 	}
 	c.promises.Honoured(b.Renewal)
 	if sent, ok := c.renewalSent[b.Renewal]; ok {
-		if until := sent.Add(cluster.Shrink(c.par.Lease)); until.After(c.right) {
+		if until := sent.Add(cluster.Shrink(c.view.Par.Lease)); until.After(c.right) {
 			c.right = until
 		}
 		for n := range c.renewalSent {
@@ -248,11 +246,10 @@
 	}
 }
 
-// renewal describes this controller to the leader.
-func (c *Core) renewal() *peerpb.Renewal {
-	c.renewals++
+// Renewal describes this controller to the leader, numbered as the next one.
+func (c *Core) Renewal() *peerpb.Renewal {
 	var gave, lost, heard, unknown, bound []string
-	r := &peerpb.Renewal{Node: c.view.Me, Incarnation: c.inc, Number: c.renewals, Waiting: map[string]int32{}}
+	r := &peerpb.Renewal{Node: c.view.Me, Incarnation: c.inc, Number: c.renewals + 1, Waiting: map[string]int32{}}
 	for _, name := range cluster.SortedKeys(c.machines) {
 		m := c.machines[name]
 		switch {
@@ -345,7 +342,7 @@
 	}
 	c.log.Info("resigned, the state service refuses this controller alone", "machines", len(c.machines), "led", c.lead != nil)
 	c.inc++
-	c.lead = nil
+	c.stopLeading()
 	c.loseBlock()
 	c.renewSoon = true
 }
@@ -362,13 +359,14 @@
 	if direct {
 		gap = renewGap
 	}
-	last := c.renewAt.Add(-c.par.Publish)
+	last := c.renewAt.Add(-c.view.Par.Publish)
 	if c.loop.Now.Before(c.renewAt) && !(c.renewSoon && c.loop.Now.Sub(last) >= gap) {
 		return
 	}
 	c.renewSoon = false
-	c.renewAt = c.loop.Now.Add(c.par.Publish)
-	r := c.renewal()
+	c.renewAt = c.loop.Now.Add(c.view.Par.Publish)
+	r := c.Renewal()
+	c.renewals++
 	r.Resigned = c.grant == 0 && c.refusedAlone()
 	c.promise(r)
 	c.renewalSent[r.Number] = c.loop.Now
@@ -418,15 +416,6 @@
 	}
 }
 
-// unpack reads a set of machines from a renewal.
-func (c *Core) unpack(text string) []string {
-	names, err := wire.UnpackNames(text)
-	if err != nil {
-		c.log.Error("names in a renewal", "err", err)
-	}
-	return names
-}
-
 // applyStoredRenewal reads a renewal that came through the state service.
 func (c *Core) applyStoredRenewal(value []byte) {
 	if c.lead == nil {
@@ -449,37 +438,6 @@
 	c.onRenewal(r)
 }
 
-// ---- leading
-
-// leader is what the leading controller keeps beyond the lease value.
-type leader struct {
-	term     uint64
-	since    time.Time
-	dirty    bool
-	lean     bool // the next write leaves out what can wait
-	wrote    time.Time
-	renewals map[string]*peerpb.Renewal // newest of each controller
-	heardAt  map[string]time.Time       // when it came
-	// renewedAt is when the answer to the last write with a renewal of that
-	// controller came; its lease may last Lease from then.
-	renewedAt map[string]time.Time
-	gone      map[string]bool // released, confirmed
-	recalls   map[string]bool
-	moves     map[string]string // recalled for another controller
-	fleet     fleet
-}
-
-func (c *Core) startLeading(term uint64) {
-	c.log.Info("leading", "term", term)
-	c.lead = &leader{term: term, since: c.loop.Now, dirty: true,
-		renewals: map[string]*peerpb.Renewal{}, heardAt: map[string]time.Time{},
-		renewedAt: map[string]time.Time{}, gone: map[string]bool{}, recalls: map[string]bool{}, moves: map[string]string{}}
-	c.lead.fleet.init()
-	for node := range c.view.Lease.Blocks {
-		c.lead.renewedAt[node] = c.loop.Now
-	}
-}
-
 // elect takes the lead when there is no leader, when this controller led
 // before its restart, or when the lease value has not changed for long.
 func (c *Core) elect() {
@@ -498,55 +456,14 @@
 	if c.view.Version != 0 && !mine && c.loop.Now.Sub(c.leaseSeen) < patience {
 		return
 	}
-	rec := c.cloneLease()
+	rec := c.view.Lease.Clone()
 	rec.Term++
 	rec.Leader, rec.Incarnation = c.view.Me, c.inc
 	rec.Beat++
-	c.regrant(&rec, c.view.Me, c.inc)
+	leader.Regrant(&rec, c.view.Me, c.inc)
 	c.writeLease(rec, func() {})
 }
 
-func (c *Core) cloneLease() wire.LeaseRecord {
-	r := c.view.Lease
-	r.Blocks = maps.Clone(r.Blocks)
-	if r.Blocks == nil {
-		r.Blocks = map[string]wire.Block{}
-	}
-	r.Homes = maps.Clone(r.Homes)
-	if r.Homes == nil {
-		r.Homes = map[string]string{}
-	}
-	if r.Shares != nil {
-		r.Shares = make(map[string]wire.Shares, len(c.view.Lease.Shares))
-		for team, s := range c.view.Lease.Shares {
-			r.Shares[team] = maps.Clone(s)
-		}
-	}
-	return r
-}
-
-// nextGrant returns a number for a new grant. It rises for good, with the
-// term in its upper bits, since tokens and attempts are made of it.
-func nextGrant(rec *wire.LeaseRecord) uint64 {
-	rec.Grants = max(rec.Grants+1, rec.Term<<16)
-	return rec.Grants
-}
-
-// regrant gives a controller's block to a new process of that controller. Its
-// old one is dead, so nothing has to lapse, but all machines may run tasks
-// that the new process knows nothing of.
-func (c *Core) regrant(rec *wire.LeaseRecord, node string, inc uint64) {
-	b := rec.Blocks[node]
-	if b.Incarnation == inc {
-		return
-	}
-	b.Old = append(slices.Clone(b.Old), b.Machines...)
-	slices.Sort(b.Old)
-	b.Machines, b.Renewal, b.Incarnation = nil, 0, inc
-	b.Grant = nextGrant(rec)
-	rec.Blocks[node] = b
-}
-
 // writeLease proposes a new lease value under the version it was based on; then
 // is called once it is stored.
 func (c *Core) writeLease(rec wire.LeaseRecord, then func()) {
@@ -558,10 +475,11 @@
 		rec.Blocks[c.view.Me] = b
 	}
 	// Noted now: the watch may show this write before its answer comes.
-	renewed := map[string]bool{}
+	var renewed []string
 	for node, b := range rec.Blocks {
-		old := c.view.Lease.Blocks[node]
-		renewed[node] = b.Renewal != old.Renewal || b.Incarnation != old.Incarnation
+		if old := c.view.Lease.Blocks[node]; b.Renewal != old.Renewal || b.Incarnation != old.Incarnation {
+			renewed = append(renewed, node)
+		}
 	}
 	ops := []wire.Op{{Put: leaseKey, Value: rec}}
 	var draft *leasevalue.Draft
@@ -569,17 +487,16 @@
 		var err error
 		if draft, err = c.book.Write(&rec, c.view.Cfg.ValueLimits()); err != nil {
 			// Publishing keeps within what a write can take, but for several
-			// takeovers at once. The same again would fail again, and with it
-			// every renewal: the next write leaves out what can wait.
+			// takeovers at once.
 			c.log.Error("lease value", "err", err)
 			c.leaseBusy = false
 			if c.lead != nil {
-				c.lead.lean, c.lead.dirty = true, true
+				c.lead.TooLarge()
 			}
 			return
 		}
 		ops = draft.Ops
-		c.valueBytes = draft.Bytes
+		c.view.ValueBytes = draft.Bytes
 	}
 	c.loop.Emit(step.StateTxn{Control: true,
 		Txn: wire.Txn{If: []wire.Cond{{Key: leaseKey, Version: c.view.Version}}, Then: ops},
@@ -592,11 +509,7 @@
 				then()
 				c.applyLease(rec, d.Txn.Revision)
 				if c.lead != nil {
-					for node, yes := range renewed {
-						if yes {
-							c.lead.renewedAt[node] = c.loop.Now
-						}
-					}
+					c.lead.Stored(renewed)
 					c.leadTick()
 				}
 				return
@@ -606,378 +519,13 @@
 			c.fetchLease(func(int) {
 				c.leaseBusy = false
 				if c.lead != nil {
-					c.lead.dirty = true
+					c.lead.Stir()
 				}
 			})
 		}),
 	})
 }
 
-// formPart is from which part of its size on the lease value is stored with
-// pages. Small fleets do without, which costs fewer changes.
-const formPart = 0.5
-
-// mayPage tells whether the lease value can be stored with pages: whether all
-// controllers read that form. One that does not would be granted nothing.
-func (c *Core) mayPage() bool {
-	if c.view.Lease.Form >= 2 {
-		return true
-	}
-	if c.view.Cfg.Cluster.State.TxnOps < leasevalue.LeastOps {
-		return false
-	}
-	for _, p := range c.view.Peers {
-		if p.Form < 2 {
-			return false
-		}
-	}
-	return true
-}
-
-// settleForm decides in which form the value is stored from now on. There is
-// no way back from a newer form.
-func (c *Core) settleForm(rec *wire.LeaseRecord) {
-	if rec.Form >= 2 || !c.mayPage() {
-		return
-	}
-	if float64(c.plainSize()) > formPart*1024*c.view.Cfg.Cluster.State.ValueKB {
-		rec.Form = 2
-		c.log.Info("lease value is stored with pages from now on")
-	}
-}
-
-// onRenewal takes in a controller's renewal.
-func (c *Core) onRenewal(r *peerpb.Renewal) {
-	l := c.lead
-	if l == nil && r.GetResigned() && r.GetNode() == c.view.Lease.Leader && r.GetIncarnation() > c.view.Lease.Incarnation {
-		c.leaseSeen = c.loop.Now.Add(-leaderDead) // nobody leads: no need to wait that long
-	}
-	if l == nil || r.GetNode() == c.view.Me {
-		return
-	}
-	if c.view.Peers[r.GetNode()] == nil {
-		c.log.Warn("renewal from an unknown controller", "node", r.GetNode())
-		return
-	}
-	old := l.renewals[r.GetNode()]
-	if old != nil && (r.GetIncarnation() < old.GetIncarnation() ||
-		(r.GetIncarnation() == old.GetIncarnation() && r.GetNumber() <= old.GetNumber())) {
-		return // late
-	}
-	if b := c.view.Lease.Blocks[r.GetNode()]; r.GetIncarnation() < b.Incarnation ||
-		(r.GetIncarnation() == b.Incarnation && r.GetNumber() < b.Renewal) {
-		return // late, from before this controller led
-	}
-	l.renewals[r.GetNode()], l.heardAt[r.GetNode()] = r, c.loop.Now
-	c.view.Peers[r.GetNode()].Tell(r.GetTeams())
-	c.tellKnown(r)
-	c.log.Debug("renewal", "node", r.GetNode(), "number", r.GetNumber(), "heard", len(r.GetHeard()), "demand", len(r.GetDemand()))
-	if b, ok := c.view.Lease.Blocks[r.GetNode()]; !ok || b.Incarnation != r.GetIncarnation() ||
-		r.GetResigned() || len(r.GetGave())+len(r.GetLost())+len(r.GetSeen()) > 0 {
-		l.dirty = true
-	}
-	c.leadTick()
-}
-
-// leadTick does what leading needs: the lease value, then the fleet.
-func (c *Core) leadTick() {
-	l := c.lead
-	if l == nil {
-		return
-	}
-	if c.renewSoon {
-		c.renewSoon = false
-		l.dirty = true
-	}
-	due := c.loop.Now.Sub(l.wrote)
-	if !c.leaseBusy && (due >= c.par.Publish || (l.dirty && due >= writeGap)) {
-		l.wrote, l.dirty = c.loop.Now, false
-		c.publish()
-	}
-	c.runFleet()
-}
-
-// alive tells whether a controller renewed lately.
-func (l *leader) alive(c *Core, node string) bool {
-	at, ok := l.heardAt[node]
-	if l.renewals[node].GetResigned() {
-		return false
-	}
-	return node == c.view.Me || (ok && c.loop.Now.Sub(at) < 2*c.par.Publish+time.Second)
-}
-
-// publish writes the lease value: renewals, moves, homes and waiting sums.
-func (c *Core) publish() {
-	l := c.lead
-	own := c.renewal()
-	c.promise(own)
-	c.renewals-- // numbered when written
-	l.renewals[c.view.Me] = own
-	rec := c.cloneLease()
-	rec.Beat++
-	c.honour(&rec, c.view.Me, own)
-	c.regrant(&rec, c.view.Me, c.inc)
-	nodes := cluster.SortedKeys(l.renewals)
-	gave := map[string]map[string]bool{} // by controller
-	for _, node := range nodes {
-		r := l.renewals[node]
-		if node != c.view.Me && !r.GetResigned() {
-			if old, ok := rec.Blocks[node]; !ok || old.Incarnation != r.GetIncarnation() {
-				// A controller whose lease lapsed and that is back begins
-				// anew; by its old date it would lapse again at once.
-				l.renewedAt[node] = c.loop.Now
-			}
-			c.regrant(&rec, node, r.GetIncarnation())
-			b := rec.Blocks[node]
-			if r.GetNumber() > b.Renewal {
-				c.honour(&rec, node, r)
-			}
-			b.Renewal = r.GetNumber()
-			rec.Blocks[node] = b
-		}
-		gave[node] = map[string]bool{}
-		for _, name := range c.unpack(r.GetGave()) {
-			gave[node][name] = true
-		}
-	}
-	// Blocks whose leases have lapsed go to one successor, machines and homes
-	// together, since tasks are only ever on their owner's machines.
-	lapsed := func() {}
-	for _, node := range cluster.SortedKeys(rec.Blocks) {
-		dead := rec.Blocks[node]
-		// Who resigned did so as a later incarnation than the block was
-		// granted to, so nothing has to lapse.
-		resigned := l.renewals[node].GetResigned() && l.renewals[node].GetIncarnation() > dead.Incarnation
-		if node == c.view.Me || (!resigned && c.loop.Now.Sub(l.renewedAt[node]) <= cluster.Stretch(c.par.Lease)) {
-			continue
-		}
-		delete(rec.Blocks, node)
-		if !resigned {
-			delete(l.renewals, node)
-		}
-		to := c.successor(&rec, node)
-		b := rec.Blocks[to]
-		b.Old = append(append(slices.Clone(b.Old), dead.Machines...), dead.Old...)
-		slices.Sort(b.Old)
-		b.Grant = nextGrant(&rec)
-		rec.Blocks[to] = b
-		inherit(&rec, node, to)
-		for team, home := range rec.Homes {
-			if home == node {
-				rec.Homes[team] = to
-			}
-		}
-		// Only what is stored has happened: a leader that is refused, or was
-		// replaced while it stood still, takes leases for lapsed at every try.
-		before := lapsed
-		lapsed = func() {
-			before()
-			c.log.Info("lease lapsed", "node", node, "resigned", resigned, "successor", to, "machines", len(dead.Machines)+len(dead.Old))
-		}
-	}
-	c.settleHomes(&rec)
-	c.settleForm(&rec)
-	c.raiseShares(&rec)
-	// A transaction takes so many changes only. What does not find room in
-	// this one is as true at the next, a moment later.
-	leave, enter := func(string) bool { return true }, func(string) bool { return true }
-	if rec.Form >= 2 {
-		budget := c.book.Budget(c.view.Cfg.ValueLimits())
-		if l.lean {
-			budget.Close()
-		}
-		put := func(yes bool) bool {
-			l.dirty = l.dirty || !yes
-			return yes
-		}
-		leave = func(name string) bool { return put(budget.Leave(name)) }
-		enter = func(node string) bool { return put(budget.Join(node)) }
-	}
-	// Machines that are gone or given back leave their blocks.
-	recalls := map[string][]string{}
-	for i, n := range cluster.SortedKeys(l.recalls) {
-		if l.lean || rec.Form >= 2 && i >= leasevalue.RecallsMost(c.view.Cfg.ValueLimits()) {
-			break // the others follow when these are back
-		}
-		recalls[c.view.OwnerOf(n)] = append(recalls[c.view.OwnerOf(n)], n)
-	}
-	var free []string
-	// settled tells whether a machine that was given back goes to another
-	// controller.
-	settled := func(n string) bool {
-		_, ok := rec.Blocks[l.moves[n]]
-		return ok && l.alive(c, l.moves[n])
-	}
-	for _, node := range cluster.SortedKeys(rec.Blocks) {
-		b := rec.Blocks[node]
-		keep := func(names []string) []string {
-			if !slices.ContainsFunc(names, func(n string) bool { return l.gone[n] || gave[node][n] }) {
-				return names
-			}
-			var out []string
-			for _, n := range names {
-				switch {
-				case (l.gone[n] || gave[node][n]) && !leave(n):
-					out = append(out, n)
-				case !l.gone[n] && gave[node][n] && settled(n) && !enter(l.moves[n]):
-					out = append(out, n)
-				case l.gone[n]:
-				case gave[node][n]:
-					free = append(free, n)
-				default:
-					out = append(out, n)
-				}
-			}
-			return out
-		}
-		b.Machines, b.Old = keep(b.Machines), keep(b.Old)
-		b.Recall = recalls[node]
-		rec.Blocks[node] = b
-	}
-	joined := map[string]map[string]bool{}
-	join := func(node, n string) {
-		if joined[node] == nil {
-			joined[node] = map[string]bool{}
-		}
-		joined[node][n] = true
-	}
-	// What was given back goes to the controller it was recalled for, under a
-	// new and higher grant, or back to the cloud.
-	for _, n := range free {
-		to := l.moves[n]
-		b := rec.Blocks[to]
-		if !settled(n) {
-			l.fleet.leaving[n] = true
-			continue
-		}
-		if joined[to] == nil {
-			b.Grant = nextGrant(&rec)
-			rec.Blocks[to] = b
-		}
-		join(to, n)
-	}
-	// Machines that reported and are in no block join one.
-	choose := c.joiner(&rec)
-	fresh := map[string]bool{}
-	for _, node := range nodes {
-		for _, s := range l.renewals[node].GetSeen() {
-			n := s.GetName()
-			if fresh[n] || c.view.OwnerOf(n) != "" || l.gone[n] || l.fleet.leaving[n] {
-				continue
-			}
-			fresh[n] = true
-			to := choose(s)
-			if !enter(to) {
-				continue
-			}
-			join(to, n)
-			l.fleet.seen(c, s)
-		}
-	}
-	for node, names := range joined {
-		b := rec.Blocks[node]
-		b.Machines = append(slices.Clone(b.Machines), cluster.SortedKeys(names)...)
-		slices.Sort(b.Machines)
-		rec.Blocks[node] = b
-	}
-	rec.Waiting = map[string]int{}
-	for _, node := range nodes {
-		if r := l.renewals[node]; r != nil {
-			for kind, n := range r.GetWaiting() {
-				rec.Waiting[kind] += int(n)
-			}
-		}
-	}
-	l.lean = false
-	c.writeLease(rec, lapsed)
-}
-
-// successor chooses who takes over a dead controller's block.
-func (c *Core) successor(rec *wire.LeaseRecord, dead string) string {
-	best := c.view.Me
-	for _, node := range cluster.SortedKeys(rec.Blocks) {
-		if node == dead || !c.lead.alive(c, node) {
-			continue
-		}
-		if load(rec, node) < load(rec, best) {
-			best = node
-		}
-	}
-	return best
-}
-
-func load(rec *wire.LeaseRecord, node string) int {
-	b := rec.Blocks[node]
-	return len(b.Machines) + len(b.Old)
-}
-
-// joiner returns a function that chooses the block a new machine joins: that
-// of a controller with waiting work that would fill it, among those the one
-// with most work, waiting or running, for the processors it has, and then one
-// in the machine's zone.
-func (c *Core) joiner(rec *wire.LeaseRecord) func(s *peerpb.Seen) string {
-	l := c.lead
-	busy, size, given := map[string]float64{}, map[string]float64{}, map[string]float64{}
-	waits := map[string][]sched.Demand{}
-	var live []string
-	for _, node := range cluster.SortedKeys(rec.Blocks) {
-		if !l.alive(c, node) {
-			continue
-		}
-		live = append(live, node)
-		busy[node] = l.renewals[node].GetBusyCpus()
-		waits[node] = demands(l.renewals[node])
-		for _, home := range rec.Homes {
-			if home == node {
-				busy[node] += 0.01 // where work will come
-			}
-		}
-		b := rec.Blocks[node]
-		for _, names := range [][]string{b.Machines, b.Old} {
-			for _, n := range names {
-				size[node] += c.cpusOf(n)
-			}
-		}
-	}
-	return func(s *peerpb.Seen) string {
-		best, bestFill, bestNeed := "", -1.0, -1.0
-		kind := c.view.Types[s.GetType()]
-		for _, node := range live {
-			fill := -given[node]
-			for i := range waits[node] {
-				if d := &waits[node][i]; d.Allows(s.GetType(), s.GetZone(), s.GetSpot()) && d.Need.Fits(cluster.SizeOf(kind)) {
-					fill += float64(d.Count) * d.Need.CPUs
-				}
-			}
-			// Half full is as good as full: the load decides then.
-			if fill = max(0, fill); fill >= kind.CPUs/2 {
-				fill = kind.CPUs
-			}
-			need := busy[node] / (8 + size[node])
-			if c.view.AreaOf(node) == s.GetZone() {
-				need *= 1.01
-			}
-			if fill > bestFill || (fill == bestFill && need > bestNeed) {
-				best, bestFill, bestNeed = node, fill, need
-			}
-		}
-		if best == "" {
-			return c.view.Me
-		}
-		size[best] += max(1, kind.CPUs)
-		given[best] += kind.CPUs
-		return best
-	}
-}
-
-// cpusOf is the size of a rented machine, as the leader knows it.
-func (c *Core) cpusOf(name string) float64 {
-	if r := c.lead.fleet.machines[name]; r != nil {
-		return c.view.Types[r.kind].CPUs
-	}
-	return 0
-}
-
 // demandMost bounds the groups of waiting tasks that a renewal carries.
 const demandMost = 80
 
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -31,7 +31,7 @@
 		list = append(list, entry{j, sched.Ready{
 			Rank:      j.rec.Rank(),
 			Borrowing: c.borrowing(j),
-			Rating:    sched.Rate(successorKind(&j.rec), c.view.Lease.Waiting, c.par.K2),
+			Rating:    sched.Rate(successorKind(&j.rec), c.view.Lease.Waiting, c.view.Par.K2),
 			Due:       c.dueStart(j),
 			Arrival:   j.rec.AtMs,
 			ID:        j.rec.ID,
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"fawncove/internal/cluster"
-	"fawncove/internal/config"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
 	"fawncove/internal/share"
@@ -79,9 +78,9 @@
 	return size
 }
 
-// teamUse sums up what this controller's tasks use and want, for each team
+// Uses sums up what this controller's tasks use and want, for each team
 // with a limit or a guarantee.
-func (c *Core) teamUse() map[string]*peerpb.TeamUse {
+func (c *Core) Uses() map[string]*peerpb.TeamUse {
 	out := map[string]*peerpb.TeamUse{}
 	for _, t := range c.view.Cfg.Cluster.Teams {
 		if !cluster.Unlimited(t) {
@@ -108,33 +107,6 @@
 	return out
 }
 
-// needs collects what every controller that is home to jobs of the team needs,
-// processors and cards. Those not heard of lately keep what they have.
-func (c *Core) needs(homes map[string]string, shares wire.Shares, team string, own map[string]*peerpb.TeamUse) (cpus, cards map[string]share.Need) {
-	cpus, cards = map[string]share.Need{}, map[string]share.Need{}
-	for home, node := range homes {
-		if _, done := cpus[node]; done || (home != team && !wire.IsPart(home, team)) {
-			continue
-		}
-		u := own[team]
-		if node != c.view.Me {
-			u = nil
-			if p := c.view.Peers[node]; p != nil && c.loop.Now.Sub(p.Heard) < cluster.UseFresh {
-				u = p.Teams[team]
-			}
-		}
-		if u == nil {
-			s := shares[node]
-			cpus[node] = share.Need{Used: float64(s.CPUs), Want: float64(s.CPUs)}
-			cards[node] = share.Need{Used: float64(s.Cards), Want: float64(s.Cards)}
-			continue
-		}
-		cpus[node] = share.Need{Used: u.GetCpus(), Want: u.GetWantCpus(), Must: u.GetMustCpus()}
-		cards[node] = share.Need{Used: u.GetCards(), Want: u.GetWantCards(), Must: u.GetMustCards()}
-	}
-	return cpus, cards
-}
-
 // ceilings lists the shares that this controller does not need in full while
 // others are short, with what it would do with, and what it has promised
 // already and no value honours yet.
@@ -143,12 +115,12 @@
 	if c.grant == 0 || len(c.view.Lease.Shares) == 0 {
 		return out
 	}
-	own := c.teamUse()
+	own := c.Uses()
 	hidden := c.hidden()
 	for _, team := range cluster.SortedKeys(c.view.Lease.Shares) {
 		shares := c.view.Lease.Shares[team]
 		limit, used := c.view.LimitOf(team), c.used[team].Add(hidden, 1)
-		cpus, cards := c.needs(c.view.Lease.Homes, shares, team, own)
+		cpus, cards := c.view.Needs(c.view.Lease.Homes, shares, team, own, c.loop.Now)
 		now := c.promises.Ceiling(team, shares[c.view.Me])
 		least := wire.Share{CPUs: int(math.Ceil(used.CPUs)), Cards: int(math.Ceil(used.Cards))}
 		next := now
@@ -204,9 +176,8 @@
 			c.renewSoon = true
 		}
 	}
-	if l := c.lead; l != nil {
-		rec := c.cloneLease()
-		l.dirty = l.dirty || c.raiseShares(&rec)
+	if c.lead != nil {
+		c.lead.Trade()
 	}
 }
 
@@ -221,90 +192,3 @@
 		r.Ceilings = append(r.Ceilings, &peerpb.Ceiling{Team: team, Cpus: int64(s.CPUs), Cards: int64(s.Cards)})
 	}
 }
-
-// ---- the leader's side
-
-// honour lowers a holder's shares to what the renewal promises. It may only be
-// called for the write that makes the renewal the one last honoured: the same
-// promise, come late, says nothing about a share raised since. And a promise
-// made under another grant knows nothing of the machines, and the tasks on
-// them, that came with this one.
-func (c *Core) honour(rec *wire.LeaseRecord, node string, r *peerpb.Renewal) {
-	if r.GetGrant() == 0 || r.GetGrant() != rec.Blocks[node].Grant {
-		return
-	}
-	for _, x := range r.GetCeilings() {
-		s, ok := rec.Shares[x.GetTeam()][node]
-		if !ok {
-			continue
-		}
-		s.CPUs, s.Cards = min(s.CPUs, int(x.GetCpus())), min(s.Cards, int(x.GetCards()))
-		rec.Shares[x.GetTeam()][node] = s
-	}
-}
-
-// inherit gives the shares of a controller that ended to its successor, to
-// whom its machines go with all that may run on them.
-func inherit(rec *wire.LeaseRecord, dead, to string) {
-	for _, shares := range rec.Shares {
-		a, b := shares[dead], shares[to]
-		delete(shares, dead)
-		shares[to] = wire.Share{CPUs: a.CPUs + b.CPUs, Cards: a.Cards + b.Cards}
-	}
-}
-
-// beginShares gives the whole limit of a team whose jobs are about to be parted
-// to the controller that was home to all of them, or parts it evenly where
-// nobody was.
-func (c *Core) beginShares(rec *wire.LeaseRecord, t config.Team, live []string) {
-	limit := wire.Share{CPUs: int(t.CPUsMax), Cards: int(t.GPUsMax)}
-	shares := wire.Shares{}
-	if home := c.view.Lease.Homes[t.Name]; home != "" {
-		// Its home at this moment, should it have moved with this write.
-		shares[rec.Homes[t.Name]] = limit
-	} else {
-		for _, node := range live {
-			shares[node] = wire.Share{CPUs: limit.CPUs / len(live), Cards: limit.Cards / len(live)}
-		}
-	}
-	if rec.Shares == nil {
-		rec.Shares = map[string]wire.Shares{}
-	}
-	rec.Shares[t.Name] = shares
-}
-
-// raiseShares gives what no share of a team takes to those that want it. It
-// tells whether that is worth a write of its own.
-func (c *Core) raiseShares(rec *wire.LeaseRecord) bool {
-	worth := false
-	own := c.teamUse()
-	for _, team := range cluster.SortedKeys(rec.Shares) {
-		shares, limit := rec.Shares[team], c.view.LimitOf(team)
-		cpus, cards := c.needs(rec.Homes, shares, team, own)
-		for node := range cpus {
-			if _, ok := rec.Blocks[node]; !ok {
-				delete(cpus, node)
-				delete(cards, node)
-			}
-		}
-		raise := func(limit float64, needs map[string]share.Need, get func(wire.Share) int, set func(*wire.Share, int)) {
-			if limit <= 0 {
-				return
-			}
-			now := map[string]int{}
-			for node, s := range shares {
-				now[node] = get(s)
-			}
-			next, much := share.Raise(int(limit), now, share.Targets(math.Floor(limit), needs), needs)
-			worth = worth || much
-			for node, n := range next {
-				s := shares[node]
-				set(&s, n)
-				shares[node] = s
-			}
-		}
-		raise(limit.CPUs, cpus, func(s wire.Share) int { return s.CPUs }, func(s *wire.Share, n int) { s.CPUs = n })
-		raise(limit.Cards, cards, func(s wire.Share) int { return s.Cards }, func(s *wire.Share, n int) { s.Cards = n })
-	}
-	return worth
-}
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -739,9 +739,13 @@
 // tellKnown tells a controller how to reach machines of its block.
 func (c *Core) tellKnown(r *peerpb.Renewal) {
 	var known []*peerpb.Seen
-	for _, name := range c.unpack(r.GetUnknown()) {
-		if m := c.lead.fleet.machines[name]; m != nil && m.endpoint != "" && c.view.OwnerOf(name) == r.GetNode() {
-			known = append(known, m.seen(name))
+	names, err := wire.UnpackNames(r.GetUnknown())
+	if err != nil {
+		c.log.Error("names in a renewal", "err", err)
+	}
+	for _, name := range names {
+		if s := c.lead.Seen(name); s.GetEndpoint() != "" && c.view.OwnerOf(name) == r.GetNode() {
+			known = append(known, s)
 		}
 	}
 	if len(known) > 0 {
@@ -751,16 +755,6 @@
 	}
 }
 
-// introduceOwn is tellKnown for the leader's own block.
-func (c *Core) introduceOwn() {
-	for name, m := range c.machines {
-		if r := c.lead.fleet.machines[name]; m.endpoint == "" && r != nil {
-			c.introduce(m, r.seen(name))
-		}
-	}
-	c.askWorkers()
-}
-
 // cutPatience is how much longer machines may be silent that fell silent with
 // half of their zone.
 const cutPatience = 25 * time.Second
--- /dev/null
+++ b/internal/leader/fleet.go
@@ -0,0 +1,391 @@
+package leader
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/config"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/sched"
+	"fawncove/internal/step"
+	"fawncove/internal/wire"
+)
+
+const (
+	// refusedFor is how long an offer without capacity is left alone.
+	refusedFor = 15 * time.Second
+	// idleCheap and idleDear are how long, in boot times, a spot machine or
+	// an ordinary one may stand empty before it is returned: to rent another
+	// one later costs a boot time and the images.
+	idleCheap = 0.25
+	idleDear  = 0.15
+	// cheapPatience and dearPatience are how long work may wait, in boot
+	// times, before a spot machine or an ordinary one is rented for it.
+	cheapPatience = 0.2
+	dearPatience  = 1.5
+	// neverUp is after how many boot times a machine counts as one that never
+	// comes up. Waiting longer pays for machines that do nothing and that
+	// take up what the market has.
+	neverUp = 2.5
+	// judgeEvery spaces the looks at who holds what, which go over the whole
+	// fleet.
+	judgeEvery = 400 * time.Millisecond
+	// rentMost bounds the machines asked for in one decision, which is a few
+	// requests' worth; the answers tell how to go on.
+	rentMost = 400
+	// planEvery spaces the decisions on renting.
+	planEvery = time.Second
+)
+
+// fleet is the leader's view of all machines that are rented.
+type fleet struct {
+	machines  map[string]*rented
+	leaving   map[string]bool // to be released
+	releasing bool
+	releaseAt time.Time
+	listing   bool
+	listAt    time.Time
+	listed    bool // one whole list has been read since leading
+	planAt    time.Time
+	judgedAt  time.Time
+	gaugedAt  time.Time
+	load      float64 // processors used or waited for, averaged
+	spot      float64 // processors of spot machines, coming ones included
+	target    float64 // what spot should be
+	renting   int
+	requests  uint64
+	refused   map[offerKey]time.Time
+	tight     time.Time // when a spot market last gave less than was asked
+	full      string    // the budget that does not let the fleet grow
+}
+
+type offerKey struct {
+	kind, zone string
+	spot       bool
+}
+
+// rented is one machine as the leader knows it.
+type rented struct {
+	offerKey
+	rentedAt time.Time
+	listedAt time.Time
+	endpoint string
+	session  uint64 // last heard of; 0: unknown
+}
+
+func (f *fleet) init() {
+	f.machines = map[string]*rented{}
+	f.leaving = map[string]bool{}
+	f.refused = map[offerKey]time.Time{}
+}
+
+// seen notes a machine that has reported.
+func (f *fleet) seen(s *peerpb.Seen, now time.Time) {
+	r := f.machines[s.GetName()]
+	if r == nil {
+		r = &rented{offerKey: offerKey{s.GetType(), s.GetZone(), s.GetSpot()}, rentedAt: now}
+		f.machines[s.GetName()] = r
+	}
+	r.endpoint, r.session = s.GetEndpoint(), s.GetSession()
+}
+
+// Run rents, lists and returns machines.
+func (l *Leader) Run() {
+	if l.view.Version == 0 {
+		return
+	}
+	l.listMachines()
+	if l.loop.Now.Sub(l.fleet.judgedAt) >= judgeEvery {
+		l.fleet.judgedAt = l.loop.Now
+		l.judge()
+		l.local.Introduce(l.Seen)
+	}
+	l.release()
+	// The picture is rebuilt first: the machine list, and a renewal of every
+	// controller or the time that one takes.
+	if !l.fleet.listed || (len(l.renewals) < l.view.Cfg.Controllers() && l.loop.Now.Sub(l.since) < l.view.Par.Publish+time.Second) {
+		return
+	}
+	if l.loop.Now.Sub(l.fleet.planAt) >= planEvery {
+		l.fleet.planAt = l.loop.Now
+		l.plan()
+	}
+}
+
+// listMachines reads the machine list now and then.
+func (l *Leader) listMachines() {
+	f := &l.fleet
+	if f.listing || (!f.listAt.IsZero() && l.loop.Now.Sub(f.listAt) < l.view.Cfg.ListEvery()) {
+		return
+	}
+	f.listing, f.listAt = true, l.loop.Now
+	l.listPage("", map[string]bool{})
+}
+
+func (l *Leader) listPage(after string, names map[string]bool) {
+	l.loop.Emit(step.CloudList{After: after, ID: l.loop.Call(func(d step.Completed) {
+		f := &l.fleet
+		if l.ended {
+			return
+		}
+		if d.Status != 200 {
+			f.listing = false
+			return
+		}
+		for _, m := range d.List.Machines {
+			names[m.Name] = true
+			after = m.Name
+			l.listed(m)
+		}
+		if d.List.More && len(d.List.Machines) > 0 {
+			l.listPage(after, names)
+			return
+		}
+		f.listing, f.listed = false, true
+		l.local.Introduce(l.Seen)
+		// Missing for longer than any list can lag: taken by the cloud. The
+		// release makes sure of it before anything is started again.
+		lag := config.Seconds(2*l.view.Cfg.Cluster.Cloud.ListLagS) + 5*time.Second
+		for name, r := range f.machines {
+			if !names[name] && l.loop.Now.Sub(r.listedAt) > lag && l.loop.Now.Sub(r.rentedAt) > lag {
+				f.leaving[name] = true
+			}
+		}
+	})})
+}
+
+// listed takes one line of the machine list.
+func (l *Leader) listed(m wire.Machine) {
+	f := &l.fleet
+	if m.Name == "" || l.gone[m.Name] || f.leaving[m.Name] {
+		return
+	}
+	r := f.machines[m.Name]
+	if r == nil {
+		r = &rented{offerKey: offerKey{m.Type, m.Zone, m.Spot}, rentedAt: l.loop.Now.Add(-config.Seconds(m.AgeS))}
+		f.machines[m.Name] = r
+	}
+	r.listedAt, r.endpoint = l.loop.Now, m.Endpoint
+	switch {
+	case m.State == wire.MachineFailed:
+		f.leaving[m.Name] = true
+	case m.State == wire.MachineBooting && l.view.OwnerOf(m.Name) == "":
+		// Never came up: some take several times as long, a few for ever.
+		if t, ok := l.view.Types[m.Type]; ok && m.AgeS > neverUp*t.BootS+15 {
+			f.leaving[m.Name] = true
+		}
+	}
+}
+
+// judge marks machines for return: lost ones at once, idle and bad ones by
+// recalling them from their blocks.
+func (l *Leader) judge() {
+	l.gauge()
+	heard := map[string]bool{}
+	for node, r := range l.renewals {
+		if l.loop.Now.Sub(l.heardAt[node]) < 2*l.view.Par.Publish {
+			for _, n := range l.unpack(r.GetHeard()) {
+				heard[n] = true
+			}
+		}
+	}
+	for _, n := range l.local.Guests() {
+		heard[n] = true
+	}
+	// What stands empty here may be what somebody else waits for.
+	l.balance()
+	own := l.renewals[l.view.Me]
+	for _, node := range cluster.SortedKeys(l.renewals) {
+		r := l.renewals[node]
+		for _, n := range l.unpack(r.GetLost()) {
+			// Somebody else may hear what its holder does not.
+			if !heard[n] && !l.gone[n] && l.view.OwnerOf(n) == node {
+				l.fleet.leaving[n] = true
+			}
+		}
+		if r == own {
+			continue
+		}
+		for _, u := range r.GetUse() {
+			l.judgeUse(u.GetName(), u.GetIdleS(), u.GetBad())
+		}
+	}
+	l.local.Block(func(name string, idle time.Duration, bad, lost bool) {
+		l.judgeUse(name, idle.Seconds(), bad)
+		if lost && !heard[name] && !l.gone[name] {
+			l.fleet.leaving[name] = true
+		}
+	})
+	l.retire()
+	for n := range l.recalls {
+		if owner := l.view.OwnerOf(n); l.gone[n] || owner == "" || owner == l.moves[n] {
+			delete(l.recalls, n)
+			delete(l.moves, n)
+		}
+	}
+}
+
+// spareShare is the part of the fleet that stays free on spot machines when
+// ordinary ones are recalled, so that nothing waits for it.
+const spareShare = 0.03
+
+// retire recalls ordinary machines while spot machines that are up have room
+// for their work: they cost a multiple and would otherwise stay busy for as
+// long as there is any work.
+func (l *Leader) retire() {
+	f := &l.fleet
+	if !l.large() {
+		return // on a small fleet they were missed soon after
+	}
+	free := 0.0
+	kept := map[string]bool{}
+	for _, node := range cluster.SortedKeys(l.renewals) {
+		r := l.renewals[node]
+		for _, d := range r.GetDemand() {
+			if !d.GetSpot() {
+				return // ordinary machines are what is wanted
+			}
+		}
+		for _, n := range l.unpack(r.GetBound()) {
+			kept[n] = true
+		}
+		free += r.GetFreeSpotCpus()
+	}
+	var dear []string
+	for name, r := range f.machines {
+		cpus := l.view.Types[r.kind].CPUs
+		if l.view.OwnerOf(name) == "" || f.leaving[name] {
+			continue
+		}
+		free -= spareShare * cpus
+		if l.recalls[name] && !r.spot {
+			free -= cpus / 2 // about what it still runs, on average until it is empty
+		} else if !r.spot && !kept[name] {
+			dear = append(dear, name)
+		}
+	}
+	if free <= 0 || len(dear) == 0 {
+		return
+	}
+	perCPU := func(name string) float64 {
+		t := l.view.Types[f.machines[name].kind]
+		return t.Price / max(t.CPUs, 1)
+	}
+	slices.SortFunc(dear, func(a, b string) int {
+		return cmp.Or(cmp.Compare(perCPU(b), perCPU(a)), cmp.Compare(a, b))
+	})
+	for _, name := range dear {
+		if cpus := l.view.Types[f.machines[name].kind].CPUs; cpus <= free {
+			l.recalls[name] = true
+			l.dirty = true
+			free -= cpus
+		}
+	}
+}
+
+// balance recalls idle machines for controllers whose waiting tasks they
+// would take. A machine stays where its holder has work for it, so that none
+// goes to and fro.
+func (l *Leader) balance() {
+	for _, node := range cluster.SortedKeys(l.renewals) {
+		if !l.alive(node) || len(l.renewals[node].GetDemand()) == 0 {
+			continue
+		}
+		want := demands(l.renewals[node])
+		for _, holder := range cluster.SortedKeys(l.renewals) {
+			if holder == node || !l.alive(holder) {
+				continue
+			}
+			own := demands(l.renewals[holder])
+			for _, u := range l.renewals[holder].GetUse() {
+				r := l.fleet.machines[u.GetName()]
+				if r == nil || u.GetBad() || u.GetGoing() || u.GetIdleS() < 1 || l.recalls[u.GetName()] || l.view.OwnerOf(u.GetName()) != holder {
+					continue
+				}
+				empty := []sched.Offer{{Type: r.kind, Zone: r.zone, Spot: r.spot, Size: cluster.SizeOf(l.view.Types[r.kind])}}
+				left := sched.Absorb(want, empty)
+				if slices.Equal(counts(left), counts(want)) || !slices.Equal(counts(sched.Absorb(own, empty)), counts(own)) {
+					continue
+				}
+				want = left
+				l.recalls[u.GetName()], l.moves[u.GetName()] = true, node
+				l.dirty = true
+			}
+		}
+	}
+}
+
+func counts(list []sched.Demand) []int {
+	out := make([]int, len(list))
+	for i := range list {
+		out[i] = list[i].Count
+	}
+	return out
+}
+
+// demands reads the waiting tasks out of a renewal.
+func demands(r *peerpb.Renewal) []sched.Demand {
+	var out []sched.Demand
+	for _, d := range r.GetDemand() {
+		out = append(out, sched.Demand{Rank: int(d.GetRank()),
+			Need:  sched.Amount{CPUs: d.GetCpus(), Cards: d.GetCards(), MemoryGB: d.GetMemoryGb()},
+			Types: d.GetTypes(), Zone: d.GetZone(), Spot: d.GetSpot(),
+			Count: int(d.GetCount()), RunS: max(1, d.GetRunS()), Whole: d.GetWhole(), Starved: d.GetStarved(), SlackS: d.GetSlackS()})
+	}
+	return out
+}
+
+func (l *Leader) judgeUse(name string, idleS float64, bad bool) {
+	if l.recalls[name] || l.gone[name] {
+		return
+	}
+	share, boot := idleCheap, 30.0
+	if r := l.fleet.machines[name]; r != nil {
+		if !r.spot {
+			share = idleDear
+		}
+		if t, ok := l.view.Types[r.kind]; ok {
+			boot = t.BootS
+		}
+	}
+	cpus := 0.0
+	if r := l.fleet.machines[name]; r != nil && r.spot {
+		cpus = l.view.Types[r.kind].CPUs
+	}
+	if bad || (idleS > share*boot && (cpus == 0 || l.fleet.spot-cpus >= l.fleet.target)) {
+		l.fleet.spot -= cpus
+		l.recalls[name] = true
+		l.dirty = true
+	}
+}
+
+// release returns machines to the cloud. With the answer they are gone.
+func (l *Leader) release() {
+	f := &l.fleet
+	if f.releasing || len(f.leaving) == 0 || l.loop.Now.Before(f.releaseAt) {
+		return
+	}
+	names := cluster.SortedKeys(f.leaving)
+	if len(names) > wire.MaxRelease {
+		names = names[:wire.MaxRelease]
+	}
+	f.releasing = true
+	l.log.Info("releasing", "machines", names)
+	l.loop.Emit(step.CloudRelease{Names: names, ID: l.loop.Call(func(d step.Completed) {
+		f.releasing = false
+		f.releaseAt = l.loop.Now.Add(300 * time.Millisecond)
+		if d.Status != 200 {
+			f.releaseAt = l.loop.Now.Add(time.Second)
+			return
+		}
+		if l.ended {
+			return
+		}
+		for _, n := range names {
+			l.Gone(n)
+		}
+		l.again = true
+	})})
+}
--- /dev/null
+++ b/internal/leader/homes.go
@@ -0,0 +1,150 @@
+package leader
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/config"
+	"fawncove/internal/wire"
+)
+
+// partsMost bounds the parts of a team, in parts per controller: one that was
+// given up for dead and is back gets a new one, as its old one has moved.
+const partsMost = 8
+
+// many tells whether the fleet is more than one controller should hold.
+func (l *Leader) many() bool { return l.fleetSize() > min(l.view.Par.Home, l.machinesPerHome()) }
+
+// partable tells whether a team's jobs may be parted now. Every share of a
+// limit must have room for the largest task, which is at most a machine.
+func (l *Leader) partable(t config.Team) bool {
+	if cluster.Unlimited(t) {
+		return l.large()
+	}
+	if !l.many() || !l.mayPage() {
+		return false
+	}
+	n := float64(l.view.Cfg.Controllers())
+	for _, m := range l.view.Types {
+		if (t.CPUsMax > 0 && t.CPUsMax < n*m.CPUs) || (t.GPUsMax > 0 && t.GPUsMax < n*m.Cards) {
+			return false
+		}
+	}
+	return true
+}
+
+// fleetSize is how many machines there are, or are meant to be by what the
+// teams may use, whichever is more.
+func (l *Leader) fleetSize() int {
+	biggest, most := 0.0, 0.0
+	for _, t := range l.view.Types {
+		biggest = max(biggest, t.CPUs)
+	}
+	for _, t := range l.view.Cfg.Cluster.Teams {
+		most += max(t.CPUs, t.CPUsMax)
+	}
+	return max(len(l.fleet.machines), int(most/max(1, biggest)))
+}
+
+// large tells whether the fleet is so large that parting it costs less than
+// one controller for all of it (see docs/measurements.md).
+func (l *Leader) large() bool { return l.fleetSize() >= l.view.Par.Pack }
+
+// machinesPerHome is how many machines make it worth another controller that
+// is home to teams with limits. Each team's room is apart from the others'
+// where their homes are, so there are no more homes than the controllers'
+// processors ask for.
+func (l *Leader) machinesPerHome() int {
+	cores := l.view.Cfg.Cluster.Limits.Cores
+	if cores <= 0 {
+		cores = 1
+	}
+	return max(homeLeast, int(config.ReportsPerCore*cores*l.view.Cfg.Cluster.Workers.ReportS))
+}
+
+// homeLeast bounds machinesPerHome from below, for very small controllers.
+const homeLeast = 150
+
+// settleHomes gives every team a home, and large fleets the parts of teams
+// that may be parted.
+func (l *Leader) settleHomes(rec *wire.LeaseRecord) {
+	large := l.large()
+	// After a start the others get a moment to show up, and the machine list
+	// to tell the size of the fleet.
+	early := l.loop.Now.Sub(l.since) < 3*time.Second
+	if early && (len(l.view.Types) == 0 || !l.fleet.listed || (large && len(l.renewals) < l.view.Cfg.Controllers())) {
+		return
+	}
+	live := []string{}
+	for _, node := range cluster.SortedKeys(rec.Blocks) {
+		if l.alive(node) {
+			live = append(live, node)
+		}
+	}
+	// The weight of a controller is the guarantees it is home to.
+	weight := map[string]float64{}
+	weigh := func(t config.Team) float64 { return 1 + t.CPUs }
+	teams := slices.Clone(l.view.Cfg.Cluster.Teams)
+	slices.SortStableFunc(teams, func(a, b config.Team) int { return cmp.Compare(weigh(b), weigh(a)) })
+	for _, t := range teams {
+		weight[rec.Homes[t.Name]] += weigh(t)
+	}
+	homes := 0
+	for _, node := range live {
+		if weight[node] > 0 {
+			homes++
+		}
+	}
+	for _, t := range teams {
+		if _, ok := rec.Blocks[rec.Homes[t.Name]]; ok {
+			continue
+		}
+		more := large && homes*l.machinesPerHome() < l.fleetSize()
+		best := ""
+		for _, node := range live {
+			// Parting a small fleet leaves room unused on every part.
+			switch {
+			case !more && homes > 0 && weight[node] == 0:
+			case !large && homes == 0 && node != l.view.Me:
+			case best == "", large && weight[node] < weight[best], !large && weight[node] > weight[best]:
+				best = node
+			}
+		}
+		if best == "" {
+			best = l.view.Me
+		}
+		if weight[best] == 0 {
+			homes++
+		}
+		rec.Homes[t.Name] = best
+		weight[best] += weigh(t)
+	}
+	for _, t := range teams {
+		own := cluster.Parts(rec.Homes, t.Name)
+		if !l.partable(t) && len(own) == 0 {
+			continue
+		}
+		if len(own) == 0 && !cluster.Unlimited(t) {
+			// Earlier versions know nothing of shares, and must not read on.
+			rec.Form = 2
+			if t.CPUsMax > 0 || t.GPUsMax > 0 {
+				l.beginShares(rec, t, live)
+			}
+			l.log.Info("jobs of a limited team are parted", "team", t.Name, "controllers", len(live))
+		}
+		has := map[string]bool{}
+		for _, part := range own {
+			has[rec.Homes[part]] = true
+		}
+		for _, node := range live {
+			if has[node] || len(own) >= partsMost*l.view.Cfg.Controllers() {
+				continue
+			}
+			part := wire.PartName(t.Name, len(own)+1)
+			own = append(own, part)
+			rec.Homes[part] = node
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,190 @@
+// Package leader decides for the whole cluster: which controller holds which
+// machines, which is home to which jobs, how limits are shared out, and what is
+// rented and returned. It proposes lease values and asks for cloud calls; it
+// neither stores the value nor knows jobs, and what it knows of machines is
+// what all controllers, its own among them, tell in renewals.
+//
+// A leader is made when the lease value names its controller and dropped, by
+// End, as soon as it names another. It owns nothing that must outlive it.
+package leader
+
+import (
+	"log/slog"
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/config"
+	"fawncove/internal/leasevalue"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/step"
+	"fawncove/internal/wire"
+)
+
+// writeGap spaces the leader's writes of the lease value.
+const writeGap = 100 * time.Millisecond
+
+// Local is the controller that leads. The leader asks it for what it hears of
+// the others by message, or sooner than its own next renewal.
+type Local interface {
+	// Renewal describes the controller as renewals describe the others.
+	Renewal() *peerpb.Renewal
+	// Block calls f for each of its machines, in the order of their names,
+	// with how long it has been empty.
+	Block(f func(name string, idle time.Duration, bad, lost bool))
+	// Guests are the machines of others, or of nobody, that report there.
+	Guests() []string
+	// Uses tells what its tasks use and want, for each limited team.
+	Uses() map[string]*peerpb.TeamUse
+	// Inflow is the work that has come in lately, in processors.
+	Inflow() float64
+	// Introduce lets it know how to reach machines of its block that have not
+	// reported yet; seen returns nil for those that nobody has heard of.
+	Introduce(seen func(name string) *peerpb.Seen)
+}
+
+// Leader is the state of a leader.
+type Leader struct {
+	loop  *step.Loop
+	view  *cluster.View
+	book  *leasevalue.Book
+	local Local
+	log   *slog.Logger
+	inc   uint64 // of this controller's process
+	// budgets are the limits of the settings that bound the fleet, but for the
+	// lease value, whose size is known.
+	budgets []config.Budget
+
+	term     uint64
+	since    time.Time
+	ended    bool
+	dirty    bool
+	again    bool // an answer has come in that should be acted on at once
+	lean     bool // the next write leaves out what can wait
+	wrote    time.Time
+	renewals map[string]*peerpb.Renewal // newest of each controller
+	heardAt  map[string]time.Time       // when it came
+	// renewedAt is when the answer to the last write with a renewal of that
+	// controller came; its lease may last Lease from then.
+	renewedAt map[string]time.Time
+	gone      map[string]bool // released, confirmed
+	recalls   map[string]bool
+	moves     map[string]string // recalled for another controller
+	fleet     fleet
+}
+
+// New returns the leader of a term. All leases of the value in view count as
+// renewed at this moment, since nobody knows better.
+func New(loop *step.Loop, view *cluster.View, book *leasevalue.Book, local Local, log *slog.Logger, incarnation, term uint64) *Leader {
+	l := &Leader{loop: loop, view: view, book: book, local: local, log: log, inc: incarnation,
+		term: term, since: loop.Now, dirty: true,
+		renewals: map[string]*peerpb.Renewal{}, heardAt: map[string]time.Time{},
+		renewedAt: map[string]time.Time{}, gone: map[string]bool{}, recalls: map[string]bool{}, moves: map[string]string{}}
+	for _, b := range view.Cfg.Budgets() {
+		if b.Field != "cluster.state.value_kb" {
+			l.budgets = append(l.budgets, b)
+		}
+	}
+	l.fleet.init()
+	for node := range view.Lease.Blocks {
+		l.renewedAt[node] = loop.Now
+	}
+	return l
+}
+
+// Term is the term that it leads.
+func (l *Leader) Term() uint64 { return l.term }
+
+// End drops the leader: answers that still come change nothing.
+func (l *Leader) End() { l.ended = true }
+
+// Renewal takes in another controller's renewal. It returns false for one that
+// is older than what is known.
+func (l *Leader) Renewal(r *peerpb.Renewal) bool {
+	node := r.GetNode()
+	old := l.renewals[node]
+	if old != nil && (r.GetIncarnation() < old.GetIncarnation() ||
+		(r.GetIncarnation() == old.GetIncarnation() && r.GetNumber() <= old.GetNumber())) {
+		return false
+	}
+	b, ok := l.view.Lease.Blocks[node]
+	if r.GetIncarnation() < b.Incarnation || (r.GetIncarnation() == b.Incarnation && r.GetNumber() < b.Renewal) {
+		return false // from before this controller led
+	}
+	l.renewals[node], l.heardAt[node] = r, l.loop.Now
+	if !ok || b.Incarnation != r.GetIncarnation() ||
+		r.GetResigned() || len(r.GetGave())+len(r.GetLost())+len(r.GetSeen()) > 0 {
+		l.dirty = true
+	}
+	return true
+}
+
+// Stir says that there is something to publish.
+func (l *Leader) Stir() { l.dirty = true }
+
+// Again tells, once, that an answer has come in that should be acted on now.
+func (l *Leader) Again() bool {
+	again := l.again
+	l.again = false
+	return again
+}
+
+// Due tells whether a lease value is to be proposed, and takes it for done.
+func (l *Leader) Due() bool {
+	since := l.loop.Now.Sub(l.wrote)
+	if since < l.view.Par.Publish && (!l.dirty || since < writeGap) {
+		return false
+	}
+	l.wrote, l.dirty = l.loop.Now, false
+	return true
+}
+
+// Stored notes that a proposed value is stored which renews these leases.
+func (l *Leader) Stored(renewed []string) {
+	for _, node := range renewed {
+		l.renewedAt[node] = l.loop.Now
+	}
+}
+
+// TooLarge notes that a proposed value could not be written in one transaction.
+// The same again would fail again, and with it every renewal: the next one
+// leaves out what can wait.
+func (l *Leader) TooLarge() { l.lean, l.dirty = true, true }
+
+// Gone notes that the cloud has confirmed the end of a machine.
+func (l *Leader) Gone(name string) {
+	l.gone[name] = true
+	delete(l.fleet.leaving, name)
+	if r := l.fleet.machines[name]; r != nil {
+		// Whatever was refused before, there is room again.
+		delete(l.fleet.refused, r.offerKey)
+		delete(l.fleet.machines, name)
+	}
+	l.dirty = true
+}
+
+// Seen describes a machine as far as anybody has told, or returns nil.
+func (l *Leader) Seen(name string) *peerpb.Seen {
+	r := l.fleet.machines[name]
+	if r == nil {
+		return nil
+	}
+	return &peerpb.Seen{Name: name, Endpoint: r.endpoint, Type: r.kind, Zone: r.zone, Spot: r.spot, Session: r.session}
+}
+
+// alive tells whether a controller renewed lately.
+func (l *Leader) alive(node string) bool {
+	at, ok := l.heardAt[node]
+	if l.renewals[node].GetResigned() {
+		return false
+	}
+	return node == l.view.Me || (ok && l.loop.Now.Sub(at) < 2*l.view.Par.Publish+time.Second)
+}
+
+// unpack reads a set of machines from a renewal.
+func (l *Leader) unpack(text string) []string {
+	names, err := wire.UnpackNames(text)
+	if err != nil {
+		l.log.Error("names in a renewal", "err", err)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/leader/leader_test.go
@@ -0,0 +1,186 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/config"
+	"fawncove/internal/leasevalue"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/sched"
+	"fawncove/internal/step"
+	"fawncove/internal/wire"
+)
+
+// local stands in for the controller that leads.
+type local struct{ inflow float64 }
+
+func (l *local) Renewal() *peerpb.Renewal                                    { return &peerpb.Renewal{Node: "n0", Incarnation: 7} }
+func (l *local) Block(func(name string, idle time.Duration, bad, lost bool)) {}
+func (l *local) Guests() []string                                            { return nil }
+func (l *local) Uses() map[string]*peerpb.TeamUse                            { return nil }
+func (l *local) Inflow() float64                                             { return l.inflow }
+func (l *local) Introduce(func(name string) *peerpb.Seen)                    {}
+
+// newLeader returns a leader of two controllers that has led for a minute and
+// has read the machine list.
+func newLeader(teams []config.Team, rec wire.LeaseRecord) *Leader {
+	s := &config.Settings{HostName: "n0", Area: "x", Peers: []config.Peer{{HostName: "n1", Area: "y"}},
+		Cluster: config.Cluster{InitialSize: 2, Zones: []string{"x", "y"}, Teams: teams,
+			Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
+			State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+			Cloud:   config.Cloud{RPS: 5, ListLagS: 4}}}
+	view := cluster.New(s, cluster.Defaults())
+	view.Types["s4"] = wire.MachineType{Name: "s4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 6, Zones: []string{"x", "y"}}
+	view.Take(rec, 5)
+	loop := &step.Loop{}
+	loop.Begin(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC))
+	l := New(loop, view, new(leasevalue.Book), &local{}, slog.New(slog.NewTextHandler(io.Discard, nil)), 7, rec.Term)
+	l.since, l.fleet.listed = loop.Now.Add(-time.Minute), true
+	return l
+}
+
+// TestHomesFollowProcessors expects homes for teams with limits to be as few as
+// the controllers' processors allow: room that is apart is room lost.
+func TestHomesFollowProcessors(t *testing.T) {
+	l := newLeader([]config.Team{{Name: "a", CPUs: 900, CPUsMax: 1000}, {Name: "b", CPUsMax: 800}}, wire.LeaseRecord{})
+	for _, want := range []struct {
+		cores   float64
+		reportS float64
+		homes   int
+	}{{0.12, 2, 1}, {0.05, 2, 2}, {0.05, 6, 1}, {0, 0.1, 2}} {
+		l.view.Cfg.Cluster.Limits.Cores, l.view.Cfg.Cluster.Workers.ReportS = want.cores, want.reportS
+		l.renewals["n1"], l.heardAt["n1"] = &peerpb.Renewal{}, l.loop.Now
+		rec := wire.LeaseRecord{Blocks: map[string]wire.Block{"n0": {}, "n1": {}}, Homes: map[string]string{}}
+		l.settleHomes(&rec)
+		homes := map[string]bool{rec.Homes["a"]: true, rec.Homes["b"]: true}
+		if len(homes) != want.homes {
+			t.Errorf("%v cores, reports every %v s: %d homes, want %d", want.cores, want.reportS, len(homes), want.homes)
+		}
+	}
+}
+
+// TestBehind expects dear machines to be wanted for what a fleet cannot work
+// off beside what comes in, and not for work that can wait.
+func TestBehind(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		inflow, slack float64 // processors; seconds
+		whole         bool
+		want          int
+	}{
+		{"keeps up and works off", 10, 0, false, 0},
+		{"no capacity left for the backlog", 60, 0, false, 50},
+		{"may wait", 60, 100, false, 0},
+		{"may wait, but is a gang", 60, 100, true, 100},
+	} {
+		l := newLeader(nil, wire.LeaseRecord{})
+		l.renewals["n1"] = &peerpb.Renewal{BusyCpus: 40, BusySpotCpus: 30}
+		l.local = &local{inflow: c.inflow}
+		// 100 tasks of 9 s, to be worked off in 1.5 boot times of 6 s, need as
+		// many processors for that time.
+		waiting := []sched.Demand{{Need: sched.Amount{CPUs: 1}, Count: 100, RunS: 9, SlackS: c.slack, Whole: c.whole}}
+		if got := l.behind(waiting, 120)[0].Count; got != c.want {
+			t.Errorf("%s: %d tasks want dear machines, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestCeilingsAreHonouredOnce: a promise to use less of a share counts only
+// with the write that honours its renewal, and only under the grant it was made
+// under. Else the share that was raised since, or that came with a dead
+// controller's machines, would be lowered below what already runs there, and
+// the difference given to others.
+func TestCeilingsAreHonouredOnce(t *testing.T) {
+	team := config.Team{Name: "red", CPUsMax: 100}
+	lease := func() wire.LeaseRecord {
+		return wire.LeaseRecord{Form: 2, Term: 3, Leader: "n0", Incarnation: 7,
+			Homes: map[string]string{"red": "n0", "red #1": "n0", "red #2": "n1"},
+			Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7},
+				"n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 5}},
+			Shares: map[string]wire.Shares{"red": {"n0": {CPUs: 20}, "n1": {CPUs: 80}}}}
+	}
+	for _, c := range []struct {
+		name   string
+		number uint64
+		grant  uint64
+		lower  bool
+	}{
+		{"a new renewal", 6, 3<<16 + 1, true},
+		{"one that the value honours already", 5, 3<<16 + 1, false},
+		{"one of an earlier grant", 6, 3 << 16, false},
+		{"one without a grant", 6, 0, false},
+	} {
+		l := newLeader([]config.Team{team}, lease())
+		l.Renewal(&peerpb.Renewal{Node: "n1", Incarnation: 9, Number: c.number, Grant: c.grant,
+			Ceilings: []*peerpb.Ceiling{{Team: "red", Cpus: 30}}})
+		rec, _ := l.Publish(&peerpb.Renewal{Node: "n0", Incarnation: 7, Number: 1})
+		shares := rec.Shares["red"]["n1"].CPUs
+		if sum := shares + rec.Shares["red"]["n0"].CPUs; sum > 100 {
+			t.Errorf("%s: shares of %d", c.name, sum)
+		}
+		if lowered := shares < 80; lowered != c.lower {
+			t.Errorf("%s: the share is %d afterwards", c.name, shares)
+		}
+	}
+}
+
+// TestOldControllersKeepTheOldForm: as long as one controller reads nothing
+// newer, the lease value is stored as before and no limit is parted.
+func TestOldControllersKeepTheOldForm(t *testing.T) {
+	for _, form := range []uint32{0, 2} {
+		l := newLeader([]config.Team{{Name: "red", CPUsMax: 100}}, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7,
+			Homes:  map[string]string{"red": "n0"},
+			Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}, "n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 5}}})
+		l.view.Par.Home = 0
+		l.view.Peers["n1"].Form = form
+		l.Renewal(&peerpb.Renewal{Node: "n1", Incarnation: 9, Number: 6})
+		rec, _ := l.Publish(&peerpb.Renewal{Node: "n0", Incarnation: 7, Number: 1})
+		if (rec.Form == 2) != (form == 2) || (len(rec.Shares) > 0) != (form == 2) {
+			t.Errorf("the others read form %d: stored in form %d with shares %v", form, rec.Form, rec.Shares)
+		}
+		if form == 2 && rec.Shares["red"]["n0"].CPUs != 100 {
+			t.Errorf("the home until now has to begin with the whole limit: %v", rec.Shares)
+		}
+	}
+}
+
+// TestCeilingIsLoggedOnce: a fleet that hovers at its ceiling is held there
+// without a line in the log for every machine that comes and goes.
+func TestCeilingIsLoggedOnce(t *testing.T) {
+	l := newLeader(nil, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7,
+		Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}}})
+	var log countingHandler
+	l.log = slog.New(&log)
+	l.budgets = []config.Budget{{Name: "sockets", Field: "cluster.limits.sockets", Machines: 100}}
+	machines := l.fleet.machines
+	fill := func(n int) {
+		clear(machines)
+		for i := range n {
+			machines[fmt.Sprintf("host-%06d", i)] = &rented{}
+		}
+	}
+	for _, c := range []struct {
+		machines int
+		room     bool
+		lines    int
+	}{{90, true, 0}, {100, false, 1}, {99, false, 1}, {104, false, 1}, {98, false, 1}, {96, true, 2}, {99, true, 2}, {100, false, 3}} {
+		fill(c.machines)
+		if got := l.roomForMore(); got != c.room || log.lines != c.lines {
+			t.Errorf("%d machines of 100: room %v after %d lines, want %v after %d", c.machines, got, log.lines, c.room, c.lines)
+		}
+	}
+}
+
+// countingHandler counts the lines logged.
+type countingHandler struct{ lines int }
+
+func (h *countingHandler) Enabled(context.Context, slog.Level) bool  { return true }
+func (h *countingHandler) Handle(context.Context, slog.Record) error { h.lines++; return nil }
+func (h *countingHandler) WithAttrs([]slog.Attr) slog.Handler        { return h }
+func (h *countingHandler) WithGroup(string) slog.Handler             { return h }
--- /dev/null
+++ b/internal/leader/shares.go
@@ -0,0 +1,102 @@
+package leader
+
+import (
+	"math"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/config"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/share"
+	"fawncove/internal/wire"
+)
+
+// honour lowers a holder's shares to what the renewal promises. It may only be
+// called for the write that makes the renewal the one last honoured: the same
+// promise, come late, says nothing about a share raised since. And a promise
+// made under another grant knows nothing of the machines, and the tasks on
+// them, that came with this one.
+func (l *Leader) honour(rec *wire.LeaseRecord, node string, r *peerpb.Renewal) {
+	if r.GetGrant() == 0 || r.GetGrant() != rec.Blocks[node].Grant {
+		return
+	}
+	for _, x := range r.GetCeilings() {
+		s, ok := rec.Shares[x.GetTeam()][node]
+		if !ok {
+			continue
+		}
+		s.CPUs, s.Cards = min(s.CPUs, int(x.GetCpus())), min(s.Cards, int(x.GetCards()))
+		rec.Shares[x.GetTeam()][node] = s
+	}
+}
+
+// inherit gives the shares of a controller that ended to its successor, to
+// whom its machines go with all that may run on them.
+func inherit(rec *wire.LeaseRecord, dead, to string) {
+	for _, shares := range rec.Shares {
+		a, b := shares[dead], shares[to]
+		delete(shares, dead)
+		shares[to] = wire.Share{CPUs: a.CPUs + b.CPUs, Cards: a.Cards + b.Cards}
+	}
+}
+
+// beginShares gives the whole limit of a team whose jobs are about to be parted
+// to the controller that was home to all of them, or parts it evenly where
+// nobody was.
+func (l *Leader) beginShares(rec *wire.LeaseRecord, t config.Team, live []string) {
+	limit := wire.Share{CPUs: int(t.CPUsMax), Cards: int(t.GPUsMax)}
+	shares := wire.Shares{}
+	if home := l.view.Lease.Homes[t.Name]; home != "" {
+		// Its home at this moment, should it have moved with this write.
+		shares[rec.Homes[t.Name]] = limit
+	} else {
+		for _, node := range live {
+			shares[node] = wire.Share{CPUs: limit.CPUs / len(live), Cards: limit.Cards / len(live)}
+		}
+	}
+	if rec.Shares == nil {
+		rec.Shares = map[string]wire.Shares{}
+	}
+	rec.Shares[t.Name] = shares
+}
+
+// Trade looks whether shares are worth a write of their own.
+func (l *Leader) Trade() {
+	rec := l.view.Lease.Clone()
+	l.dirty = l.dirty || l.raiseShares(&rec)
+}
+
+// raiseShares gives what no share of a team takes to those that want it. It
+// tells whether that is worth a write of its own.
+func (l *Leader) raiseShares(rec *wire.LeaseRecord) bool {
+	worth := false
+	own := l.local.Uses()
+	for _, team := range cluster.SortedKeys(rec.Shares) {
+		shares, limit := rec.Shares[team], l.view.LimitOf(team)
+		cpus, cards := l.view.Needs(rec.Homes, shares, team, own, l.loop.Now)
+		for node := range cpus {
+			if _, ok := rec.Blocks[node]; !ok {
+				delete(cpus, node)
+				delete(cards, node)
+			}
+		}
+		raise := func(limit float64, needs map[string]share.Need, get func(wire.Share) int, set func(*wire.Share, int)) {
+			if limit <= 0 {
+				return
+			}
+			now := map[string]int{}
+			for node, s := range shares {
+				now[node] = get(s)
+			}
+			next, much := share.Raise(int(limit), now, share.Targets(math.Floor(limit), needs), needs)
+			worth = worth || much
+			for node, n := range next {
+				s := shares[node]
+				set(&s, n)
+				shares[node] = s
+			}
+		}
+		raise(limit.CPUs, cpus, func(s wire.Share) int { return s.CPUs }, func(s *wire.Share, n int) { s.CPUs = n })
+		raise(limit.Cards, cards, func(s wire.Share) int { return s.Cards }, func(s *wire.Share, n int) { s.Cards = n })
+	}
+	return worth
+}
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -20,6 +20,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
 	"fawncove/internal/controller"
 	"fawncove/internal/step"
@@ -33,7 +34,7 @@
 	queue   events
 	order   uint64
 	cfg     config.Cluster
-	par     controller.Params
+	par     cluster.Params
 	nodes   []*simNode
 	store   *store
 	cloud   *simCloud
@@ -94,7 +95,7 @@
 // New builds a small world. Every other one has its teams' homes spread over
 // all controllers, as only large fleets do.
 func New(seed uint64) *World {
-	par := controller.Defaults()
+	par := cluster.Defaults()
 	if seed%2 == 0 {
 		par.Pack = 0
 	}
@@ -113,7 +114,7 @@
 // parted over all controllers, nine of them with every other odd seed.
 func NewLarge(seed uint64) *World {
 	state := config.State{RPS: 80, WriteRPS: 25, ValueKB: 4, TxnOps: 12}
-	par, nodes := controller.Defaults(), 5
+	par, nodes := cluster.Defaults(), 5
 	if seed%4 == 3 {
 		nodes = 9
 	}
@@ -133,7 +134,7 @@
 // NewServices builds a world of five controllers in two zones whose workers
 // have short leases, with two limited teams and services as a mainstay.
 func NewServices(seed uint64) *World {
-	return build(seed, 5, 130, controller.Defaults(), config.Cluster{
+	return build(seed, 5, 130, cluster.Defaults(), config.Cluster{
 		InitialSize: 5, Zones: []string{"x", "y"}, ClockErrorMs: 200,
 		Teams:   []config.Team{{Name: "red", CPUs: 250, CPUsMax: 320}, {Name: "blue", CPUs: 150, CPUsMax: 200}},
 		Workers: config.Workers{ReportS: 1.5, LeaseS: 10, CancelS: 40},
@@ -142,7 +143,7 @@
 	})
 }
 
-func build(seed uint64, nodes, most int, par controller.Params, cfg config.Cluster) *World {
+func build(seed uint64, nodes, most int, par cluster.Params, cfg config.Cluster) *World {
 	w := &World{
 		rng:     rand.New(rand.NewPCG(seed, 7)),
 		workers: map[string]*worker{},
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 
@@ -94,6 +95,27 @@
 	Shares map[string]Shares `msgpack:"-"`
 }
 
+// Clone returns a copy whose blocks, homes and shares can be changed; the sets
+// of machines in the blocks are shared and must be replaced.
+func (r *LeaseRecord) Clone() LeaseRecord {
+	out := *r
+	out.Blocks = maps.Clone(r.Blocks)
+	if out.Blocks == nil {
+		out.Blocks = map[string]Block{}
+	}
+	out.Homes = maps.Clone(r.Homes)
+	if out.Homes == nil {
+		out.Homes = map[string]string{}
+	}
+	if r.Shares != nil {
+		out.Shares = make(map[string]Shares, len(r.Shares))
+		for team, s := range r.Shares {
+			out.Shares[team] = maps.Clone(s)
+		}
+	}
+	return out
+}
+
 // partMark parts a team's name from the number of a part.
 const partMark = " #"
 
