The right to a block in a package of its own, grant

Grant, incarnation, numbers of renewals, tokens, attempts and promises lay open among the core's fields, each of them changed in several files.

--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -96,7 +96,7 @@
 	if !listed {
 		b.Fatal("the leader does not ask for the machine list")
 	}
-	c.right = now.Add(time.Hour)
+	mayStart(c)
 	for i, name := range cluster.SortedKeys(c.machines) {
 		m := c.machines[name]
 		m.kind, m.zone, m.spot, m.session, m.endpoint, m.size = "b8", "x", true, 1, "10.0.0.1:9000", cluster.SizeOf(c.view.Types["b8"])
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,11 +12,11 @@
 
 	"fawncove/internal/cluster"
 	"fawncove/internal/config"
+	"fawncove/internal/grant"
 	"fawncove/internal/leader"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/sched"
-	"fawncove/internal/share"
 	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
@@ -30,8 +30,8 @@
 // Core is the state of one controller.
 type Core struct {
 	view *cluster.View
+	hold *grant.Holder
 	log  *slog.Logger
-	inc  uint64
 
 	loop step.Loop
 
@@ -69,21 +69,15 @@
 	unread       *wire.Pair      // a lease value whose pages are not all known
 	unreadSince  time.Time
 	leaseReading bool
-	right        time.Time // until when this controller may start tasks
-	grant        uint64
-	renewals     uint64
-	renewalSent  map[uint64]time.Time
 	renewAt      time.Time
 	renewSoon    bool
 	homes        map[string]uint64 // team -> revision at which it became ours
 	lead         *leader.Leader
-	promises     share.Holder // to use less of a share
 	tradedAt     time.Time
 
 	machines map[string]*machine
 	used     map[string]sched.Amount
 	stopping map[string]sched.Amount // the part of used that is being stopped
-	attempts uint64
 	guests   map[string]*guest
 	classes  map[string]*classStats
 	inflow   sched.Inflow
@@ -107,23 +101,22 @@
 // New returns the core of the controller described by cfg. incarnation must
 // be larger than that of every earlier process of the same name.
 func New(cfg *config.Settings, par cluster.Params, log *slog.Logger, incarnation uint64) *Core {
-	c := &Core{view: cluster.New(cfg, par), log: log, inc: incarnation,
-		jobs:        map[string]*job{},
-		ended:       map[string]wire.EndRecord{},
-		ending:      map[string]bool{},
-		pageOf:      map[string]*page{},
-		facts:       map[string][]byte{},
-		renewalSent: map[uint64]time.Time{},
-		homes:       map[string]uint64{},
-		machines:    map[string]*machine{},
-		used:        map[string]sched.Amount{},
-		stopping:    map[string]sched.Amount{},
-		hurried:     map[string]bool{},
-		strangers:   map[string]bool{},
-		guests:      map[string]*guest{},
-		cutUntil:    map[string]time.Time{},
-		classes:     map[string]*classStats{},
-		progress:    map[string]*peerpb.Progress{},
+	c := &Core{view: cluster.New(cfg, par), log: log, hold: grant.New(incarnation, par.Lease),
+		jobs:      map[string]*job{},
+		ended:     map[string]wire.EndRecord{},
+		ending:    map[string]bool{},
+		pageOf:    map[string]*page{},
+		facts:     map[string][]byte{},
+		homes:     map[string]uint64{},
+		machines:  map[string]*machine{},
+		used:      map[string]sched.Amount{},
+		stopping:  map[string]sched.Amount{},
+		hurried:   map[string]bool{},
+		strangers: map[string]bool{},
+		guests:    map[string]*guest{},
+		cutUntil:  map[string]time.Time{},
+		classes:   map[string]*classStats{},
+		progress:  map[string]*peerpb.Progress{},
 	}
 	return c
 }
@@ -264,7 +257,7 @@
 
 // frame is the beginning of every message to another controller.
 func (c *Core) frame() *peerpb.Frame {
-	return &peerpb.Frame{From: c.view.Me, Incarnation: c.inc, StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
+	return &peerpb.Frame{From: c.view.Me, Incarnation: c.hold.Incarnation(), StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
 }
 
 func (c *Core) onPeer(f *peerpb.Frame) {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -32,6 +32,13 @@
 	return c, now
 }
 
+// mayStart has the lease value honour a renewal sent at this moment.
+func mayStart(c *Core) {
+	b := c.view.Lease.Blocks["n0"]
+	b.Renewal = c.hold.Sent(c.loop.Now)
+	c.hold.Granted(b)
+}
+
 // TestUnheardMachineIsNotGivenBack guards against a machine being given back
 // as empty that a restarted controller has not heard yet: its tasks were then
 // started elsewhere while it still ran them.
@@ -205,7 +212,7 @@
 	c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
 		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Old: wire.NameSet{"host-000001", "host-000002"}}},
 		Homes:  map[string]string{"free": "n0"}})
-	c.right = now.Add(10 * time.Second)
+	mayStart(c)
 	job := func(id string, shape wire.Shape, spot bool) *job {
 		c.applyJob(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: "standard", Tasks: 1, CPUs: 1, Spot: spot}}, 3)
 		j := c.jobs[id]
@@ -242,7 +249,7 @@
 		}
 		c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
 			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: names}}, Homes: map[string]string{"free": "n0"}})
-		c.right = now.Add(time.Minute)
+		mayStart(c)
 		asked := 0
 		var answer []step.Completed
 		for s := range 9 { // the last report is 7 s old at the end
@@ -286,7 +293,7 @@
 	for _, spot := range []bool{true, false} {
 		c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
 			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: wire.NameSet{"host-000001"}}}, Homes: map[string]string{"free": "n0"}})
-		c.right = now.Add(time.Minute)
+		mayStart(c)
 		submit := func(id string, shape wire.Shape, priority string, tasks int, spot bool) *job {
 			c.applyJob(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: priority, Tasks: tasks, CPUs: 1, Spot: spot}}, 6)
 			return c.jobs[id]
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -152,11 +152,11 @@
 			c.loading, c.loaded = false, true
 			c.rev, c.fresh = rev, sent
 			c.leaseSeen = c.loop.Now
-			if b, ok := c.view.Lease.Blocks[c.view.Me]; ok && b.Incarnation >= c.inc && c.grant == 0 {
-				c.inc = b.Incarnation + 1
+			if b, ok := c.view.Lease.Blocks[c.view.Me]; ok && b.Incarnation >= c.hold.Incarnation() && !c.hold.Held() {
+				c.hold.Outgrow(b.Incarnation)
 			}
-			if c.view.Lease.Leader == c.view.Me && c.view.Lease.Incarnation >= c.inc && c.lead == nil {
-				c.inc = c.view.Lease.Incarnation + 1
+			if c.view.Lease.Leader == c.view.Me && c.view.Lease.Incarnation >= c.hold.Incarnation() && c.lead == nil {
+				c.hold.Outgrow(c.view.Lease.Incarnation)
 			}
 			c.renewAt = c.loop.Now
 			c.log.Info("state read", "jobs", len(c.jobs), "revision", rev)
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -14,7 +14,7 @@
 func (c *Core) startLeading(term uint64) {
 	c.log.Info("leading", "term", term)
 	c.stopLeading()
-	c.lead = leader.New(&c.loop, c.view, &c.book, c, c.log, c.inc, term)
+	c.lead = leader.New(&c.loop, c.view, &c.book, c, c.log, c.hold.Incarnation(), term)
 }
 
 // stopLeading drops the leader, if there is one.
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -132,7 +132,7 @@
 	}
 	c.view.Take(rec, version)
 	c.leaseSeen = c.loop.Now
-	if rec.Leader == c.view.Me && rec.Incarnation == c.inc {
+	if rec.Leader == c.view.Me && rec.Incarnation == c.hold.Incarnation() {
 		if c.lead == nil || c.lead.Term() != rec.Term {
 			c.startLeading(rec.Term)
 		}
@@ -141,28 +141,15 @@
 		c.stopLeading()
 	}
 	b, ok := rec.Blocks[c.view.Me]
-	if !ok || b.Incarnation != c.inc {
-		if c.grant != 0 {
+	if !ok || b.Incarnation != c.hold.Incarnation() {
+		if c.hold.Held() {
 			c.log.Info("block lost", "machines", len(c.machines))
 			c.loseBlock()
 		}
 		c.renewSoon = true
 		return
 	}
-	if c.grant != b.Grant {
-		c.grant, c.attempts = b.Grant, 0 // attempts are counted under each grant anew
-	}
-	c.promises.Honoured(b.Renewal)
-	if sent, ok := c.renewalSent[b.Renewal]; ok {
-		if until := sent.Add(cluster.Shrink(c.view.Par.Lease)); until.After(c.right) {
-			c.right = until
-		}
-		for n := range c.renewalSent {
-			if n < b.Renewal {
-				delete(c.renewalSent, n)
-			}
-		}
-	}
+	c.hold.Granted(b)
 	held := make(map[string]bool, len(b.Machines)+len(b.Old))
 	take := func(name string, dirty bool) {
 		held[name] = true
@@ -170,7 +157,7 @@
 			return
 		}
 		m := &machine{name: name, runs: map[runKey]*run{}, heard: c.loop.Now, idle: c.loop.Now,
-			dirty: dirty, fence: c.grant << 24}
+			dirty: dirty, fence: c.hold.Token(0)}
 		c.machines[name] = m
 		c.orderDue = true
 		if dirty {
@@ -231,13 +218,11 @@
 
 // loseBlock forgets all that the right to a block was the ground of.
 func (c *Core) loseBlock() {
-	c.grant, c.right = 0, time.Time{}
+	c.hold.Lose()
 	clear(c.machines)
 	c.orderDue = true
 	clear(c.used)
 	clear(c.homes)
-	clear(c.renewalSent)
-	c.promises.Reset()
 	for id, j := range c.jobs {
 		j.ready, j.reading, j.runs, j.done, j.stored, j.doneCount, j.queue = false, false, nil, nil, nil, 0, nil
 		if j.over {
@@ -249,7 +234,7 @@
 // Renewal describes this controller to the leader, numbered as the next one.
 func (c *Core) Renewal() *peerpb.Renewal {
 	var gave, lost, heard, unknown, bound []string
-	r := &peerpb.Renewal{Node: c.view.Me, Incarnation: c.inc, Number: c.renewals + 1, Waiting: map[string]int32{}}
+	r := &peerpb.Renewal{Node: c.view.Me, Incarnation: c.hold.Incarnation(), Number: c.hold.NextRenewal(), Waiting: map[string]int32{}}
 	for _, name := range cluster.SortedKeys(c.machines) {
 		m := c.machines[name]
 		switch {
@@ -337,11 +322,11 @@
 // on it is a new process to everybody, its own included: machines it gets back
 // are machines it knows nothing of.
 func (c *Core) resign() {
-	if !c.loaded || (c.grant == 0 && c.lead == nil) || !c.refusedAlone() {
+	if !c.loaded || (!c.hold.Held() && c.lead == nil) || !c.refusedAlone() {
 		return
 	}
 	c.log.Info("resigned, the state service refuses this controller alone", "machines", len(c.machines), "led", c.lead != nil)
-	c.inc++
+	c.hold.Outgrow(c.hold.Incarnation())
 	c.stopLeading()
 	c.loseBlock()
 	c.renewSoon = true
@@ -366,10 +351,9 @@
 	c.renewSoon = false
 	c.renewAt = c.loop.Now.Add(c.view.Par.Publish)
 	r := c.Renewal()
-	c.renewals++
-	r.Resigned = c.grant == 0 && c.refusedAlone()
+	r.Resigned = !c.hold.Held() && c.refusedAlone()
 	c.promise(r)
-	c.renewalSent[r.Number] = c.loop.Now
+	c.hold.Sent(c.loop.Now)
 	to := []string{c.view.Lease.Leader}
 	if r.Resigned {
 		// The lease value it knows is as old as the refusal; it may even name
@@ -458,9 +442,9 @@
 	}
 	rec := c.view.Lease.Clone()
 	rec.Term++
-	rec.Leader, rec.Incarnation = c.view.Me, c.inc
+	rec.Leader, rec.Incarnation = c.view.Me, c.hold.Incarnation()
 	rec.Beat++
-	leader.Regrant(&rec, c.view.Me, c.inc)
+	leader.Regrant(&rec, c.view.Me, c.hold.Incarnation())
 	c.writeLease(rec, func() {})
 }
 
@@ -468,10 +452,8 @@
 // is called once it is stored.
 func (c *Core) writeLease(rec wire.LeaseRecord, then func()) {
 	c.leaseBusy = true
-	if b, ok := rec.Blocks[c.view.Me]; ok && b.Incarnation == c.inc {
-		c.renewals++
-		c.renewalSent[c.renewals] = c.loop.Now
-		b.Renewal = c.renewals
+	if b, ok := rec.Blocks[c.view.Me]; ok && b.Incarnation == c.hold.Incarnation() {
+		b.Renewal = c.hold.Sent(c.loop.Now)
 		rec.Blocks[c.view.Me] = b
 	}
 	// Noted now: the watch may show this write before its answer comes.
--- a/internal/controller/place.go
+++ b/internal/controller/place.go
@@ -606,8 +606,7 @@
 	j.queue = j.queue[1:]
 	j.waitSince = c.loop.Now
 	c.class(j.rec.Class).startedAt = c.loop.Now
-	c.attempts++
-	r := &run{j: j, i: i, task: taskName(j.rec.ID, i), attempt: c.grant<<24 + c.attempts, m: m,
+	r := &run{j: j, i: i, task: taskName(j.rec.ID, i), attempt: c.hold.Attempt(), m: m,
 		state: runQueued, placed: c.loop.Now}
 	m.runs[runKey{r.task, r.attempt}] = r
 	j.runs[i] = r
--- a/internal/controller/shares.go
+++ b/internal/controller/shares.go
@@ -31,7 +31,7 @@
 	if !parted || !l.Any() {
 		return l
 	}
-	s := c.promises.Ceiling(team, shares[c.view.Me])
+	s := c.hold.Ceiling(team, shares[c.view.Me])
 	if l.CPUs > 0 {
 		l.CPUs = max(nothing, float64(s.CPUs))
 	}
@@ -112,7 +112,7 @@
 // already and no value honours yet.
 func (c *Core) ceilings() map[string]wire.Share {
 	out := map[string]wire.Share{}
-	if c.grant == 0 || len(c.view.Lease.Shares) == 0 {
+	if !c.hold.Held() || len(c.view.Lease.Shares) == 0 {
 		return out
 	}
 	own := c.Uses()
@@ -121,7 +121,7 @@
 		shares := c.view.Lease.Shares[team]
 		limit, used := c.view.LimitOf(team), c.used[team].Add(hidden, 1)
 		cpus, cards := c.view.Needs(c.view.Lease.Homes, shares, team, own, c.loop.Now)
-		now := c.promises.Ceiling(team, shares[c.view.Me])
+		now := c.hold.Ceiling(team, shares[c.view.Me])
 		least := wire.Share{CPUs: int(math.Ceil(used.CPUs)), Cards: int(math.Ceil(used.Cards))}
 		next := now
 		if n, yes := c.spared(cpus, limit.CPUs, used.CPUs, now.CPUs, func(node string) int { return shares[node].CPUs }); yes {
@@ -172,7 +172,7 @@
 	}
 	c.tradedAt = c.loop.Now
 	for team, s := range c.ceilings() {
-		if s != c.promises.Ceiling(team, c.view.Lease.Shares[team][c.view.Me]) {
+		if s != c.hold.Ceiling(team, c.view.Lease.Shares[team][c.view.Me]) {
 			c.renewSoon = true
 		}
 	}
@@ -185,10 +185,10 @@
 // to it from now on, whether or not the leader ever reads that.
 func (c *Core) promise(r *peerpb.Renewal) {
 	ceilings := c.ceilings()
-	r.Grant = c.grant
+	r.Grant = c.hold.Grant()
 	for _, team := range cluster.SortedKeys(ceilings) {
 		s := ceilings[team]
-		c.promises.Promise(r.GetNumber(), team, s)
+		c.hold.Promise(r.GetNumber(), team, s)
 		r.Ceilings = append(r.Ceilings, &peerpb.Ceiling{Team: team, Cpus: int64(s.CPUs), Cards: int64(s.Cards)})
 	}
 }
--- a/internal/controller/workers.go
+++ b/internal/controller/workers.go
@@ -120,10 +120,10 @@
 	mean      float64
 }
 
-func (c *Core) tokenFor(m *machine) uint64 { return c.grant<<24 + m.bump }
+func (c *Core) tokenFor(m *machine) uint64 { return c.hold.Token(m.bump) }
 
 // mayStart tells whether this controller's block lease allows starts now.
-func (c *Core) mayStart() bool { return c.grant != 0 && c.loop.Now.Before(c.right) }
+func (c *Core) mayStart() bool { return c.hold.MayStart(c.loop.Now) }
 
 // answerUntil is until when reports may be answered, which keeps tasks alive.
 // A job cancelled at another controller must be gone cancel_s later: past
@@ -145,13 +145,13 @@
 		c.unavailable(e.Req)
 		return
 	}
-	if c.grant == 0 && c.refusedAlone() {
+	if !c.hold.Held() && c.refusedAlone() {
 		c.unavailable(e.Req) // others know who owns the machine by now
 		return
 	}
 	m := c.machines[r.Machine]
 	// A higher token than ours means that somebody else has taken over.
-	if m == nil || c.grant == 0 || r.Token > c.tokenFor(m) {
+	if m == nil || !c.hold.Held() || r.Token > c.tokenFor(m) {
 		c.guestReport(e)
 		return
 	}
@@ -162,8 +162,8 @@
 	m.asking = false
 	until := c.answerUntil()
 	cmds := c.commandsFor(m, viaAnswer)
-	if slices.ContainsFunc(cmds, func(k wire.Command) bool { return k.Op == wire.OpStart }) && c.right.Before(until) {
-		until = c.right
+	if slices.ContainsFunc(cmds, func(k wire.Command) bool { return k.Op == wire.OpStart }) && c.hold.Until().Before(until) {
+		until = c.hold.Until()
 	}
 	c.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: until,
 		Body: wire.ReportAnswer{Token: c.tokenFor(m), Commands: cmds}})
@@ -525,7 +525,7 @@
 			c.answer(e.Req, 421, wire.Redirect{ReportTo: c.view.Lease.Leader})
 			return
 		}
-		if c.lead != nil && r.Token <= c.grant<<24 {
+		if c.lead != nil && r.Token <= c.hold.Token(0) {
 			// Answered when the machine is in a block, see releaseGuests.
 			g.pending = append(g.pending, e.Req)
 			return
@@ -631,7 +631,7 @@
 				sent = append(sent, r)
 			}
 		}
-		c.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: c.right,
+		c.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: c.hold.Until(),
 			Body: wire.Commands{Token: c.tokenFor(m), Session: m.session, Commands: cmds},
 			ID:   c.loop.Call(func(d step.Completed) { c.directDone(m, sent, d) })})
 	}
@@ -720,7 +720,7 @@
 		}
 		m.calling = true
 		c.asking++
-		c.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: c.right,
+		c.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: c.hold.Until(),
 			Body: wire.Commands{Token: c.tokenFor(m), Session: session, Commands: []wire.Command{}},
 			ID: c.loop.Call(func(d step.Completed) {
 				c.asking--
--- /dev/null
+++ b/internal/grant/grant.go
@@ -0,0 +1,117 @@
+// Package grant is what a controller may do under its block lease, and until
+// when. It decides from the controller's own steady clock and from what the
+// lease value says; it knows neither machines nor messages.
+//
+//   - A lease counts from the moment in which the renewal was sent that the
+//     value honours, not from when the value was seen, and for a little less
+//     than it lasts. Whoever takes the block over waits for a little more.
+//   - Tokens and attempts are made of the grant, which rises with every holder
+//     and every process of a holder, so that none is ever used twice.
+//   - A process that has lost its block is a new one to everybody from then on.
+package grant
+
+import (
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/share"
+	"fawncove/internal/wire"
+)
+
+// bits is how much of a token or an attempt counts within a grant.
+const bits = 24
+
+// Holder is one controller's right to its block. Its zero value is of no use.
+type Holder struct {
+	lease    time.Duration
+	inc      uint64
+	grant    uint64 // 0: no block
+	until    time.Time
+	renewals uint64
+	sent     map[uint64]time.Time // when each renewal that is not yet honoured went out
+	attempts uint64
+	promises share.Holder
+}
+
+// New returns the holder for a process with this incarnation, whose block
+// leases last for lease.
+func New(incarnation uint64, lease time.Duration) *Holder {
+	return &Holder{inc: incarnation, lease: lease, sent: map[uint64]time.Time{}}
+}
+
+// Incarnation tells this process from earlier ones of the same name.
+func (h *Holder) Incarnation() uint64 { return h.inc }
+
+// Outgrow makes the incarnation larger than another, which the lease value
+// still names for an earlier process.
+func (h *Holder) Outgrow(other uint64) { h.inc = max(h.inc, other+1) }
+
+// Held tells whether there is a block.
+func (h *Holder) Held() bool { return h.grant != 0 }
+
+// Grant is the number under which the block is held; 0 when there is none.
+func (h *Holder) Grant() uint64 { return h.grant }
+
+// Until is the moment from which on nothing may be started any more.
+func (h *Holder) Until() time.Time { return h.until }
+
+// MayStart tells whether tasks may be started now.
+func (h *Holder) MayStart(now time.Time) bool { return h.grant != 0 && now.Before(h.until) }
+
+// Token is what a machine of the block is to be sent; bump raises it above
+// what the same holder has sent it before.
+func (h *Holder) Token(bump uint64) uint64 { return h.grant<<bits + bump }
+
+// Attempt returns a number that no other attempt at any task has.
+func (h *Holder) Attempt() uint64 {
+	h.attempts++
+	return h.grant<<bits + h.attempts
+}
+
+// NextRenewal is the number that the renewal sent next will have.
+func (h *Holder) NextRenewal() uint64 { return h.renewals + 1 }
+
+// Sent notes that a renewal goes out now, and returns its number.
+func (h *Holder) Sent(now time.Time) uint64 {
+	h.renewals++
+	h.sent[h.renewals] = now
+	return h.renewals
+}
+
+// Granted takes the block as a lease value shows it, which must be one of this
+// incarnation.
+func (h *Holder) Granted(b wire.Block) {
+	if h.grant != b.Grant {
+		h.grant, h.attempts = b.Grant, 0 // attempts are counted under each grant anew
+	}
+	h.promises.Honoured(b.Renewal)
+	sent, ok := h.sent[b.Renewal]
+	if !ok {
+		return
+	}
+	if until := sent.Add(cluster.Shrink(h.lease)); until.After(h.until) {
+		h.until = until
+	}
+	for n := range h.sent {
+		if n < b.Renewal {
+			delete(h.sent, n)
+		}
+	}
+}
+
+// Lose forgets the block and every right and promise that came with it.
+func (h *Holder) Lose() {
+	h.grant, h.until = 0, time.Time{}
+	clear(h.sent)
+	h.promises.Reset()
+}
+
+// Promise notes that the renewal with this number promises to use no more of a
+// team's share than ceiling, and keeps to it from now on.
+func (h *Holder) Promise(renewal uint64, team string, ceiling wire.Share) {
+	h.promises.Promise(renewal, team, ceiling)
+}
+
+// Ceiling is what of a team's share in the lease value may be used: all of it,
+// or less if less was promised.
+func (h *Holder) Ceiling(team string, s wire.Share) wire.Share { return h.promises.Ceiling(team, s) }
