--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -19,6 +19,9 @@
 const (
 	// LinkDead is the silence after which a peer counts as out of reach.
 	LinkDead = 2500 * time.Millisecond
+	// WatchHold bounds how old a controller's knowledge of cancellations gets
+	// while the state service answers.
+	WatchHold = 2 * time.Second
 	// UseFresh is how long what a controller told of its use counts.
 	UseFresh = 10 * time.Second
 
@@ -60,6 +63,7 @@
 	// means that none has been read.
 	Lease   wire.LeaseRecord
 	Version uint64
+	Leading bool // this controller leads
 	// ValueBytes is the size of the lease value that this controller wrote
 	// last, without pages.
 	ValueBytes int
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -6,8 +6,6 @@
 import (
 	"fmt"
 	"log/slog"
-	"slices"
-	"strings"
 	"time"
 
 	"fawncove/internal/cluster"
@@ -15,18 +13,12 @@
 	"fawncove/internal/grant"
 	"fawncove/internal/leader"
 	"fawncove/internal/leasevalue"
+	"fawncove/internal/owner"
 	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
 	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
-const (
-	// watchHold bounds how old this controller's knowledge of cancellations
-	// gets while the state service answers.
-	watchHold = 2 * time.Second
-)
-
 // Core is the state of one controller.
 type Core struct {
 	view *cluster.View
@@ -35,6 +27,9 @@
 
 	loop step.Loop
 
+	own  *owner.Owner
+	lead *leader.Leader // nil while another controller leads
+
 	// What the state service holds, as far as this controller knows.
 	loaded     bool
 	loading    bool
@@ -42,27 +37,15 @@
 	rev        uint64
 	watchAt    time.Time
 	watching   bool
-	fresh      time.Time // all changes before this time are known
 	stateOK    time.Time // last answer of the state service
-	jobs       map[string]*job
 	ended      map[string]wire.EndRecord
 	endedOrder []string
 	verify     verifier
-	writing    int             // ends under way
-	ending     map[string]bool // jobs whose end is to be stored
-
-	// The pages of completed tasks, see progress.go.
-	pages     []*page
-	pageOf    map[string]*page  // by entry
-	facts     map[string][]byte // what the pages say, by entry
-	pageReads uint64            // readings of all pages begun
-	pagesBusy bool
-	pagesNext time.Time
 
 	typesAt   time.Time
 	typesBusy bool
 
-	// The lease value and this controller's rights under it.
+	// The lease value.
 	leaseSeen    time.Time
 	leaseBusy    bool
 	book         leasevalue.Book // the pages beside the lease value
@@ -70,54 +53,20 @@
 	unreadSince  time.Time
 	leaseReading bool
 	renewAt      time.Time
-	renewSoon    bool
-	homes        map[string]uint64 // team -> revision at which it became ours
-	lead         *leader.Leader
 	tradedAt     time.Time
 
-	machines map[string]*machine
-	used     map[string]sched.Amount
-	stopping map[string]sched.Amount // the part of used that is being stopped
-	guests   map[string]*guest
-	classes  map[string]*classStats
-	inflow   sched.Inflow
-	placeDue bool
-	placedAt time.Time
-	choices  []choice   // reused by placeTasks
-	order    []*machine // the block by name, see machineOrder
-	orderDue bool
-	// hurried are machines with commands that should go out at once.
-	hurried   map[string]bool
-	strangers map[string]bool      // machines to be asked for their tasks
-	asking    int                  // such questions under way
-	cutUntil  map[string]time.Time // zones whose machines may yet come back together
-	preemptAt time.Time
-	pingAt    time.Time
-	spare     float64      // processors free here beyond what waits
-	room      cluster.Room // free here now
-	progress  map[string]*peerpb.Progress
+	// What was last told to the peers.
+	pingAt time.Time
+	spare  float64      // processors free here beyond what waits
+	room   cluster.Room // free here
 }
 
 // New returns the core of the controller described by cfg. incarnation must
 // be larger than that of every earlier process of the same name.
 func New(cfg *config.Settings, par cluster.Params, log *slog.Logger, incarnation uint64) *Core {
 	c := &Core{view: cluster.New(cfg, par), log: log, hold: grant.New(incarnation, par.Lease),
-		jobs:      map[string]*job{},
-		ended:     map[string]wire.EndRecord{},
-		ending:    map[string]bool{},
-		pageOf:    map[string]*page{},
-		facts:     map[string][]byte{},
-		homes:     map[string]uint64{},
-		machines:  map[string]*machine{},
-		used:      map[string]sched.Amount{},
-		stopping:  map[string]sched.Amount{},
-		hurried:   map[string]bool{},
-		strangers: map[string]bool{},
-		guests:    map[string]*guest{},
-		cutUntil:  map[string]time.Time{},
-		classes:   map[string]*classStats{},
-		progress:  map[string]*peerpb.Progress{},
-	}
+		ended: map[string]wire.EndRecord{}}
+	c.own = owner.New(&c.loop, c.view, c.hold, c, log)
 	return c
 }
 
@@ -128,7 +77,7 @@
 	case step.Tick:
 		c.tick()
 	case step.ReportIn:
-		c.onReport(e)
+		c.own.Report(e)
 	case step.SubmitIn:
 		c.onSubmit(e)
 	case step.PollIn:
@@ -148,8 +97,7 @@
 	default:
 		c.log.Error("unknown event", "type", fmt.Sprintf("%T", ev))
 	}
-	c.placeSoon()
-	c.sendCommands()
+	c.own.Work()
 	return c.loop.Effects()
 }
 
@@ -177,7 +125,7 @@
 func (c *Core) Parted() int { return len(c.view.Lease.Shares) }
 
 // Holds tells how many machines are in this controller's block.
-func (c *Core) Holds() int { return len(c.machines) }
+func (c *Core) Holds() int { return c.own.Holds() }
 
 // tick does what time alone brings about.
 func (c *Core) tick() {
@@ -193,14 +141,10 @@
 	c.elect()
 	c.renew()
 	c.ping()
-	c.readPages()
-	c.endJobs()
-	c.flushPages()
+	c.own.Store()
 	c.runVerify()
-	c.checkMachines()
-	c.askWorkers()
+	c.own.Check()
 	c.leadTick()
-	c.placeDue = true
 }
 
 // loadTypes reads the machine types, which validation needs, and refreshes
@@ -236,20 +180,14 @@
 	}
 	c.pingAt = c.loop.Now.Add(time.Second)
 	f := c.frame()
-	busy, _, size := c.measure()
+	busy, _, size := c.own.Measure()
 	c.spare = size - busy
 	f.SpareCpus = c.spare
-	f.Teams = c.usesOfTeams()
-	c.room = c.roomNow()
+	f.Teams = c.own.TeamUses()
+	c.room = c.own.Room()
 	c.room.Size = size
 	f.FreeCpus, f.ImageCpus, f.SizeCpus = c.room.Free, c.room.Images, size
-	for _, j := range c.jobs {
-		if c.owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
-			j.shown = [2]int{j.doneCount, j.running()}
-			f.Progress = append(f.Progress, &peerpb.Progress{Id: j.rec.ID, Done: int32(j.doneCount), Running: int32(j.running())})
-		}
-	}
-	slices.SortFunc(f.Progress, func(a, b *peerpb.Progress) int { return strings.Compare(a.GetId(), b.GetId()) })
+	f.Progress = c.own.News()
 	for _, name := range cluster.SortedKeys(c.view.Peers) {
 		c.loop.Emit(step.PeerSend{To: name, Frame: f})
 	}
@@ -278,28 +216,12 @@
 	}
 	p.Tell(f.GetTeams())
 	for _, g := range f.GetProgress() {
-		if j := c.jobs[g.GetId()]; j != nil {
-			j.told = [2]int{int(g.GetDone()), int(g.GetRunning())}
-		}
-	}
-	for _, k := range f.GetKnown() {
-		if m := c.machines[k.GetName()]; m != nil {
-			c.introduce(m, k)
+		if j := c.own.Job(g.GetId()); j != nil {
+			j.Told = [2]int{int(g.GetDone()), int(g.GetRunning())}
 		}
 	}
-	c.askWorkers()
+	c.own.Meet(f.GetKnown())
 	if r := f.GetRenewal(); r != nil && r.GetNode() == f.GetFrom() {
 		c.onRenewal(r)
 	}
 }
-
-// usesOfTeams lists what this controller's tasks use and want, where others
-// have to know it.
-func (c *Core) usesOfTeams() []*peerpb.TeamUse {
-	uses := c.Uses()
-	var out []*peerpb.TeamUse
-	for _, team := range cluster.SortedKeys(uses) {
-		out = append(out, uses[team])
-	}
-	return out
-}
--- a/internal/controller/homes.go
+++ b/internal/controller/homes.go
@@ -1,9 +1,6 @@
 package controller
 
 import (
-	"cmp"
-	"slices"
-
 	"fawncove/internal/cluster"
 	"fawncove/internal/wire"
 )
@@ -18,34 +15,6 @@
 // of others, when the fleet is too much for one controller or its crash would
 // stop too much; its limit is then held in shares.
 
-// imagesMost bounds the images that a controller tells of.
-const imagesMost = 64
-
-// roomNow sums up what is free on this controller's machines.
-func (c *Core) roomNow() cluster.Room {
-	r := cluster.Room{Images: map[string]float64{}}
-	for _, m := range c.machines {
-		if !c.usable(m) {
-			continue
-		}
-		free := max(0, m.free().CPUs)
-		r.Free += free
-		for i := range m.images {
-			if m.images[i].there && free > 0 {
-				r.Images[m.images[i].name] += free
-			}
-		}
-	}
-	if len(r.Images) > imagesMost {
-		names := cluster.SortedKeys(r.Images)
-		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(r.Images[b], r.Images[a]) })
-		for _, n := range names[imagesMost:] {
-			delete(r.Images, n)
-		}
-	}
-	return r
-}
-
 // Machines follow the work, and work that went only where room is would follow
 // the machines: in a quiet night one controller came to hold thirteen times as
 // many as another. So what a block has beyond the mean counts against it:
@@ -113,24 +82,3 @@
 	}
 	return sum / float64(max(1, len(seen)))
 }
-
-// measure returns the processors that this controller's tasks use or wait
-// for, the part of them that may be on spot machines, and those of its block.
-func (c *Core) measure() (busy, spot, size float64) {
-	for _, m := range c.machines {
-		if m.lost || m.bad || m.gave {
-			continue
-		}
-		size += m.size.CPUs
-	}
-	for _, j := range c.jobs {
-		if c.owns(j) && !j.over {
-			n := float64(len(j.runs)+len(j.queue)) * j.rec.CPUs
-			busy += n
-			if j.rec.Spot {
-				spot += n
-			}
-		}
-	}
-	return busy, spot, size
-}
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -3,104 +3,29 @@
 import (
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"fawncove/internal/cluster"
 	"fawncove/internal/leasevalue"
+	"fawncove/internal/owner"
 	"fawncove/internal/sched"
 	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
 // Keys of the state service. All that every controller watches is below
-// root; pages of completed tasks have a prefix of their own, since only those
-// who take up jobs read them.
+// root.
 const (
-	root       = "fc/"
-	jobPrefix  = root + "j/"
-	endPrefix  = root + "t/"
-	renPrefix  = root + "r/"
-	leaseKey   = leasevalue.Key
-	pagePrefix = "fp/"
+	root      = "fc/"
+	jobPrefix = root + "j/"
+	endPrefix = root + "t/"
+	renPrefix = root + "r/"
+	leaseKey  = leasevalue.Key
 	// endedMost bounds the memory for jobs that are over.
 	endedMost = 20000
-	// writesAtOnce bounds the ends under way, so that submissions and
-	// cancellations find room in the write limit.
-	writesAtOnce = 4
 )
 
-// job is a job that is not over, or whose tasks are not all gone yet.
-type job struct {
-	rec     wire.JobRecord
-	version uint64
-	first   uint64 // version under which it was first seen
-	over    bool
-	told    [2]int // counts heard from the owner, for display
-	shown   [2]int // counts last sent to the peers
-
-	// The owner's part.
-	ready     bool // what earlier owners stored is known
-	reading   bool // waits for a reading of the pages
-	done      []uint64
-	doneCount int
-	queue     []int // tasks that wait, lowest number first
-	runs      map[int]*run
-	stored    []uint64 // completed tasks whose completion is stored
-	readFrom  uint64   // the first reading of the pages that will do
-	busy      bool     // a write is under way
-	nextWrite time.Time
-	notBefore time.Time // back-off after errors
-	failures  int
-	failedOn  map[string]bool
-	waitSince time.Time
-	spared    time.Time // not stopped for others before then
-}
-
-func (j *job) need() sched.Amount {
-	return sched.Amount{CPUs: j.rec.CPUs, Cards: j.rec.Cards, MemoryGB: j.rec.MemoryGB}
-}
-
-func (j *job) running() int {
-	n := 0
-	for _, r := range j.runs {
-		if r.state == wire.TaskRunning || r.state == wire.TaskFlushing {
-			n++
-		}
-	}
-	return n
-}
-
-// home is the key in the lease value at which the job's owner stands: its
-// team, or the part of the team's jobs that it was filed under.
-func (j *job) home() string {
-	if j.rec.Part != "" {
-		return j.rec.Part
-	}
-	return j.rec.Team
-}
-
-// owns tells whether this controller places the job's tasks.
-func (c *Core) owns(j *job) bool {
-	_, mine := c.homes[j.home()]
-	return mine
-}
-
-// isStored tells whether the completion of task i is stored.
-func (j *job) isStored(i int) bool { return j.stored != nil && j.stored[i/64]&(1<<(i%64)) != 0 }
-
-func (j *job) isDone(i int) bool { return j.done != nil && j.done[i/64]&(1<<(i%64)) != 0 }
-
-func taskName(id string, i int) string { return id + "/" + strconv.Itoa(i) }
-
-// splitTask takes a task's name apart.
-func splitTask(name string) (id string, i int, ok bool) {
-	id, num, found := strings.Cut(name, "/")
-	i, err := strconv.Atoi(num)
-	return id, i, found && err == nil && i >= 0
-}
-
 // ---- reading everything at the start, and watching it afterwards
 
 // load reads all jobs that are not over, page by page, then the lease value.
@@ -138,9 +63,9 @@
 			c.loadPage(after, rev, seen)
 			return
 		}
-		for id, j := range c.jobs {
-			if !seen[jobPrefix+id] && j.version <= rev {
-				c.jobOver(j)
+		for id, j := range c.own.Jobs() {
+			if !seen[jobPrefix+id] && j.Version <= rev {
+				c.own.End(j)
 			}
 		}
 		sent := c.loop.Now
@@ -150,7 +75,8 @@
 				return
 			}
 			c.loading, c.loaded = false, true
-			c.rev, c.fresh = rev, sent
+			c.rev = rev
+			c.own.Known(sent)
 			c.leaseSeen = c.loop.Now
 			if b, ok := c.view.Lease.Blocks[c.view.Me]; ok && b.Incarnation >= c.hold.Incarnation() && !c.hold.Held() {
 				c.hold.Outgrow(b.Incarnation)
@@ -159,7 +85,7 @@
 				c.hold.Outgrow(c.view.Lease.Incarnation)
 			}
 			c.renewAt = c.loop.Now
-			c.log.Info("state read", "jobs", len(c.jobs), "revision", rev)
+			c.log.Info("state read", "jobs", len(c.own.Jobs()), "revision", rev)
 			c.watch()
 			c.elect()
 			c.renew()
@@ -176,7 +102,7 @@
 	sent := c.loop.Now
 	// Many changes in a row are read together, to save requests.
 	pause := time.Duration(float64(time.Second) / max(1, 0.4*c.view.Cfg.Cluster.State.RPS/float64(c.nodes())))
-	c.loop.Emit(step.StateWatch{Prefix: root, After: c.rev, Hold: watchHold, ID: c.loop.Call(func(d step.Completed) {
+	c.loop.Emit(step.StateWatch{Prefix: root, After: c.rev, Hold: cluster.WatchHold, ID: c.loop.Call(func(d step.Completed) {
 		c.watching = false
 		c.watchAt = sent.Add(pause)
 		switch d.Status {
@@ -189,9 +115,7 @@
 				}
 			}
 			c.rev = max(c.rev, d.Watch.Revision)
-			if sent.After(c.fresh) {
-				c.fresh = sent
-			}
+			c.own.Known(sent)
 			c.watch()
 		case 410:
 			c.log.Info("watch too old, reading again")
@@ -238,8 +162,8 @@
 
 func (c *Core) applyDelete(key string, version uint64) {
 	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
-		if j := c.jobs[id]; j != nil && version >= j.version {
-			c.jobOver(j)
+		if j := c.own.Job(id); j != nil && version >= j.Version {
+			c.own.End(j)
 		}
 	}
 }
@@ -248,19 +172,7 @@
 	if _, ok := c.ended[rec.ID]; ok {
 		return
 	}
-	j := c.jobs[rec.ID]
-	if j == nil {
-		j = &job{first: version, waitSince: c.loop.Now}
-		c.jobs[rec.ID] = j
-		if rec.Shape != wire.Daemon { // one is never done; its processors are taken off what there is
-			c.inflow.Add(time.UnixMilli(rec.AtMs), float64(rec.Tasks)*rec.CPUs*max(1, c.runSeconds(&rec)))
-		}
-	}
-	if version <= j.version {
-		return
-	}
-	j.rec, j.version = rec, version
-	c.adopt(j)
+	c.own.Put(rec, version)
 }
 
 // applyEnd notes that a job is over. An end is final.
@@ -273,127 +185,37 @@
 			c.endedOrder = c.endedOrder[1:]
 		}
 	}
-	if j := c.jobs[id]; j != nil {
-		c.jobOver(j)
-	}
-}
-
-// jobOver stops all tasks of a job that is over. The job is kept while some
-// task of it is still somewhere, since that counts against the team's limit.
-func (c *Core) jobOver(j *job) {
-	if !j.over {
-		j.over = true
-		c.dropEntries(j)
-		j.queue = nil
-		for _, r := range j.runs {
-			if r.state == runQueued {
-				c.dropRun(r)
-			} else {
-				r.stop = true
-				c.hurry(r.m)
-			}
-		}
-		c.placeDue = true
-	}
-	if len(j.runs) == 0 {
-		delete(c.jobs, j.rec.ID)
-	}
-}
-
-// ---- the owner's side
-
-// adopt makes the job ready for placing when this controller is its home.
-func (c *Core) adopt(j *job) {
-	since, mine := c.homes[j.home()]
-	if !mine || j.ready || j.reading || j.over {
-		return
-	}
-	if j.runs == nil {
-		j.runs = map[int]*run{}
-		j.done, j.stored = make([]uint64, (j.rec.Tasks+63)/64), make([]uint64, (j.rec.Tasks+63)/64)
-	}
-	if j.first > since {
-		c.jobReady(j) // accepted under this ownership: nothing can have run
-		return
-	}
-	// A reading that is under way may have passed the page already.
-	j.reading, j.readFrom = true, c.pageReads+1
-}
-
-func (c *Core) jobReady(j *job) {
-	j.ready = true
-	j.queue = j.queue[:0]
-	for i := range j.rec.Tasks {
-		if !j.isDone(i) && j.runs[i] == nil {
-			j.queue = append(j.queue, i)
-		}
-	}
-	c.placeDue = true
-}
-
-func (c *Core) markDone(j *job, i int) {
-	if j.isDone(i) {
-		return
-	}
-	j.done[i/64] |= 1 << (i % 64)
-	j.doneCount++
-	if j.doneCount == j.rec.Tasks {
-		c.ending[j.rec.ID] = true
-	} else if !j.isStored(i) {
-		c.noteDone(j, i)
-	}
-	if k, ok := slices.BinarySearch(j.queue, i); ok {
-		j.queue = slices.Delete(j.queue, k, k+1)
+	if j := c.own.Job(id); j != nil {
+		c.own.End(j)
 	}
 }
 
-// endJobs stores the ends of jobs whose tasks are all completed.
-func (c *Core) endJobs() {
-	if len(c.ending) == 0 {
-		return
-	}
-	for _, id := range cluster.SortedKeys(c.ending) {
-		j := c.jobs[id]
-		if j == nil || j.over || !c.owns(j) {
-			delete(c.ending, id)
-			continue
-		}
-		if c.writing >= writesAtOnce {
-			return
-		}
-		if j.busy || !j.ready || c.loop.Now.Before(j.nextWrite) {
-			continue
-		}
-		c.writing++
-		c.endJob(j, wire.Done, 0, func(bool) { c.writing-- })
-	}
-}
-
-// endJob decides a job's end by a compare on the version of its record, so
+// End decides a job's end by a compare on the version of its record, so
 // that of a completion and a cancellation exactly one wins. then is told
 // whether the end is stored; tries bounds the repeats.
-func (c *Core) endJob(j *job, state string, tries int, then func(stored bool)) {
-	id := j.rec.ID
-	rec := wire.EndRecord{State: state, Tasks: j.rec.Tasks, Done: j.doneCount}
+func (c *Core) End(j *owner.Job, state string, tries int, then func(stored bool)) {
+	id := j.Rec.ID
+	done, _ := j.Counts()
+	rec := wire.EndRecord{State: state, Tasks: j.Rec.Tasks, Done: done}
 	if state == wire.Cancelled {
-		rec.Done = max(j.doneCount, j.told[0])
+		rec.Done = max(done, j.Told[0])
 	}
 	txn := wire.Txn{
-		If:   []wire.Cond{{Key: jobPrefix + id, Version: j.version}, {Key: endPrefix + id}},
+		If:   []wire.Cond{{Key: jobPrefix + id, Version: j.Version}, {Key: endPrefix + id}},
 		Then: []wire.Op{{Delete: jobPrefix + id}, {Put: endPrefix + id, Value: rec}},
 	}
-	j.busy = true
+	j.Writing = true
 	c.loop.Emit(step.StateTxn{Txn: txn, ID: c.loop.Call(func(d step.Completed) {
-		j.busy = false
-		j.nextWrite = c.loop.Now.Add(300 * time.Millisecond)
+		j.Writing = false
+		j.NextWrite = c.loop.Now.Add(300 * time.Millisecond)
 		switch {
 		case d.Status == 200:
 			c.applyEnd(id, rec)
 			then(true)
 		case d.Status == 409:
 			c.refresh(id, func(ok bool) {
-				if j := c.jobs[id]; ok && j != nil && !j.over && tries > 0 {
-					c.endJob(j, state, tries-1, then)
+				if j := c.own.Job(id); ok && j != nil && !j.Over && tries > 0 {
+					c.End(j, state, tries-1, then)
 					return
 				}
 				then(ok)
@@ -436,19 +258,10 @@
 
 // ---- the users' side
 
-func (c *Core) answer(req uint64, status int, body any) {
-	c.loop.Emit(step.Reply{Req: req, Status: status, Body: body})
-}
-
-// unavailable tells the user at once to come back.
-func (c *Core) unavailable(req uint64) {
-	c.loop.Emit(step.Reply{Req: req, Status: 503, Body: wire.ErrorAnswer{Error: "not now"}, RetryAfter: 1})
-}
-
-func (c *Core) jobAnswer(j *job) wire.JobAnswer {
-	a := wire.JobAnswer{ID: j.rec.ID, State: wire.Pending, Done: j.told[0], Running: j.told[1]}
-	if c.owns(j) {
-		a.Done, a.Running = j.doneCount, j.running()
+func (c *Core) jobAnswer(j *owner.Job) wire.JobAnswer {
+	a := wire.JobAnswer{ID: j.Rec.ID, State: wire.Pending, Done: j.Told[0], Running: j.Told[1]}
+	if c.own.Owns(j) {
+		a.Done, a.Running = j.Counts()
 	}
 	if a.Running > 0 {
 		a.State = wire.Running
@@ -474,11 +287,11 @@
 	id string
 	// then gets the job, or its end, or neither when it does not exist; ok
 	// is false when the state service did not say.
-	then func(j *job, end *wire.EndRecord, ok bool)
+	then func(j *owner.Job, end *wire.EndRecord, ok bool)
 }
 
 // ask answers a question about a job from what is surely current.
-func (c *Core) ask(id string, then func(j *job, end *wire.EndRecord, ok bool)) {
+func (c *Core) ask(id string, then func(j *owner.Job, end *wire.EndRecord, ok bool)) {
 	if e, ok := c.ended[id]; ok {
 		then(nil, &e, true) // an end is final
 		return
@@ -508,8 +321,8 @@
 			continue
 		}
 		asked[q.id] = true
-		if j := c.jobs[q.id]; j != nil && !j.over {
-			conds = append(conds, wire.Cond{Key: jobPrefix + q.id, Version: j.version})
+		if j := c.own.Job(q.id); j != nil && !j.Over {
+			conds = append(conds, wire.Cond{Key: jobPrefix + q.id, Version: j.Version})
 		} else {
 			conds = append(conds, wire.Cond{Key: jobPrefix + q.id}, wire.Cond{Key: endPrefix + q.id})
 		}
@@ -536,7 +349,7 @@
 				c.refresh(q.id, func(ok bool) {
 					if e, over := c.ended[q.id]; over {
 						q.then(nil, &e, true)
-					} else if j := c.jobs[q.id]; ok && j != nil && !j.over {
+					} else if j := c.own.Job(q.id); ok && j != nil && !j.Over {
 						q.then(j, nil, true)
 					} else {
 						q.then(nil, nil, false)
@@ -546,7 +359,7 @@
 				// Only what failed is sure to be listed; the rest is asked again.
 				c.verify.queue = append(c.verify.queue, q)
 			case known[q.id]:
-				if j := c.jobs[q.id]; j != nil && !j.over {
+				if j := c.own.Job(q.id); j != nil && !j.Over {
 					q.then(j, nil, true)
 				} else if e, over := c.ended[q.id]; over {
 					q.then(nil, &e, true)
@@ -563,52 +376,52 @@
 
 func (c *Core) onPoll(e step.PollIn) {
 	if !wire.ValidJobID(e.ID) {
-		c.answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
+		c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		return
 	}
 	if !c.loaded {
-		c.unavailable(e.Req)
+		c.loop.Unavailable(e.Req)
 		return
 	}
-	c.ask(e.ID, func(j *job, end *wire.EndRecord, ok bool) {
+	c.ask(e.ID, func(j *owner.Job, end *wire.EndRecord, ok bool) {
 		switch {
 		case end != nil:
-			c.answer(e.Req, 200, endAnswer(e.ID, *end))
+			c.loop.Answer(e.Req, 200, endAnswer(e.ID, *end))
 		case j != nil:
-			c.answer(e.Req, 200, c.jobAnswer(j))
+			c.loop.Answer(e.Req, 200, c.jobAnswer(j))
 		case ok:
-			c.answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
+			c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		default:
-			c.unavailable(e.Req)
+			c.loop.Unavailable(e.Req)
 		}
 	})
 }
 
 func (c *Core) onCancel(e step.CancelIn) {
 	if !wire.ValidJobID(e.ID) {
-		c.answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
+		c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		return
 	}
 	if !c.loaded {
-		c.unavailable(e.Req)
+		c.loop.Unavailable(e.Req)
 		return
 	}
-	c.ask(e.ID, func(j *job, end *wire.EndRecord, ok bool) {
+	c.ask(e.ID, func(j *owner.Job, end *wire.EndRecord, ok bool) {
 		switch {
 		case end != nil:
-			c.answer(e.Req, 200, endAnswer(e.ID, *end))
+			c.loop.Answer(e.Req, 200, endAnswer(e.ID, *end))
 		case j != nil:
-			c.endJob(j, wire.Cancelled, 3, func(bool) {
+			c.End(j, wire.Cancelled, 3, func(bool) {
 				if end, over := c.ended[e.ID]; over {
-					c.answer(e.Req, 200, endAnswer(e.ID, end))
+					c.loop.Answer(e.Req, 200, endAnswer(e.ID, end))
 				} else {
-					c.unavailable(e.Req)
+					c.loop.Unavailable(e.Req)
 				}
 			})
 		case ok:
-			c.answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
+			c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		default:
-			c.unavailable(e.Req)
+			c.loop.Unavailable(e.Req)
 		}
 	})
 }
@@ -649,22 +462,22 @@
 }
 
 func (c *Core) onSubmit(e step.SubmitIn) {
-	bad := func() { c.answer(e.Req, 400, wire.ErrorAnswer{Error: fmt.Sprint(e.Err)}) }
+	bad := func() { c.loop.Answer(e.Req, 400, wire.ErrorAnswer{Error: fmt.Sprint(e.Err)}) }
 	if e.Job.ID == "" {
 		bad()
 		return
 	}
 	if !c.loaded {
-		c.unavailable(e.Req)
+		c.loop.Unavailable(e.Req)
 		return
 	}
 	id := e.Job.ID
-	known := func(j *job, end *wire.EndRecord) bool {
+	known := func(j *owner.Job, end *wire.EndRecord) bool {
 		switch {
 		case end != nil:
-			c.answer(e.Req, 200, endAnswer(id, *end))
+			c.loop.Answer(e.Req, 200, endAnswer(id, *end))
 		case j != nil:
-			c.answer(e.Req, 200, c.jobAnswer(j))
+			c.loop.Answer(e.Req, 200, c.jobAnswer(j))
 		default:
 			return false
 		}
@@ -674,17 +487,17 @@
 	if e.Err == nil {
 		status, why = c.refusal(&e.Job)
 	}
-	if status != 0 || c.jobs[id] != nil || c.hasEnded(id) {
+	if status != 0 || c.own.Job(id) != nil || c.Ended(id) {
 		// A known job is answered as it stands, whatever the body says.
-		c.ask(id, func(j *job, end *wire.EndRecord, ok bool) {
+		c.ask(id, func(j *owner.Job, end *wire.EndRecord, ok bool) {
 			switch {
 			case known(j, end):
 			case !ok || status == 503 || status == 0:
-				c.unavailable(e.Req)
+				c.loop.Unavailable(e.Req)
 			case status == 400:
 				bad()
 			default:
-				c.answer(e.Req, status, wire.ErrorAnswer{Error: why})
+				c.loop.Answer(e.Req, status, wire.ErrorAnswer{Error: why})
 			}
 		})
 		return
@@ -704,24 +517,30 @@
 			case 200:
 				c.applyJob(rec, d.Txn.Revision)
 				c.log.Debug("accepted", "job", id, "class", rec.Class, "tasks", rec.Tasks, "image", rec.Image, "owner", rec.Owner)
-				c.answer(e.Req, 201, wire.JobAnswer{ID: id, State: wire.Pending})
+				c.loop.Answer(e.Req, 201, wire.JobAnswer{ID: id, State: wire.Pending})
 			case 409:
 				c.refresh(id, func(ok bool) {
 					if end, over := c.ended[id]; over {
 						known(nil, &end)
-					} else if j := c.jobs[id]; !ok || j == nil || j.over || !known(j, nil) {
-						c.unavailable(e.Req)
+					} else if j := c.own.Job(id); !ok || j == nil || j.Over || !known(j, nil) {
+						c.loop.Unavailable(e.Req)
 					}
 				})
 			case 400:
-				c.answer(e.Req, 400, wire.ErrorAnswer{Error: "too large"})
+				c.loop.Answer(e.Req, 400, wire.ErrorAnswer{Error: "too large"})
 			default:
-				c.unavailable(e.Req)
+				c.loop.Unavailable(e.Req)
 			}
 		}),
 	})
 }
 
-func (c *Core) hasEnded(id string) bool { _, ok := c.ended[id]; return ok }
+// Ready tells whether workers may be answered: jobs are known, and this
+// controller is not the only one refused by the state service; then others know
+// who owns the machines by now.
+func (c *Core) Ready() bool { return c.loaded && (c.hold.Held() || !c.refusedAlone()) }
+
+// Ended tells whether a job is known to be over.
+func (c *Core) Ended(id string) bool { _, ok := c.ended[id]; return ok }
 
 func (c *Core) homeOf(team string) string { return c.view.Lease.Homes[team] }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -4,24 +4,37 @@
 	"time"
 
 	"fawncove/internal/leader"
+	"fawncove/internal/owner"
 	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/step"
+	"fawncove/internal/wire"
 )
 
 // Here the core and its leader meet: what the core hands on to it, and what it
 // tells it of itself.
 
+// local is what the leader asks its own controller.
+type local struct {
+	*owner.Owner
+	core *Core
+}
+
+// Renewal describes the controller as its next renewal would.
+func (l local) Renewal() *peerpb.Renewal { return l.core.Renewal() }
+
 // startLeading makes this controller the leader of a term.
 func (c *Core) startLeading(term uint64) {
 	c.log.Info("leading", "term", term)
 	c.stopLeading()
-	c.lead = leader.New(&c.loop, c.view, &c.book, c, c.log, c.hold.Incarnation(), term)
+	c.lead = leader.New(&c.loop, c.view, &c.book, local{c.own, c}, c.log, c.hold.Incarnation(), term)
+	c.view.Leading = true
 }
 
 // stopLeading drops the leader, if there is one.
 func (c *Core) stopLeading() {
 	if c.lead != nil {
 		c.lead.End()
-		c.lead = nil
+		c.lead, c.view.Leading = nil, false
 	}
 }
 
@@ -52,8 +65,8 @@
 	if c.lead == nil {
 		return
 	}
-	if c.renewSoon {
-		c.renewSoon = false
+	if c.hold.Hurried() {
+		c.hold.Calm()
 		c.lead.Stir()
 	}
 	if !c.leaseBusy && c.lead.Due() {
@@ -65,47 +78,41 @@
 // publish writes what the leader proposes.
 func (c *Core) publish() {
 	own := c.Renewal()
-	c.promise(own)
+	c.own.Promise(own)
 	rec, stored := c.lead.Publish(own)
 	c.writeLease(rec, stored)
 }
 
-// ---- what the leader asks its own controller, see leader.Local
-
-// Block calls f for each machine of the block.
-func (c *Core) Block(f func(name string, idle time.Duration, bad, lost bool)) {
-	for _, m := range c.machineOrder() {
-		idle := time.Duration(0)
-		if !m.idle.IsZero() && m.session != 0 {
-			idle = c.loop.Now.Sub(m.idle)
-		}
-		f(m.name, idle, m.bad, m.lost)
+// tellKnown tells a controller how to reach machines of its block.
+func (c *Core) tellKnown(r *peerpb.Renewal) {
+	var known []*peerpb.Seen
+	names, err := wire.UnpackNames(r.GetUnknown())
+	if err != nil {
+		c.log.Error("names in a renewal", "err", err)
 	}
-}
-
-// Guests are the machines of others, or of nobody, that reported lately.
-func (c *Core) Guests() []string {
-	var out []string
-	for n, g := range c.guests {
-		if c.loop.Now.Sub(g.heard) < c.guestFresh() {
-			out = append(out, n)
+	for _, name := range names {
+		if s := c.lead.Seen(name); s.GetEndpoint() != "" && c.view.OwnerOf(name) == r.GetNode() {
+			known = append(known, s)
 		}
 	}
-	return out
+	if len(known) > 0 {
+		f := c.frame()
+		f.SpareCpus, f.Known = c.spare, known
+		c.loop.Emit(step.PeerSend{To: r.GetNode(), Frame: f})
+	}
 }
 
-// Inflow is the work that has come in lately, in processors.
-func (c *Core) Inflow() float64 { return c.inflow.Rate(c.loop.Now) }
+// tradeEvery spaces the looks at whether others are short of a share.
+const tradeEvery = 300 * time.Millisecond
 
-// Introduce learns how to reach machines that have not reported yet.
-func (c *Core) Introduce(seen func(name string) *peerpb.Seen) {
-	for name, m := range c.machines {
-		if m.endpoint != "" {
-			continue
-		}
-		if s := seen(name); s != nil {
-			c.introduce(m, s)
-		}
+// trade has a renewal sent when there is something to promise.
+func (c *Core) trade() {
+	if c.loop.Now.Sub(c.tradedAt) < tradeEvery || len(c.view.Lease.Shares) == 0 {
+		return
+	}
+	c.tradedAt = c.loop.Now
+	c.own.Trade()
+	if c.lead != nil {
+		c.lead.Trade()
 	}
-	c.askWorkers()
 }
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/base64"
 	"errors"
-	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -12,7 +11,6 @@
 	"fawncove/internal/leader"
 	"fawncove/internal/leasevalue"
 	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
 	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
@@ -25,13 +23,6 @@
 	// through the state service cost a write, so they come less often.
 	renewGap      = 200 * time.Millisecond
 	renewGapStore = time.Second
-	// starved is how long a job's tasks may wait without any of them being
-	// started before machines are rented for all of them. The fleet may be
-	// busy with work that never ends, or have no machine that they may use.
-	starved = 75 * time.Second
-	// stuck is how long nothing of a class may be started before its waiting
-	// work counts as starved rather than queued.
-	stuck = 15 * time.Second
 )
 
 // ---- what every controller does with the lease value
@@ -143,152 +134,26 @@
 	b, ok := rec.Blocks[c.view.Me]
 	if !ok || b.Incarnation != c.hold.Incarnation() {
 		if c.hold.Held() {
-			c.log.Info("block lost", "machines", len(c.machines))
+			c.log.Info("block lost", "machines", c.own.Holds())
 			c.loseBlock()
 		}
-		c.renewSoon = true
+		c.hold.Hurry()
 		return
 	}
 	c.hold.Granted(b)
-	held := make(map[string]bool, len(b.Machines)+len(b.Old))
-	take := func(name string, dirty bool) {
-		held[name] = true
-		if c.machines[name] != nil {
-			return
-		}
-		m := &machine{name: name, runs: map[runKey]*run{}, heard: c.loop.Now, idle: c.loop.Now,
-			dirty: dirty, fence: c.hold.Token(0)}
-		c.machines[name] = m
-		c.orderDue = true
-		if dirty {
-			c.renewSoon = true // the leader can tell how to reach it
-		}
-		if g := c.guests[name]; g != nil && !dirty {
-			m.kind, m.zone, m.spot = g.rep.Type, g.rep.Zone, g.rep.Spot
-		}
-		if g := c.guests[name]; g != nil {
-			c.introduce(m, &peerpb.Seen{Endpoint: g.rep.Endpoint, Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot, Session: g.rep.Session})
-		}
-	}
-	for _, name := range b.Machines {
-		take(name, false)
-	}
-	for _, name := range b.Old {
-		take(name, true)
-	}
-	recalled := map[string]bool{}
-	for _, name := range b.Recall {
-		recalled[name] = true
-	}
-	for name, m := range c.machines {
-		switch {
-		case held[name]:
-			m.recall = recalled[name]
-		case m.gave:
-			delete(c.machines, name)
-			c.orderDue = true
-		default:
-			// A machine leaves a block without being given back only when
-			// the cloud has confirmed that it is gone.
-			c.machineGone(m)
-		}
-	}
-	for home := range c.homes {
-		if rec.Homes[home] != c.view.Me {
-			delete(c.homes, home)
-		}
-	}
-	gained := map[string]bool{}
-	for home, node := range rec.Homes {
-		if _, known := c.homes[home]; node == c.view.Me && !known {
-			c.homes[home], gained[home] = version, true
-		}
-	}
-	if len(gained) > 0 {
-		for _, id := range cluster.SortedKeys(c.jobs) {
-			if j := c.jobs[id]; gained[j.home()] {
-				c.adopt(j)
-			}
-		}
-		c.readPages()
-	}
-	c.placeDue = true
-	c.releaseGuests(false)
+	c.own.Leased(b)
 }
 
 // loseBlock forgets all that the right to a block was the ground of.
 func (c *Core) loseBlock() {
 	c.hold.Lose()
-	clear(c.machines)
-	c.orderDue = true
-	clear(c.used)
-	clear(c.homes)
-	for id, j := range c.jobs {
-		j.ready, j.reading, j.runs, j.done, j.stored, j.doneCount, j.queue = false, false, nil, nil, nil, 0, nil
-		if j.over {
-			delete(c.jobs, id)
-		}
-	}
+	c.own.Lose()
 }
 
 // Renewal describes this controller to the leader, numbered as the next one.
 func (c *Core) Renewal() *peerpb.Renewal {
-	var gave, lost, heard, unknown, bound []string
-	r := &peerpb.Renewal{Node: c.view.Me, Incarnation: c.hold.Incarnation(), Number: c.hold.NextRenewal(), Waiting: map[string]int32{}}
-	for _, name := range cluster.SortedKeys(c.machines) {
-		m := c.machines[name]
-		switch {
-		case m.gave:
-			gave = append(gave, name)
-		case m.lost:
-			lost = append(lost, name)
-		}
-		if m.endpoint == "" && !m.gave {
-			unknown = append(unknown, name)
-		}
-		if m.spot && c.usable(m) {
-			r.FreeSpotCpus += max(0, m.free().CPUs)
-		}
-		if !m.spot && m.bound() {
-			bound = append(bound, name)
-		}
-		u := &peerpb.Use{Name: name, Bad: m.bad, Going: !m.gone.IsZero() || m.missed}
-		if !m.idle.IsZero() && m.session != 0 {
-			u.IdleS = c.loop.Now.Sub(m.idle).Seconds()
-		}
-		if u.Bad || u.Going || u.IdleS > 1 {
-			r.Use = append(r.Use, u)
-		}
-	}
-	for _, name := range cluster.SortedKeys(c.guests) {
-		g := c.guests[name]
-		if c.loop.Now.Sub(g.heard) > c.guestFresh() {
-			continue
-		}
-		if c.view.OwnerOf(name) == "" {
-			r.Seen = append(r.Seen, &peerpb.Seen{Name: name, Endpoint: g.rep.Endpoint,
-				Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot, Session: g.rep.Session})
-		} else {
-			heard = append(heard, name)
-		}
-	}
-	r.Gave, r.Lost, r.Heard = wire.PackNames(gave), wire.PackNames(lost), wire.PackNames(heard)
-	r.Unknown, r.Bound = wire.PackNames(unknown), wire.PackNames(bound)
-	for _, j := range c.jobs {
-		if !c.owns(j) || j.over || len(j.queue) == 0 {
-			continue
-		}
-		for kind, t := range c.view.Types {
-			if len(j.rec.Types) == 0 || slices.Contains(j.rec.Types, kind) {
-				if j.need().Fits(cluster.SizeOf(t)) {
-					r.Waiting[kind] += int32(len(j.queue))
-				}
-			}
-		}
-	}
-	r.Demand = c.demand()
-	r.Teams = c.usesOfTeams()
-	r.BusyCpus, r.BusySpotCpus, _ = c.measure()
+	r := &peerpb.Renewal{Node: c.view.Me, Incarnation: c.hold.Incarnation(), Number: c.hold.NextRenewal()}
+	c.own.Describe(r)
 	return r
 }
 
@@ -325,11 +190,11 @@
 	if !c.loaded || (!c.hold.Held() && c.lead == nil) || !c.refusedAlone() {
 		return
 	}
-	c.log.Info("resigned, the state service refuses this controller alone", "machines", len(c.machines), "led", c.lead != nil)
+	c.log.Info("resigned, the state service refuses this controller alone", "machines", c.own.Holds(), "led", c.lead != nil)
 	c.hold.Outgrow(c.hold.Incarnation())
 	c.stopLeading()
 	c.loseBlock()
-	c.renewSoon = true
+	c.hold.Hurry()
 }
 
 // renew asks for a renewal of the block lease: straight from the leader where
@@ -345,14 +210,14 @@
 		gap = renewGap
 	}
 	last := c.renewAt.Add(-c.view.Par.Publish)
-	if c.loop.Now.Before(c.renewAt) && !(c.renewSoon && c.loop.Now.Sub(last) >= gap) {
+	if c.loop.Now.Before(c.renewAt) && !(c.hold.Hurried() && c.loop.Now.Sub(last) >= gap) {
 		return
 	}
-	c.renewSoon = false
+	c.hold.Calm()
 	c.renewAt = c.loop.Now.Add(c.view.Par.Publish)
 	r := c.Renewal()
 	r.Resigned = !c.hold.Held() && c.refusedAlone()
-	c.promise(r)
+	c.own.Promise(r)
 	c.hold.Sent(c.loop.Now)
 	to := []string{c.view.Lease.Leader}
 	if r.Resigned {
@@ -507,63 +372,3 @@
 		}),
 	})
 }
-
-// demandMost bounds the groups of waiting tasks that a renewal carries.
-const demandMost = 80
-
-// demand groups the tasks without a place, for the leader, best first.
-func (c *Core) demand() []*peerpb.Demand {
-	var list []sched.Demand
-	for _, j := range c.readyJobs() {
-		n := c.allowance(j, len(j.queue))
-		if n == 0 {
-			continue
-		}
-		// Where others of its class are started it only waits for its turn:
-		// machines rented for all of it would come when the backlog is gone.
-		long := c.loop.Now.Sub(j.waitSince) > starved && c.loop.Now.Sub(c.class(j.rec.Class).startedAt) > stuck
-		list = append(list, sched.Demand{Rank: j.rec.Rank(), Need: c.coarse(j), Types: j.rec.Types,
-			Zone: j.rec.Zone, Spot: j.rec.Spot, Count: n, RunS: c.runSeconds(&j.rec),
-			Whole: j.rec.Shape != wire.Array || long, Starved: long,
-			SlackS: float64(c.dueStart(j)-c.loop.Now.UnixMilli()) / 1000})
-	}
-	var out []*peerpb.Demand
-	for _, d := range sched.Merge(list) {
-		if len(out) == demandMost {
-			break
-		}
-		out = append(out, &peerpb.Demand{Rank: int32(d.Rank), Cpus: d.Need.CPUs, Cards: d.Need.Cards,
-			MemoryGb: d.Need.MemoryGB, Types: d.Types, Zone: d.Zone, Spot: d.Spot,
-			Count: int32(d.Count), RunS: d.RunS, Whole: d.Whole, Starved: d.Starved, SlackS: d.SlackS})
-	}
-	return out
-}
-
-// coarse is what a task of the job needs, rounded up unless that would keep
-// it from every machine it may use.
-func (c *Core) coarse(j *job) sched.Amount {
-	rough := sched.Coarse(j.need())
-	for kind, t := range c.view.Types {
-		if (len(j.rec.Types) == 0 || slices.Contains(j.rec.Types, kind)) && j.need().Fits(cluster.SizeOf(t)) && !rough.Fits(cluster.SizeOf(t)) {
-			return j.need()
-		}
-	}
-	return rough
-}
-
-// allowance is how many of n tasks the team's limit leaves room for.
-func (c *Core) allowance(j *job, n int) int {
-	limit := c.ceilingOf(j.rec.Team)
-	if !limit.Any() {
-		return n
-	}
-	used, need := c.used[j.rec.Team], j.need()
-	room := func(limit, used, need float64) {
-		if limit > 0 && need > 0 {
-			n = min(n, int(max(0, (limit-used+1e-6)/need)))
-		}
-	}
-	room(limit.CPUs, used.CPUs, need.CPUs)
-	room(limit.Cards, used.Cards, need.Cards)
-	return n
-}
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -31,6 +31,7 @@
 	sent     map[uint64]time.Time // when each renewal that is not yet honoured went out
 	attempts uint64
 	promises share.Holder
+	hurry    bool
 }
 
 // New returns the holder for a process with this incarnation, whose block
@@ -78,6 +79,16 @@
 	return h.renewals
 }
 
+// Hurry asks for a renewal to go out soon: there is something that the leader
+// should hear.
+func (h *Holder) Hurry() { h.hurry = true }
+
+// Hurried tells whether a renewal should go out soon.
+func (h *Holder) Hurried() bool { return h.hurry }
+
+// Calm notes that one goes out now.
+func (h *Holder) Calm() { h.hurry = false }
+
 // Granted takes the block as a lease value shows it, which must be one of this
 // incarnation.
 func (h *Holder) Granted(b wire.Block) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"fawncove/internal/client"
 	"fawncove/internal/cloud"
 	"fawncove/internal/controller"
+	"fawncove/internal/owner"
 	"fawncove/internal/peer"
 	"fawncove/internal/peer/peerpb"
 	"fawncove/internal/statestore"
@@ -189,7 +190,7 @@
 			if !time.Now().Before(e.Until) {
 				return step.Completed{ID: e.ID, Status: statestore.NotSent}
 			}
-			ctx, cancel := context.WithTimeout(ctx, controller.DirectTimeout)
+			ctx, cancel := context.WithTimeout(ctx, owner.DirectTimeout)
 			defer cancel()
 			var r wire.Report
 			status, err := n.workers.Do(ctx, "POST", "http://"+e.Endpoint+"/commands", e.Body, &r, 200, 409)
--- /dev/null
+++ b/internal/owner/job.go
@@ -0,0 +1,181 @@
+package owner
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/sched"
+	"fawncove/internal/wire"
+)
+
+// writesAtOnce bounds the ends under way, so that submissions and
+// cancellations find room in the write limit.
+const writesAtOnce = 4
+
+// Job is a job that is not over, or whose tasks are not all gone yet.
+type Job struct {
+	Rec     wire.JobRecord
+	Version uint64 // of the record
+	Over    bool
+	Told    [2]int // counts heard from the owner, for display
+	// Writing says that an end is being stored; until NextWrite none is tried.
+	Writing   bool
+	NextWrite time.Time
+
+	first uint64 // version under which it was first seen
+	shown [2]int // counts last sent to the peers
+
+	// The owner's part.
+	ready     bool // what earlier owners stored is known
+	reading   bool // waits for a reading of the pages
+	done      []uint64
+	doneCount int
+	queue     []int // tasks that wait, lowest number first
+	runs      map[int]*run
+	stored    []uint64  // completed tasks whose completion is stored
+	readFrom  uint64    // the first reading of the pages that will do
+	notBefore time.Time // back-off after errors
+	failures  int
+	failedOn  map[string]bool
+	waitSince time.Time
+	spared    time.Time // not stopped for others before then
+}
+
+// Counts are the tasks that are completed and those that run, as far as the
+// job's owner knows.
+func (j *Job) Counts() (done, running int) { return j.doneCount, j.running() }
+
+func (j *Job) need() sched.Amount {
+	return sched.Amount{CPUs: j.Rec.CPUs, Cards: j.Rec.Cards, MemoryGB: j.Rec.MemoryGB}
+}
+
+func (j *Job) running() int {
+	n := 0
+	for _, r := range j.runs {
+		if r.state == wire.TaskRunning || r.state == wire.TaskFlushing {
+			n++
+		}
+	}
+	return n
+}
+
+// home is the key in the lease value at which the job's owner stands: its
+// team, or the part of the team's jobs that it was filed under.
+func (j *Job) home() string {
+	if j.Rec.Part != "" {
+		return j.Rec.Part
+	}
+	return j.Rec.Team
+}
+
+// owns tells whether this controller places the job's tasks.
+func (o *Owner) owns(j *Job) bool {
+	_, mine := o.homes[j.home()]
+	return mine
+}
+
+// isStored tells whether the completion of task i is stored.
+func (j *Job) isStored(i int) bool { return j.stored != nil && j.stored[i/64]&(1<<(i%64)) != 0 }
+
+func (j *Job) isDone(i int) bool { return j.done != nil && j.done[i/64]&(1<<(i%64)) != 0 }
+
+func taskName(id string, i int) string { return id + "/" + strconv.Itoa(i) }
+
+// splitTask takes a task's name apart.
+func splitTask(name string) (id string, i int, ok bool) {
+	id, num, found := strings.Cut(name, "/")
+	i, err := strconv.Atoi(num)
+	return id, i, found && err == nil && i >= 0
+}
+
+// adopt makes the job ready for placing when this controller is its home.
+func (o *Owner) adopt(j *Job) {
+	since, mine := o.homes[j.home()]
+	if !mine || j.ready || j.reading || j.Over {
+		return
+	}
+	if j.runs == nil {
+		j.runs = map[int]*run{}
+		j.done, j.stored = make([]uint64, (j.Rec.Tasks+63)/64), make([]uint64, (j.Rec.Tasks+63)/64)
+	}
+	if j.first > since {
+		o.jobReady(j) // accepted under this ownership: nothing can have run
+		return
+	}
+	// A reading that is under way may have passed the page already.
+	j.reading, j.readFrom = true, o.pageReads+1
+}
+
+func (o *Owner) jobReady(j *Job) {
+	j.ready = true
+	j.queue = j.queue[:0]
+	for i := range j.Rec.Tasks {
+		if !j.isDone(i) && j.runs[i] == nil {
+			j.queue = append(j.queue, i)
+		}
+	}
+	o.placeDue = true
+}
+
+func (o *Owner) markDone(j *Job, i int) {
+	if j.isDone(i) {
+		return
+	}
+	j.done[i/64] |= 1 << (i % 64)
+	j.doneCount++
+	if j.doneCount == j.Rec.Tasks {
+		o.ending[j.Rec.ID] = true
+	} else if !j.isStored(i) {
+		o.noteDone(j, i)
+	}
+	if k, ok := slices.BinarySearch(j.queue, i); ok {
+		j.queue = slices.Delete(j.queue, k, k+1)
+	}
+}
+
+// End stops all tasks of a job that is over. The job is kept while some
+// task of it is still somewhere, since that counts against the team's limit.
+func (o *Owner) End(j *Job) {
+	if !j.Over {
+		j.Over = true
+		o.dropEntries(j)
+		j.queue = nil
+		for _, r := range j.runs {
+			if r.state == runQueued {
+				o.dropRun(r)
+			} else {
+				r.stop = true
+				o.hurry(r.m)
+			}
+		}
+		o.placeDue = true
+	}
+	if len(j.runs) == 0 {
+		delete(o.jobs, j.Rec.ID)
+	}
+}
+
+// endJobs stores the ends of jobs whose tasks are all completed.
+func (o *Owner) endJobs() {
+	if len(o.ending) == 0 {
+		return
+	}
+	for _, id := range cluster.SortedKeys(o.ending) {
+		j := o.jobs[id]
+		if j == nil || j.Over || !o.owns(j) {
+			delete(o.ending, id)
+			continue
+		}
+		if o.writing >= writesAtOnce {
+			return
+		}
+		if j.Writing || !j.ready || o.loop.Now.Before(j.NextWrite) {
+			continue
+		}
+		o.writing++
+		o.records.End(j, wire.Done, 0, func(bool) { o.writing-- })
+	}
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,247 @@
+// Package owner runs jobs: it keeps the machines of its controller's block and
+// the jobs that its controller is home to, places tasks on the former, reads the
+// reports of workers and answers them, and stores what is completed.
+//
+// It starts nothing without the right to that, which package grant keeps, and
+// nothing that its team's limit, or its share of that, does not allow. What it
+// is home to and which machines it holds stands in the lease value alone.
+package owner
+
+import (
+	"log/slog"
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/grant"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/sched"
+	"fawncove/internal/step"
+	"fawncove/internal/wire"
+)
+
+// Records is the controller's dealing with the records of jobs in the state
+// service.
+type Records interface {
+	// Ready tells whether workers may be answered at all.
+	Ready() bool
+	// Ended tells whether a job is known to be over.
+	Ended(id string) bool
+	// End stores the end of a job in a state, unless it has ended otherwise. It
+	// tries again as often as tries says when the record has changed; then is
+	// told whether an end is stored.
+	End(j *Job, state string, tries int, then func(stored bool))
+}
+
+// Owner is the state of the role. One goroutine owns it.
+type Owner struct {
+	loop    *step.Loop
+	view    *cluster.View
+	hold    *grant.Holder
+	records Records
+	log     *slog.Logger
+
+	fresh   time.Time // all changes of jobs before this time are known
+	jobs    map[string]*Job
+	homes   map[string]uint64 // home -> version of the lease value with which it became ours
+	writing int               // ends under way
+	ending  map[string]bool   // jobs whose end is to be stored
+
+	// The pages of completed tasks, see pages.go.
+	pages     []*page
+	pageOf    map[string]*page  // by entry
+	facts     map[string][]byte // what the pages say, by entry
+	pageReads uint64            // readings of all pages begun
+	pagesBusy bool
+	pagesNext time.Time
+
+	machines  map[string]*machine
+	order     []*machine // the block by name, see machineOrder
+	orderDue  bool
+	guests    map[string]*guest
+	hurried   map[string]bool      // machines with commands that should go out at once
+	strangers map[string]bool      // machines to be asked for their tasks
+	asking    int                  // such questions under way
+	cutUntil  map[string]time.Time // zones whose machines may yet come back together
+
+	used      map[string]sched.Amount // by team
+	stopping  map[string]sched.Amount // the part of used that is being stopped
+	classes   map[string]*classStats
+	inflow    sched.Inflow
+	placeDue  bool
+	placedAt  time.Time
+	preemptAt time.Time
+	choices   []choice // reused by placeTasks
+}
+
+// New returns the role of an owner that has no jobs and no machines yet.
+func New(loop *step.Loop, view *cluster.View, hold *grant.Holder, records Records, log *slog.Logger) *Owner {
+	return &Owner{loop: loop, view: view, hold: hold, records: records, log: log,
+		jobs:      map[string]*Job{},
+		homes:     map[string]uint64{},
+		ending:    map[string]bool{},
+		pageOf:    map[string]*page{},
+		facts:     map[string][]byte{},
+		machines:  map[string]*machine{},
+		guests:    map[string]*guest{},
+		hurried:   map[string]bool{},
+		strangers: map[string]bool{},
+		cutUntil:  map[string]time.Time{},
+		used:      map[string]sched.Amount{},
+		stopping:  map[string]sched.Amount{},
+		classes:   map[string]*classStats{},
+	}
+}
+
+// Known notes that all changes of jobs made before a moment have been taken in.
+func (o *Owner) Known(at time.Time) {
+	if at.After(o.fresh) {
+		o.fresh = at
+	}
+}
+
+// Holds tells how many machines are in the block.
+func (o *Owner) Holds() int { return len(o.machines) }
+
+// Job returns a job that is not over, or whose tasks are not all gone, or nil.
+func (o *Owner) Job(id string) *Job { return o.jobs[id] }
+
+// Jobs are the jobs by id, not to be changed.
+func (o *Owner) Jobs() map[string]*Job { return o.jobs }
+
+// Owns tells whether this controller places the job's tasks.
+func (o *Owner) Owns(j *Job) bool { return o.owns(j) }
+
+// Put takes in a job's record under its version.
+func (o *Owner) Put(rec wire.JobRecord, version uint64) {
+	j := o.jobs[rec.ID]
+	if j == nil {
+		j = &Job{first: version, waitSince: o.loop.Now}
+		o.jobs[rec.ID] = j
+		if rec.Shape != wire.Daemon { // one is never done; its processors are taken off what there is
+			o.inflow.Add(time.UnixMilli(rec.AtMs), float64(rec.Tasks)*rec.CPUs*max(1, o.runSeconds(&rec)))
+		}
+	}
+	if version <= j.Version {
+		return
+	}
+	j.Rec, j.Version = rec, version
+	o.adopt(j)
+}
+
+// Store stores completed tasks and the ends of jobs, and reads what earlier
+// owners stored. It is called with every tick.
+func (o *Owner) Store() {
+	o.readPages()
+	o.endJobs()
+	o.flushPages()
+}
+
+// Check looks after the machines. It is called with every tick.
+func (o *Owner) Check() {
+	o.checkMachines()
+	o.askWorkers()
+	o.placeDue = true
+}
+
+// Work places what waits, unless that was done a moment ago, and sends what
+// should not wait for reports. It ends every step.
+func (o *Owner) Work() {
+	o.placeSoon()
+	o.sendCommands()
+}
+
+// Leased takes in a newer lease value, in which the block is this process's:
+// the machines it holds, those that are recalled, and the homes that it has.
+func (o *Owner) Leased(b wire.Block) {
+	held := make(map[string]bool, len(b.Machines)+len(b.Old))
+	for _, name := range b.Machines {
+		held[name] = true
+		o.take(name, false)
+	}
+	for _, name := range b.Old {
+		held[name] = true
+		o.take(name, true)
+	}
+	recalled := map[string]bool{}
+	for _, name := range b.Recall {
+		recalled[name] = true
+	}
+	for name, m := range o.machines {
+		switch {
+		case held[name]:
+			m.recall = recalled[name]
+		case m.gave:
+			delete(o.machines, name)
+			o.orderDue = true
+		default:
+			// A machine leaves a block without being given back only when
+			// the cloud has confirmed that it is gone.
+			o.machineGone(m)
+		}
+	}
+	o.settle()
+	o.placeDue = true
+	o.releaseGuests(false)
+}
+
+// take takes a machine into the block. A dirty one may run tasks that this
+// controller knows nothing of.
+func (o *Owner) take(name string, dirty bool) {
+	if o.machines[name] != nil {
+		return
+	}
+	m := &machine{name: name, runs: map[runKey]*run{}, heard: o.loop.Now, idle: o.loop.Now,
+		dirty: dirty, fence: o.hold.Token(0)}
+	o.machines[name] = m
+	o.orderDue = true
+	if dirty {
+		o.hold.Hurry() // the leader can tell how to reach it
+	}
+	g := o.guests[name]
+	if g == nil {
+		return
+	}
+	if !dirty {
+		m.kind, m.zone, m.spot = g.rep.Type, g.rep.Zone, g.rep.Spot
+	}
+	o.introduce(m, &peerpb.Seen{Endpoint: g.rep.Endpoint, Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot, Session: g.rep.Session})
+}
+
+// settle takes over the homes that the lease value gives this controller.
+func (o *Owner) settle() {
+	homes := o.view.Lease.Homes
+	for home := range o.homes {
+		if homes[home] != o.view.Me {
+			delete(o.homes, home)
+		}
+	}
+	gained := map[string]bool{}
+	for home, node := range homes {
+		if _, known := o.homes[home]; node == o.view.Me && !known {
+			o.homes[home], gained[home] = o.view.Version, true
+		}
+	}
+	if len(gained) == 0 {
+		return
+	}
+	for _, id := range cluster.SortedKeys(o.jobs) {
+		if j := o.jobs[id]; gained[j.home()] {
+			o.adopt(j)
+		}
+	}
+	o.readPages()
+}
+
+// Lose forgets all that the right to a block was the ground of.
+func (o *Owner) Lose() {
+	clear(o.machines)
+	o.orderDue = true
+	clear(o.used)
+	clear(o.homes)
+	for id, j := range o.jobs {
+		j.ready, j.reading, j.runs, j.done, j.stored, j.doneCount, j.queue = false, false, nil, nil, nil, 0, nil
+		if j.Over {
+			delete(o.jobs, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,336 @@
+package owner
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/config"
+	"fawncove/internal/grant"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/step"
+	"fawncove/internal/wire"
+)
+
+// noRecords stands in for the records of jobs.
+type noRecords struct{}
+
+func (noRecords) Ready() bool                              { return true }
+func (noRecords) Ended(string) bool                        { return false }
+func (noRecords) End(*Job, string, int, func(stored bool)) {}
+
+// newOwner returns an owner to whom the lease value grants what it says of n0.
+func newOwner(t testing.TB, teams []config.Team, rec wire.LeaseRecord) (*Owner, time.Time) {
+	t.Helper()
+	s := &config.Settings{HostName: "n0", Area: "x", Peers: []config.Peer{{HostName: "n1", Area: "y"}},
+		Cluster: config.Cluster{InitialSize: 2, Zones: []string{"x", "y"}, Teams: teams,
+			Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
+			State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+			Cloud:   config.Cloud{RPS: 5, ListLagS: 4}}}
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	loop := &step.Loop{}
+	loop.Begin(now)
+	par := cluster.Defaults()
+	view, hold := cluster.New(s, par), grant.New(7, par.Lease)
+	view.Types["s4"] = wire.MachineType{Name: "s4", CPUs: 4, MemoryGB: 16, CacheGB: 20, FetchGBPS: 1, Price: 1, SpotPrice: 0.3, BootS: 6, Zones: []string{"x", "y"}}
+	view.Take(rec, 5)
+	o := New(loop, view, hold, noRecords{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	o.Known(now)
+	hold.Granted(rec.Blocks["n0"])
+	o.Leased(rec.Blocks["n0"])
+	return o, now
+}
+
+func tick(o *Owner, now time.Time) []step.Effect {
+	o.loop.Begin(now)
+	o.Store()
+	o.Check()
+	o.Work()
+	return o.loop.Effects()
+}
+
+func report(o *Owner, now time.Time, r step.ReportIn) {
+	o.loop.Begin(now)
+	o.Report(r)
+	o.Work()
+}
+
+func complete(o *Owner, now time.Time, d step.Completed) {
+	o.loop.Begin(now)
+	o.loop.Complete(d)
+	o.Work()
+}
+
+// mayStart has the lease value honour a renewal sent at this moment.
+func mayStart(o *Owner) {
+	b := o.view.Lease.Blocks["n0"]
+	b.Renewal = o.hold.Sent(o.loop.Now)
+	o.hold.Granted(b)
+}
+
+// TestUnheardMachineIsNotGivenBack guards against a machine being given back
+// as empty that a restarted controller has not heard yet: its tasks were then
+// started elsewhere while it still ran them.
+func TestUnheardMachineIsNotGivenBack(t *testing.T) {
+	c, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Old: wire.NameSet{"host-000001"}, Recall: wire.NameSet{"host-000001"}}},
+		Homes:  map[string]string{"free": "n0"}})
+	m := c.machines["host-000001"]
+	if m == nil || !m.dirty || !m.recall {
+		t.Fatalf("not taken over as it should: %+v", m)
+	}
+	tick(c, now.Add(time.Second))
+	if m.gave {
+		t.Fatal("given back before it was heard")
+	}
+	r := wire.Report{Machine: m.name, Endpoint: "10.1.0.1:9000", Type: "s4", Zone: "x", Session: 1, Seq: 3}
+	report(c, now.Add(2*time.Second), step.ReportIn{Req: 1, Report: r}) // from before it saw our token
+	tick(c, now.Add(2100*time.Millisecond))
+	if m.gave {
+		t.Fatal("given back before it had seen the new token")
+	}
+	r.Seq, r.Token = 4, c.tokenFor(m)
+	c.fresh = now.Add(2 * time.Second)
+	report(c, now.Add(3*time.Second), step.ReportIn{Req: 2, Report: r})
+	tick(c, now.Add(3200*time.Millisecond))
+	if !m.gave {
+		t.Error("not given back though it is known to be empty")
+	}
+}
+
+// TestPagesHoldManyJobs stores the completed tasks of many jobs in one page,
+// and finds them again in another controller's hands.
+func TestPagesHoldManyJobs(t *testing.T) {
+	lease := wire.LeaseRecord{Term: 3, Leader: "n1", Homes: map[string]string{"free": "n0"},
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}}
+	job := func(i int) wire.JobRecord {
+		return wire.JobRecord{Job: wire.Job{ID: fmt.Sprintf("wk-%06d", i), Team: "free", Shape: wire.Array,
+			Priority: "standard", Tasks: 100 + 3000*(i%3), CPUs: 1}}
+	}
+	a, now := newOwner(t, []config.Team{{Name: "free"}}, lease)
+	for i := range 40 {
+		a.Put(job(i), uint64(10+i))
+		for k := 0; k < a.jobs[job(i).ID].Rec.Tasks; k += 7 + i {
+			a.markDone(a.jobs[job(i).ID], k)
+		}
+	}
+	stored := map[string]any{}
+	for _, e := range tick(a, now.Add(flushEvery+time.Second)) {
+		if txn, ok := e.(step.StateTxn); ok {
+			for _, op := range txn.Txn.Then {
+				body, err := wire.Encode(op.Value)
+				if err != nil || len(body) > 8<<10 {
+					t.Fatalf("%s: %d bytes, %v", op.Put, len(body), err)
+				}
+				stored[op.Put] = body
+			}
+		}
+	}
+	if len(stored) == 0 || len(stored) > 6 {
+		t.Fatalf("%d writes for forty jobs", len(stored))
+	}
+	b, _ := newOwner(t, []config.Team{{Name: "free"}}, lease)
+	for i := range 40 {
+		b.Put(job(i), uint64(3)) // before the lease: taken over
+	}
+	for key, body := range stored {
+		b.readPage(key, body.([]byte))
+	}
+	for i := range 40 {
+		j := b.jobs[job(i).ID]
+		b.takeFacts(j)
+		if want := a.jobs[j.Rec.ID].doneCount; j.doneCount != want || want == 0 {
+			t.Errorf("%s: %d tasks known to be completed, want %d", j.Rec.ID, j.doneCount, want)
+		}
+	}
+}
+
+// TestSilentAloneIsLostSooner expects a spot machine that falls silent by
+// itself to be given up before its worker's lease ends, and many that do so
+// together to be taken for a cut, unless ordinary machines beside them are
+// heard all the while.
+func TestSilentAloneIsLostSooner(t *testing.T) {
+	for _, c := range []struct {
+		silent, spot int
+		lost         bool
+	}{{1, 30, true}, {2, 30, true}, {12, 30, false}, {12, 18, true}} {
+		var names wire.NameSet
+		for i := range 30 {
+			names = append(names, fmt.Sprintf("host-%06d", i))
+		}
+		core, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: names}}, Homes: map[string]string{"free": "n0"}})
+		for s := range 13 { // the last report is 11.1 s old at the end, the lease 12 s
+			now = now.Add(time.Second)
+			core.fresh = now
+			for i, name := range names {
+				if i >= c.silent || s < 2 {
+					report(core, now, step.ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: []string{"x", "y"}[i%2],
+						Spot: i < c.spot, Session: 1, Seq: uint64(s + 1), Token: core.tokenFor(core.machines[name])}})
+				}
+			}
+			tick(core, now.Add(100*time.Millisecond))
+			// Another can be rented before it is given up.
+			if m := core.machines[names[0]]; s == 8 && m.missed != c.lost {
+				t.Errorf("%d of 30 silent, %d spot ones: missed %v, want %v", c.silent, c.spot, m.missed, c.lost)
+			}
+		}
+		if got := core.machines[names[0]].lost; got != c.lost {
+			t.Errorf("%d of 30 silent, %d spot ones: lost %v, want %v", c.silent, c.spot, got, c.lost)
+		}
+		if core.machines[names[20]].lost {
+			t.Error("a machine that reports counts as lost")
+		}
+	}
+}
+
+// TestCutEnds expects machines of a zone that fell silent together to be given
+// time when the first of them are heard again: in that moment those that were
+// still on their way used to be given up, tasks and all.
+func TestCutEnds(t *testing.T) {
+	var names wire.NameSet
+	for i := range 12 {
+		names = append(names, fmt.Sprintf("host-%06d", i))
+	}
+	core, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: names}}, Homes: map[string]string{"free": "n0"}})
+	for s := range 26 { // silent from 2 s to 22 s, which is well beyond a lease
+		now = now.Add(time.Second)
+		core.fresh = now
+		for i, name := range names {
+			if back := s - 22; s < 2 || i < 4*back {
+				report(core, now, step.ReportIn{Req: 1, Report: wire.Report{Machine: name, Endpoint: "e", Type: "s4", Zone: "x",
+					Session: 1, Seq: uint64(s + 1), Token: core.tokenFor(core.machines[name])}})
+			}
+		}
+		tick(core, now.Add(100*time.Millisecond))
+		for _, name := range names {
+			if core.machines[name].lost {
+				t.Fatalf("%s given up %d s after the start", name, s+1)
+			}
+		}
+	}
+	for range 60 { // now all of them are gone
+		now = now.Add(time.Second)
+		tick(core, now)
+	}
+	if !core.machines[names[11]].lost {
+		t.Error("never given up")
+	}
+}
+
+// TestOnlyWhatMayRunThereWaits takes a block over in which a spot machine does
+// not answer. Jobs that earlier owners may have started there wait until it is
+// heard or gone; a service that may not use spot machines does not.
+func TestOnlyWhatMayRunThereWaits(t *testing.T) {
+	c, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Old: wire.NameSet{"host-000001", "host-000002"}}},
+		Homes:  map[string]string{"free": "n0"}})
+	mayStart(c)
+	job := func(id string, shape wire.Shape, spot bool) *Job {
+		c.Put(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: "standard", Tasks: 1, CPUs: 1, Spot: spot}}, 3)
+		j := c.jobs[id]
+		j.reading = false
+		c.jobReady(j)
+		return j
+	}
+	service, array := job("wk-000001", wire.Daemon, false), job("wk-000002", wire.Array, true)
+	ordinary, spot := c.machines["host-000001"], c.machines["host-000002"]
+	r := wire.Report{Machine: ordinary.name, Endpoint: "e1", Type: "s4", Zone: "x", Session: 1, Seq: 3, Token: c.tokenFor(ordinary)}
+	report(c, now.Add(time.Second), step.ReportIn{Req: 1, Report: r})
+	if len(service.runs) != 0 || len(array.runs) != 0 {
+		t.Fatal("started though a machine may run anything")
+	}
+	c.introduce(spot, &peerpb.Seen{Endpoint: "e2", Type: "s4", Zone: "x", Spot: true})
+	c.placeDue = true
+	tick(c, now.Add(2*time.Second))
+	if len(service.runs) != 1 {
+		t.Error("the service waits for a machine on which it cannot be")
+	}
+	if len(array.runs) != 0 {
+		t.Error("started though the spot machine may run it")
+	}
+}
+
+// TestSilentMachinesAreAsked expects a spot machine of a zone that is
+// otherwise heard to be asked when it misses its reports, and to be given up
+// without the usual patience when it does not answer either.
+func TestSilentMachinesAreAsked(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		var names wire.NameSet
+		for i := range 6 {
+			names = append(names, fmt.Sprintf("host-%06d", i))
+		}
+		c, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: names}}, Homes: map[string]string{"free": "n0"}})
+		mayStart(c)
+		asked := 0
+		var answer []step.Completed
+		for s := range 9 { // the last report is 7 s old at the end
+			now = now.Add(time.Second)
+			c.fresh = now
+			for _, d := range answer {
+				complete(c, now, d)
+			}
+			answer = nil
+			for i, name := range names {
+				rep := wire.Report{Machine: name, Endpoint: name, Type: "s4", Zone: "x", Spot: i == 0, Session: 1, Seq: uint64(s + 1), Token: c.tokenFor(c.machines[name])}
+				if i > 0 || s < 2 {
+					report(c, now, step.ReportIn{Req: 1, Report: rep})
+				}
+			}
+			for _, e := range tick(c, now.Add(100*time.Millisecond)) {
+				if d, ok := e.(step.Direct); ok && d.Endpoint == names[0] {
+					asked++
+					done := step.Completed{ID: d.ID}
+					if answers {
+						done.Status = 200
+						done.Report = &wire.Report{Machine: names[0], Endpoint: names[0], Type: "s4", Zone: "x", Spot: true, Session: 1, Seq: uint64(100 + s)}
+					}
+					answer = append(answer, done)
+				}
+			}
+		}
+		if asked == 0 {
+			t.Fatal("not asked")
+		}
+		if got := c.machines[names[0]].lost; got == answers {
+			t.Errorf("it answers: %v, given up: %v", answers, got)
+		}
+	}
+}
+
+// TestServicesFindRoom fills all ordinary machines with urgent tasks. A service
+// that may use no others gets room at once where these could run on spot
+// machines as well, and is left to wait where they could not.
+func TestServicesFindRoom(t *testing.T) {
+	for _, spot := range []bool{true, false} {
+		c, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: wire.NameSet{"host-000001"}}}, Homes: map[string]string{"free": "n0"}})
+		mayStart(c)
+		submit := func(id string, shape wire.Shape, priority string, tasks int, spot bool) *Job {
+			c.Put(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: priority, Tasks: tasks, CPUs: 1, Spot: spot}}, 6)
+			return c.jobs[id]
+		}
+		urgent := submit("wk-000001", wire.Array, "urgent", 40, spot)
+		report(c, now.Add(time.Second), step.ReportIn{Req: 1, Report: wire.Report{Machine: "host-000001", Endpoint: "e", Type: "s4", Zone: "x", Session: 1, Seq: 3}})
+		if len(urgent.runs) != 4 {
+			t.Fatalf("%d urgent tasks started, want 4", len(urgent.runs))
+		}
+		submit("wk-000002", wire.Daemon, "production", 1, false)
+		c.placeDue = true
+		tick(c, now.Add(1700*time.Millisecond))
+		stopped := 0
+		for _, r := range urgent.runs {
+			if r.stop {
+				stopped++
+			}
+		}
+		if want := map[bool]int{true: 1, false: 0}[spot]; stopped != want {
+			t.Errorf("urgent tasks may use spot machines: %v; %d stopped for the service, want %d", spot, stopped, want)
+		}
+	}
+}
--- a/internal/controller/progress.go
+++ b/internal/owner/pages.go
@@ -1,4 +1,4 @@
-package controller
+package owner
 
 import (
 	"encoding/base64"
@@ -23,6 +23,9 @@
 // means that tasks are started again whose results the workers still have.
 
 const (
+	// pagePrefix is where they stand: not below what every controller watches,
+	// since only those who take up jobs read them.
+	pagePrefix = "fp/"
 	// chunk is how many tasks one entry of a page covers; as base64 that is
 	// well below the smallest value limit met so far.
 	chunk = 4096
@@ -62,102 +65,102 @@
 }
 
 // noteDone puts a stretch of a job on a page, to be stored.
-func (c *Core) noteDone(j *job, i int) {
-	key := entryKey(j.rec.ID, i)
-	p := c.pageOf[key]
+func (o *Owner) noteDone(j *Job, i int) {
+	key := entryKey(j.Rec.ID, i)
+	p := o.pageOf[key]
 	if p == nil {
-		tasks := min(j.rec.Tasks-i/chunk*chunk, chunk)
+		tasks := min(j.Rec.Tasks-i/chunk*chunk, chunk)
 		bytes := len(key) + (tasks/8+1)*4/3 + 12
-		p = c.pageFor(bytes)
+		p = o.pageFor(bytes)
 		p.entries[key] = bytes
 		p.size += bytes
-		c.pageOf[key] = p
+		o.pageOf[key] = p
 	}
 	if p.dirtyAt.IsZero() {
-		p.dirtyAt = c.loop.Now
+		p.dirtyAt = o.loop.Now
 	}
 }
 
 // pageFor returns a page with room, a new one if need be.
-func (c *Core) pageFor(bytes int) *page {
-	most := int(pageFill * 1024 * c.view.Cfg.Cluster.State.ValueKB)
-	for _, p := range c.pages {
+func (o *Owner) pageFor(bytes int) *page {
+	most := int(pageFill * 1024 * o.view.Cfg.Cluster.State.ValueKB)
+	for _, p := range o.pages {
 		if p.size == 0 || p.size+bytes <= most {
 			return p
 		}
 	}
 	p := &page{entries: map[string]int{}}
-	c.pages = append(c.pages, p)
+	o.pages = append(o.pages, p)
 	return p
 }
 
 // dropEntries takes a job that is over off its pages. They are not written
 // for that: the next write leaves the job out.
-func (c *Core) dropEntries(j *job) {
-	for i := 0; i < j.rec.Tasks; i += chunk {
-		key := entryKey(j.rec.ID, i)
-		delete(c.facts, key)
-		if p := c.pageOf[key]; p != nil {
+func (o *Owner) dropEntries(j *Job) {
+	for i := 0; i < j.Rec.Tasks; i += chunk {
+		key := entryKey(j.Rec.ID, i)
+		delete(o.facts, key)
+		if p := o.pageOf[key]; p != nil {
 			p.size -= p.entries[key]
 			delete(p.entries, key)
-			delete(c.pageOf, key)
+			delete(o.pageOf, key)
 		}
 	}
 }
 
 // flushPages stores what has waited long enough.
-func (c *Core) flushPages() {
-	for n, p := range c.pages {
-		if p.busy || p.dirtyAt.IsZero() || c.loop.Now.Sub(p.dirtyAt) < flushEvery || c.loop.Now.Before(p.nextTry) {
+func (o *Owner) flushPages() {
+	for n, p := range o.pages {
+		if p.busy || p.dirtyAt.IsZero() || o.loop.Now.Sub(p.dirtyAt) < flushEvery || o.loop.Now.Before(p.nextTry) {
 			continue
 		}
-		c.writePage(n, p)
+		o.writePage(n, p)
 	}
 }
 
 // writePage stores a page as it stands. Only then may the workers forget.
-func (c *Core) writePage(n int, p *page) {
-	key := pagePrefix + c.view.Me + "/" + strconv.Itoa(n)
+func (o *Owner) writePage(n int, p *page) {
+	key := pagePrefix + o.view.Me + "/" + strconv.Itoa(n)
 	value := make(map[string]string, len(p.entries))
 	for entry := range p.entries {
-		raw := c.facts[entry]
+		raw := o.facts[entry]
 		id, k, _ := splitEntry(entry)
-		if j := c.jobs[id]; j != nil && j.done != nil {
+		if j := o.jobs[id]; j != nil && j.done != nil {
 			raw = merge(raw, j.bits(k))
 		}
-		c.facts[entry] = raw
+		o.facts[entry] = raw
 		value[entry] = base64.RawStdEncoding.EncodeToString(raw)
 	}
 	written := make(map[string][]byte, len(value))
 	for entry := range value {
-		written[entry] = c.facts[entry]
+		written[entry] = o.facts[entry]
 	}
 	p.busy, p.dirtyAt = true, time.Time{}
-	c.loop.Emit(step.StateTxn{
+	o.loop.Emit(step.StateTxn{
 		// Under the version it was based on: a late transaction of an earlier
 		// process, or an earlier try, cannot take anything back.
 		Txn: wire.Txn{If: []wire.Cond{{Key: key, Version: p.version}}, Then: []wire.Op{{Put: key, Value: value}}},
-		ID: c.loop.Call(func(d step.Completed) {
+		ID: o.loop.Call(func(d step.Completed) {
 			p.busy = false
 			if d.Status == 200 {
 				p.version = d.Txn.Revision
 				for entry, raw := range written {
-					c.storedAt(entry, raw)
+					o.storedAt(entry, raw)
 				}
 				return
 			}
-			p.dirtyAt = c.loop.Now.Add(-flushEvery)
-			p.nextTry = c.loop.Now.Add(time.Second)
+			p.dirtyAt = o.loop.Now.Add(-flushEvery)
+			p.nextTry = o.loop.Now.Add(time.Second)
 			if d.Status != 409 {
 				return // not done, or perhaps done: then the version tells
 			}
 			p.busy = true
-			c.loop.Emit(step.StateGet{Key: key, ID: c.loop.Call(func(d step.Completed) {
+			o.loop.Emit(step.StateGet{Key: key, ID: o.loop.Call(func(d step.Completed) {
 				p.busy = false
 				switch d.Status {
 				case 200:
 					p.version = d.Pair.Version
-					c.readPage(key, d.Pair.Value)
+					o.readPage(key, d.Pair.Value)
 				case 404:
 					p.version = 0
 				}
@@ -167,8 +170,8 @@
 }
 
 // bits returns the completed tasks of stretch k, a bit a task.
-func (j *job) bits(k int) []byte {
-	from, to := k*chunk, min(j.rec.Tasks, (k+1)*chunk)
+func (j *Job) bits(k int) []byte {
+	from, to := k*chunk, min(j.Rec.Tasks, (k+1)*chunk)
 	raw := make([]byte, (max(0, to-from)+7)/8)
 	for i := from; i < to; i++ {
 		if j.isDone(i) {
@@ -191,15 +194,15 @@
 }
 
 // storedAt notes that the tasks of an entry are stored as completed.
-func (c *Core) storedAt(entry string, raw []byte) {
+func (o *Owner) storedAt(entry string, raw []byte) {
 	id, k, ok := splitEntry(entry)
-	j := c.jobs[id]
+	j := o.jobs[id]
 	if !ok || j == nil || j.stored == nil {
 		return
 	}
 	for b, v := range raw {
 		for ; v != 0; v &= v - 1 {
-			if i := k*chunk + b*8 + bits.TrailingZeros8(v); i < j.rec.Tasks {
+			if i := k*chunk + b*8 + bits.TrailingZeros8(v); i < j.Rec.Tasks {
 				j.stored[i/64] |= 1 << (i % 64)
 			}
 		}
@@ -207,70 +210,70 @@
 }
 
 // readPage takes a page, anybody's, into what is known to be completed.
-func (c *Core) readPage(key string, value []byte) map[string]string {
+func (o *Owner) readPage(key string, value []byte) map[string]string {
 	var entries map[string]string
 	if err := wire.Decode(value, &entries); err != nil {
-		c.log.Error("page of completed tasks", "key", key, "err", err)
+		o.log.Error("page of completed tasks", "key", key, "err", err)
 		return nil
 	}
 	for entry, text := range entries {
 		raw, err := base64.RawStdEncoding.DecodeString(text)
 		id, _, ok := splitEntry(entry)
 		if err != nil || !ok {
-			c.log.Error("page of completed tasks", "key", key, "entry", entry, "err", err)
+			o.log.Error("page of completed tasks", "key", key, "entry", entry, "err", err)
 			delete(entries, entry)
 			continue
 		}
-		if j := c.jobs[id]; j == nil || j.over {
+		if j := o.jobs[id]; j == nil || j.Over {
 			delete(entries, entry)
 			continue
 		}
-		c.facts[entry] = merge(c.facts[entry], raw)
+		o.facts[entry] = merge(o.facts[entry], raw)
 	}
 	return entries
 }
 
 // readPages reads all pages of all controllers for the jobs that wait for it:
 // jobs taken over, and all of them after a start.
-func (c *Core) readPages() {
-	if c.pagesBusy || c.loop.Now.Before(c.pagesNext) {
+func (o *Owner) readPages() {
+	if o.pagesBusy || o.loop.Now.Before(o.pagesNext) {
 		return
 	}
 	waiting := false
-	for _, j := range c.jobs {
-		waiting = waiting || (j.reading && !j.over)
+	for _, j := range o.jobs {
+		waiting = waiting || (j.reading && !j.Over)
 	}
 	if !waiting {
 		return
 	}
-	c.pagesBusy = true
-	c.pageReads++
-	read := c.pageReads
+	o.pagesBusy = true
+	o.pageReads++
+	read := o.pageReads
 	var next func(after string)
 	next = func(after string) {
-		c.loop.Emit(step.StateRange{Prefix: pagePrefix, After: after, ID: c.loop.Call(func(d step.Completed) {
+		o.loop.Emit(step.StateRange{Prefix: pagePrefix, After: after, ID: o.loop.Call(func(d step.Completed) {
 			if d.Status != 200 {
-				c.pagesBusy = false
-				c.pagesNext = c.loop.Now.Add(300 * time.Millisecond)
+				o.pagesBusy = false
+				o.pagesNext = o.loop.Now.Add(300 * time.Millisecond)
 				return
 			}
 			for _, p := range d.Page.Pairs {
-				entries := c.readPage(p.Key, p.Value)
-				c.ownPage(p.Key, p.Version, entries)
+				entries := o.readPage(p.Key, p.Value)
+				o.ownPage(p.Key, p.Version, entries)
 				after = p.Key
 			}
 			if d.Page.More && len(d.Page.Pairs) > 0 {
 				next(after)
 				return
 			}
-			c.pagesBusy = false
-			for _, id := range cluster.SortedKeys(c.jobs) {
+			o.pagesBusy = false
+			for _, id := range cluster.SortedKeys(o.jobs) {
 				// Only a read that began after the job became this
 				// controller's shows all that earlier owners stored.
-				if j := c.jobs[id]; j.reading && j.readFrom <= read && !j.over && c.owns(j) {
+				if j := o.jobs[id]; j.reading && j.readFrom <= read && !j.Over && o.owns(j) {
 					j.reading = false
-					c.takeFacts(j)
-					c.jobReady(j)
+					o.takeFacts(j)
+					o.jobReady(j)
 				}
 			}
 		})})
@@ -279,39 +282,39 @@
 }
 
 // ownPage takes up a page that an earlier process of this controller wrote.
-func (c *Core) ownPage(key string, version uint64, entries map[string]string) {
-	num, ok := strings.CutPrefix(key, pagePrefix+c.view.Me+"/")
+func (o *Owner) ownPage(key string, version uint64, entries map[string]string) {
+	num, ok := strings.CutPrefix(key, pagePrefix+o.view.Me+"/")
 	n, err := strconv.Atoi(num)
 	if !ok || err != nil || n < 0 || n > 1000 {
 		return
 	}
-	for len(c.pages) <= n {
-		c.pages = append(c.pages, &page{entries: map[string]int{}})
+	for len(o.pages) <= n {
+		o.pages = append(o.pages, &page{entries: map[string]int{}})
 	}
-	p := c.pages[n]
+	p := o.pages[n]
 	if p.version != 0 || p.busy {
 		return // known already
 	}
 	p.version = version
 	for entry, text := range entries {
-		if c.pageOf[entry] == nil {
+		if o.pageOf[entry] == nil {
 			p.entries[entry] = len(entry) + len(text) + 12
 			p.size += p.entries[entry]
-			c.pageOf[entry] = p
+			o.pageOf[entry] = p
 		}
 	}
 }
 
 // takeFacts marks the tasks of a job that are stored as completed.
-func (c *Core) takeFacts(j *job) {
-	for i := 0; i < j.rec.Tasks; i += chunk {
-		key := entryKey(j.rec.ID, i)
-		raw := c.facts[key]
-		c.storedAt(key, raw)
+func (o *Owner) takeFacts(j *Job) {
+	for i := 0; i < j.Rec.Tasks; i += chunk {
+		key := entryKey(j.Rec.ID, i)
+		raw := o.facts[key]
+		o.storedAt(key, raw)
 		for b, v := range raw {
 			for ; v != 0; v &= v - 1 {
-				if t := i + b*8 + bits.TrailingZeros8(v); t < j.rec.Tasks {
-					c.markDone(j, t)
+				if t := i + b*8 + bits.TrailingZeros8(v); t < j.Rec.Tasks {
+					o.markDone(j, t)
 				}
 			}
 		}
--- a/internal/controller/place.go
+++ b/internal/owner/place.go
@@ -1,4 +1,4 @@
-package controller
+package owner
 
 import (
 	"cmp"
@@ -18,23 +18,23 @@
 func successorKind(*wire.JobRecord) string { return "" }
 
 // readyJobs lists this controller's jobs with waiting tasks, best first.
-func (c *Core) readyJobs() []*job {
+func (o *Owner) readyJobs() []*Job {
 	type entry struct {
-		j *job
+		j *Job
 		r sched.Ready
 	}
 	var list []entry
-	for _, j := range c.jobs {
-		if !c.owns(j) || !j.ready || j.over || len(j.queue) == 0 || c.loop.Now.Before(j.notBefore) {
+	for _, j := range o.jobs {
+		if !o.owns(j) || !j.ready || j.Over || len(j.queue) == 0 || o.loop.Now.Before(j.notBefore) {
 			continue
 		}
 		list = append(list, entry{j, sched.Ready{
-			Rank:      j.rec.Rank(),
-			Borrowing: c.borrowing(j),
-			Rating:    sched.Rate(successorKind(&j.rec), c.view.Lease.Waiting, c.view.Par.K2),
-			Due:       c.dueStart(j),
-			Arrival:   j.rec.AtMs,
-			ID:        j.rec.ID,
+			Rank:      j.Rec.Rank(),
+			Borrowing: o.borrowing(j),
+			Rating:    sched.Rate(successorKind(&j.Rec), o.view.Lease.Waiting, o.view.Par.K2),
+			Due:       o.dueStart(j),
+			Arrival:   j.Rec.AtMs,
+			ID:        j.Rec.ID,
 		}})
 	}
 	slices.SortFunc(list, func(a, b entry) int {
@@ -43,7 +43,7 @@
 		}
 		return 1
 	})
-	out := make([]*job, len(list))
+	out := make([]*Job, len(list))
 	for i, e := range list {
 		out[i] = e.j
 	}
@@ -54,9 +54,9 @@
 // waiting tasks should start to meet its deadline or its class's objectives:
 // the nearest of those that can still be met. A job that is late whatever is
 // done now yields to those that can still make it.
-func (c *Core) dueStart(j *job) int64 {
-	run := c.runSeconds(&j.rec)
-	waited := float64(c.loop.Now.UnixMilli()-j.rec.AtMs) / 1000
+func (o *Owner) dueStart(j *Job) int64 {
+	run := o.runSeconds(&j.Rec)
+	waited := float64(o.loop.Now.UnixMilli()-j.Rec.AtMs) / 1000
 	best := math.Inf(1)
 	consider := func(within float64) {
 		// Estimates are off: a fifth of the run time is given the benefit of
@@ -65,12 +65,12 @@
 			best = min(best, start)
 		}
 	}
-	if j.rec.DeadlineS != nil {
-		consider(*j.rec.DeadlineS)
+	if j.Rec.DeadlineS != nil {
+		consider(*j.Rec.DeadlineS)
 	}
-	for _, o := range c.view.Cfg.Cluster.Objectives {
+	for _, o := range o.view.Cfg.Cluster.Objectives {
 		switch {
-		case o.Class != j.rec.Class || o.WithinS <= 0:
+		case o.Class != j.Rec.Class || o.WithinS <= 0:
 		case o.Kind == "finished":
 			consider(o.WithinS)
 		case o.Kind == "wait" && o.WithinS >= longWait && waited <= o.WithinS:
@@ -80,7 +80,7 @@
 	if math.IsInf(best, 1) {
 		best = noDeadline
 	}
-	return j.rec.AtMs + int64(1000*best)
+	return j.Rec.AtMs + int64(1000*best)
 }
 
 // longWait is from how many seconds on an aim for the start counts in the
@@ -93,9 +93,9 @@
 
 // borrowing tells whether one more task of the job takes its team beyond its
 // guarantee; a team without one always borrows.
-func (c *Core) borrowing(j *job) bool {
-	g := c.view.GuaranteeOf(j.rec.Team)
-	return !g.Any() || !g.Allows(c.usedByAll(j.rec.Team), j.need())
+func (o *Owner) borrowing(j *Job) bool {
+	g := o.view.GuaranteeOf(j.Rec.Team)
+	return !g.Any() || !g.Allows(o.usedByAll(j.Rec.Team), j.need())
 }
 
 // free is what a machine has left.
@@ -110,10 +110,10 @@
 }
 
 // usable tells whether new tasks may be placed on a machine.
-func (c *Core) usable(m *machine) bool {
-	silence := config.Seconds(1.3*c.view.Cfg.Cluster.Workers.ReportS) + 700*time.Millisecond
+func (o *Owner) usable(m *machine) bool {
+	silence := config.Seconds(1.3*o.view.Cfg.Cluster.Workers.ReportS) + 700*time.Millisecond
 	return !m.gave && !m.recall && !m.bad && !m.lost && !m.dirty && m.orphans == 0 && m.gone.IsZero() &&
-		m.session != 0 && m.size.CPUs > 0 && !c.loop.Now.Before(m.pauseTo) && c.loop.Now.Sub(m.heard) < silence
+		m.session != 0 && m.size.CPUs > 0 && !o.loop.Now.Before(m.pauseTo) && o.loop.Now.Sub(m.heard) < silence
 }
 
 // spot is a usable machine with its room, while places are chosen.
@@ -143,32 +143,32 @@
 
 // placeSoon places what waits, unless that was done a moment ago; then the
 // next event or tick after the gap does it.
-func (c *Core) placeSoon() {
-	if c.placeDue && c.loop.Now.Sub(c.placedAt) >= placeGap {
-		c.placeDue, c.placedAt = false, c.loop.Now
-		c.place()
+func (o *Owner) placeSoon() {
+	if o.placeDue && o.loop.Now.Sub(o.placedAt) >= placeGap {
+		o.placeDue, o.placedAt = false, o.loop.Now
+		o.place()
 	}
 }
 
 // machineOrder lists the block's machines by name.
-func (c *Core) machineOrder() []*machine {
-	if len(c.order) != len(c.machines) || c.orderDue {
-		c.orderDue = false
-		c.order = c.order[:0]
-		for _, m := range c.machines {
-			c.order = append(c.order, m)
+func (o *Owner) machineOrder() []*machine {
+	if len(o.order) != len(o.machines) || o.orderDue {
+		o.orderDue = false
+		o.order = o.order[:0]
+		for _, m := range o.machines {
+			o.order = append(o.order, m)
 		}
-		slices.SortFunc(c.order, func(a, b *machine) int { return strings.Compare(a.name, b.name) })
+		slices.SortFunc(o.order, func(a, b *machine) int { return strings.Compare(a.name, b.name) })
 	}
-	return c.order
+	return o.order
 }
 
 // place starts waiting tasks where there is room.
-func (c *Core) place() {
-	if !c.mayStart() {
+func (o *Owner) place() {
+	if !o.mayStart() {
 		return
 	}
-	jobs := c.readyJobs()
+	jobs := o.readyJobs()
 	if len(jobs) == 0 {
 		return
 	}
@@ -176,21 +176,21 @@
 	// may have been started before wait, and their room counts in full
 	// against every limit.
 	var unknown []*machine
-	clear(c.stopping)
+	clear(o.stopping)
 	var hidden sched.Amount
 	var spots []*spot
-	dear := c.dearness()
-	for _, m := range c.machineOrder() {
+	dear := o.dearness()
+	for _, m := range o.machineOrder() {
 		if m.dirty || m.orphans > 0 {
 			unknown = append(unknown, m)
-			hidden = hidden.Add(c.sizeAtMost(m), 1)
+			hidden = hidden.Add(o.sizeAtMost(m), 1)
 		}
-		if c.usable(m) {
+		if o.usable(m) {
 			s := &spot{m: m, free: m.free(), dear: dear(m)}
 			s.soon = s.free
 			for _, r := range m.runs {
 				if r.stop && r.j != nil && !r.over() {
-					c.stopping[r.j.rec.Team] = c.stopping[r.j.rec.Team].Add(r.j.need(), 1)
+					o.stopping[r.j.Rec.Team] = o.stopping[r.j.Rec.Team].Add(r.j.need(), 1)
 					s.soon = s.soon.Add(r.j.need(), 1)
 				}
 			}
@@ -198,27 +198,27 @@
 		}
 	}
 	roomiest := mostFree(spots)
-	preempt := c.loop.Now.Sub(c.preemptAt) >= preemptGap
+	preempt := o.loop.Now.Sub(o.preemptAt) >= preemptGap
 	if preempt {
-		c.preemptAt = c.loop.Now
+		o.preemptAt = o.loop.Now
 	}
 	for _, j := range jobs {
 		// A job's tasks can only be where its constraints let earlier owners
 		// start them.
-		if j.first <= c.homes[j.home()] && slices.ContainsFunc(unknown, func(m *machine) bool {
+		if j.first <= o.homes[j.home()] && slices.ContainsFunc(unknown, func(m *machine) bool {
 			return m.kind == "" || j.mayUse(m)
 		}) {
 			continue
 		}
-		if j.rec.Shape == wire.Group {
-			c.placeGang(j, spots, hidden)
+		if j.Rec.Shape == wire.Group {
+			o.placeGang(j, spots, hidden)
 			continue
 		}
-		if j.need().Fits(roomiest) && !c.placeTasks(j, spots, hidden) {
+		if j.need().Fits(roomiest) && !o.placeTasks(j, spots, hidden) {
 			roomiest = mostFree(spots)
 		}
 		if preempt {
-			c.preempt(j, spots, hidden)
+			o.preempt(j, spots, hidden)
 		}
 	}
 }
@@ -236,44 +236,44 @@
 
 // placeTasks places as many of the job's waiting tasks as there is room for,
 // and tells whether there was any for the first of them.
-func (c *Core) placeTasks(j *job, spots []*spot, hidden sched.Amount) bool {
-	if j.rec.SamePlace || j.rec.Scatter {
+func (o *Owner) placeTasks(j *Job, spots []*spot, hidden sched.Amount) bool {
+	if j.Rec.SamePlace || j.Rec.Scatter {
 		// Where the next one may go depends on where the last one went.
 		n := len(j.queue)
-		for len(j.queue) > 0 && c.placeOne(j, spots, hidden) != nil {
+		for len(j.queue) > 0 && o.placeOne(j, spots, hidden) != nil {
 		}
 		return len(j.queue) < n
 	}
-	need, limit := j.need(), c.ceilingOf(j.rec.Team)
-	c.choices = c.choices[:0]
+	need, limit := j.need(), o.ceilingOf(j.Rec.Team)
+	o.choices = o.choices[:0]
 	for _, s := range spots {
-		if need.Fits(s.free) && c.allowed(j, s.m) {
-			c.choices = append(c.choices, choice{s, c.costOf(j, s)})
+		if need.Fits(s.free) && o.allowed(j, s.m) {
+			o.choices = append(o.choices, choice{s, o.costOf(j, s)})
 		}
 	}
-	found := len(c.choices) > 0
-	for len(j.queue) > 0 && len(c.choices) > 0 && limit.Allows(c.used[j.rec.Team].Add(hidden, 1), need) {
+	found := len(o.choices) > 0
+	for len(j.queue) > 0 && len(o.choices) > 0 && limit.Allows(o.used[j.Rec.Team].Add(hidden, 1), need) {
 		best := 0
-		for i := range c.choices {
-			if c.choices[i].cost < c.choices[best].cost {
+		for i := range o.choices {
+			if o.choices[i].cost < o.choices[best].cost {
 				best = i
 			}
 		}
-		s := c.choices[best].s
+		s := o.choices[best].s
 		s.free, s.soon = s.free.Add(need, -1), s.soon.Add(need, -1)
-		c.start(j, s.m)
+		o.start(j, s.m)
 		if need.Fits(s.free) {
-			c.choices[best].cost = c.costOf(j, s)
+			o.choices[best].cost = o.costOf(j, s)
 		} else {
-			c.choices = slices.Delete(c.choices, best, best+1)
+			o.choices = slices.Delete(o.choices, best, best+1)
 		}
 	}
 	return found
 }
 
-func (c *Core) costOf(j *job, s *spot) float64 {
+func (o *Owner) costOf(j *Job, s *spot) float64 {
 	return sched.Cost(j.need(), sched.Place{Free: s.free, Size: s.m.size,
-		FetchS: s.m.fetchSeconds(j, c.view.Types[s.m.kind].FetchGBPS), Dear: s.dear}, j.rec.Rank() <= 1)
+		FetchS: s.m.fetchSeconds(j, o.view.Types[s.m.kind].FetchGBPS), Dear: s.dear}, j.Rec.Rank() <= 1)
 }
 
 const (
@@ -299,28 +299,28 @@
 // other teams run beyond theirs. Work of the same or a higher priority is
 // otherwise left alone. Each machine is looked at once; the next look finds
 // what else it could give.
-func (c *Core) preempt(j *job, spots []*spot, hidden sched.Amount) {
-	if len(j.queue) == 0 || j.rec.Shape == wire.Group {
+func (o *Owner) preempt(j *Job, spots []*spot, hidden sched.Amount) {
+	if len(j.queue) == 0 || j.Rec.Shape == wire.Group {
 		return
 	}
 	need := j.need()
-	used := c.used[j.rec.Team].Add(hidden, 1)
-	all := c.usedByAll(j.rec.Team).Add(hidden, 1)
-	limit := c.ceilingOf(j.rec.Team)
-	within := c.view.GuaranteeOf(j.rec.Team)
+	used := o.used[j.Rec.Team].Add(hidden, 1)
+	all := o.usedByAll(j.Rec.Team).Add(hidden, 1)
+	limit := o.ceilingOf(j.Rec.Team)
+	within := o.view.GuaranteeOf(j.Rec.Team)
 	owed := within.Any() && within.Allows(all, need)
-	if j.rec.Rank() > 1 && !owed {
+	if j.Rec.Rank() > 1 && !owed {
 		return
 	}
 	most := lostOwed
-	if j.rec.Rank() <= 1 {
+	if j.Rec.Rank() <= 1 {
 		most = lostUrgent
 	}
 	left := min(len(j.queue), preemptMost)
 	// next tells whether one more task may be made room for, and counts it.
 	next := func() bool {
 		owed = within.Any() && within.Allows(all, need)
-		if left == 0 || !limit.Allows(used, need) || (j.rec.Rank() > 1 && !owed) {
+		if left == 0 || !limit.Allows(used, need) || (j.Rec.Rank() > 1 && !owed) {
 			return false
 		}
 		left--
@@ -331,7 +331,7 @@
 	var runs []*run
 	var victims []sched.Victim
 	for _, s := range spots {
-		if !c.allowed(j, s.m) {
+		if !o.allowed(j, s.m) {
 			continue
 		}
 		// Room that is being made already serves first.
@@ -343,17 +343,17 @@
 		}
 		runs, victims = runs[:0], victims[:0]
 		for _, r := range s.runs() {
-			if r.stop || !c.mayStop(j, r, owed) {
+			if r.stop || !o.mayStop(j, r, owed) {
 				continue
 			}
 			lost := 0.0
 			if r.state == wire.TaskRunning {
-				lost = c.loop.Now.Sub(r.started).Seconds()
-				if r.j.rec.CheckpointS > 0 {
-					lost = r.j.rec.SaveS
+				lost = o.loop.Now.Sub(r.started).Seconds()
+				if r.j.Rec.CheckpointS > 0 {
+					lost = r.j.Rec.SaveS
 				}
 			}
-			victims = append(victims, sched.Victim{Index: len(runs), Frees: r.j.need(), Lost: lost * r.j.rec.CPUs})
+			victims = append(victims, sched.Victim{Index: len(runs), Frees: r.j.need(), Lost: lost * r.j.Rec.CPUs})
 			runs = append(runs, r)
 		}
 		stop, lost := sched.Evict(need, s.soon, victims, most*need.CPUs)
@@ -367,11 +367,11 @@
 		found = append(found, e)
 	}
 	slices.SortStableFunc(found, func(a, b eviction) int { return cmp.Compare(a.lost, b.lost) })
-	var stopped []*job
+	var stopped []*Job
 	for _, e := range found {
 		// What was stopped a moment ago may have used up what the other team
 		// runs beyond its guarantee.
-		if slices.ContainsFunc(e.stop, func(r *run) bool { return !c.mayStop(j, r, owed) }) {
+		if slices.ContainsFunc(e.stop, func(r *run) bool { return !o.mayStop(j, r, owed) }) {
 			continue
 		}
 		if !next() {
@@ -380,14 +380,14 @@
 		for _, r := range e.stop {
 			r.stop = true
 			stopped = append(stopped, r.j)
-			c.stopping[r.j.rec.Team] = c.stopping[r.j.rec.Team].Add(r.j.need(), 1)
-			c.hurry(r.m)
+			o.stopping[r.j.Rec.Team] = o.stopping[r.j.Rec.Team].Add(r.j.need(), 1)
+			o.hurry(r.m)
 			e.s.soon = e.s.soon.Add(r.j.need(), 1)
 		}
 		e.s.soon = e.s.soon.Add(need, -1)
 	}
 	for _, v := range stopped {
-		v.spared = c.loop.Now.Add(sparedFor)
+		v.spared = o.loop.Now.Add(sparedFor)
 	}
 }
 
@@ -406,25 +406,25 @@
 
 // mayStop tells whether the attempt may be stopped for the sake of the job.
 // owed says that the job's team is within its guarantee.
-func (c *Core) mayStop(j *job, r *run, owed bool) bool {
-	if r.j.rec.Shape == wire.Group || c.loop.Now.Before(r.j.spared) {
+func (o *Owner) mayStop(j *Job, r *run, owed bool) bool {
+	if r.j.Rec.Shape == wire.Group || o.loop.Now.Before(r.j.spared) {
 		return false
 	}
 	// Urgent work among itself is left alone, but a service that may not use
 	// spot machines has nowhere else to go than where urgent tasks sit that do.
-	if j.rec.Rank() <= 1 && (r.j.rec.Rank() > 1 || (r.j.rec.Rank() > j.rec.Rank() && !j.rec.Spot && r.j.rec.Spot)) {
+	if j.Rec.Rank() <= 1 && (r.j.Rec.Rank() > 1 || (r.j.Rec.Rank() > j.Rec.Rank() && !j.Rec.Spot && r.j.Rec.Spot)) {
 		return true
 	}
 	// Only what comes after the job in the order is stopped for it: else the
 	// stopped task would be the first to take the room again, for ever.
-	if !owed || r.j.rec.Team == j.rec.Team || r.j.rec.Rank() < j.rec.Rank() {
+	if !owed || r.j.Rec.Team == j.Rec.Team || r.j.Rec.Rank() < j.Rec.Rank() {
 		return false
 	}
 	// The other team keeps its own guarantee without the task, all that is
 	// being stopped already taken off: else both teams would stop each
 	// other's tasks in turn.
-	g := c.view.GuaranteeOf(r.j.rec.Team)
-	left := c.usedByAll(r.j.rec.Team).Add(c.stopping[r.j.rec.Team], -1).Add(r.j.need(), -1)
+	g := o.view.GuaranteeOf(r.j.Rec.Team)
+	left := o.usedByAll(r.j.Rec.Team).Add(o.stopping[r.j.Rec.Team], -1).Add(r.j.need(), -1)
 	return !g.Any() || (left.CPUs >= g.CPUs && left.Cards >= g.Cards)
 }
 
@@ -435,18 +435,18 @@
 
 // placeOne places the job's next task, if its team's limit and some machine
 // have room for it.
-func (c *Core) placeOne(j *job, spots []*spot, hidden sched.Amount) *run {
+func (o *Owner) placeOne(j *Job, spots []*spot, hidden sched.Amount) *run {
 	need := j.need()
-	if !c.ceilingOf(j.rec.Team).Allows(c.used[j.rec.Team].Add(hidden, 1), need) {
+	if !o.ceilingOf(j.Rec.Team).Allows(o.used[j.Rec.Team].Add(hidden, 1), need) {
 		return nil
 	}
 	var best *spot
 	bestCost := 0.0
 	for _, s := range spots {
-		if !need.Fits(s.free) || !c.allowed(j, s.m) {
+		if !need.Fits(s.free) || !o.allowed(j, s.m) {
 			continue
 		}
-		cost := c.costOf(j, s)
+		cost := o.costOf(j, s)
 		if best == nil || cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -456,18 +456,18 @@
 	}
 	best.free = best.free.Add(need, -1)
 	best.soon = best.soon.Add(need, -1)
-	return c.start(j, best.m)
+	return o.start(j, best.m)
 }
 
 // placeGang places all waiting tasks of a gang or none: a part of it would
 // only hold room while it waits for the rest. All carry the same attempt, by
 // which the workers know who belongs together; so when one is missing the
 // others are stopped and the gang starts again as a whole.
-func (c *Core) placeGang(j *job, spots []*spot, hidden sched.Amount) {
+func (o *Owner) placeGang(j *Job, spots []*spot, hidden sched.Amount) {
 	if len(j.runs) > 0 {
 		for _, r := range j.runs {
 			r.stop = true
-			c.hurry(r.m)
+			o.hurry(r.m)
 		}
 		return
 	}
@@ -477,11 +477,11 @@
 	}
 	var placed []*run
 	for len(j.queue) > 0 {
-		r := c.placeOne(j, spots, hidden)
+		r := o.placeOne(j, spots, hidden)
 		if r == nil {
 			for _, r := range placed {
-				c.dropRun(r)
-				c.touchIdle(r.m)
+				o.dropRun(r)
+				o.touchIdle(r.m)
 			}
 			for i, s := range spots {
 				*s = before[i]
@@ -499,9 +499,9 @@
 
 // dearness returns a function that tells the price of a processor on a
 // machine as a multiple of the cheapest there is.
-func (c *Core) dearness() func(m *machine) float64 {
+func (o *Owner) dearness() func(m *machine) float64 {
 	cheapest := 0.0
-	for _, t := range c.view.Types {
+	for _, t := range o.view.Types {
 		for _, p := range []float64{t.Price, t.SpotPrice} {
 			if p > 0 && (cheapest == 0 || p/t.CPUs < cheapest) {
 				cheapest = p / t.CPUs
@@ -509,7 +509,7 @@
 		}
 	}
 	return func(m *machine) float64 {
-		t := c.view.Types[m.kind]
+		t := o.view.Types[m.kind]
 		price := t.Price
 		if m.spot {
 			price = t.SpotPrice
@@ -522,16 +522,16 @@
 }
 
 // mayUse tells whether the job may use such a machine at all.
-func (j *job) mayUse(m *machine) bool {
-	rec := &j.rec
+func (j *Job) mayUse(m *machine) bool {
+	rec := &j.Rec
 	return (rec.Spot || !m.spot) && (rec.Zone == "" || rec.Zone == m.zone) &&
 		(len(rec.Types) == 0 || slices.Contains(rec.Types, m.kind))
 }
 
 // allowed tells whether the job's constraints let its next task start there,
 // given its other tasks at this moment.
-func (c *Core) allowed(j *job, m *machine) bool {
-	rec := &j.rec
+func (o *Owner) allowed(j *Job, m *machine) bool {
+	rec := &j.Rec
 	if !j.mayUse(m) {
 		return false
 	}
@@ -558,18 +558,18 @@
 
 // fetchSeconds estimates how long the job's image takes to get there. Images
 // that no task has run from yet are taken to be on their way.
-func (m *machine) fetchSeconds(j *job, rate float64) float64 {
-	if rate <= 0 || j.rec.ImageGB <= 0 {
+func (m *machine) fetchSeconds(j *Job, rate float64) float64 {
+	if rate <= 0 || j.Rec.ImageGB <= 0 {
 		return 0
 	}
-	s := j.rec.ImageGB / rate
+	s := j.Rec.ImageGB / rate
 	coming := 0
 	for i := range m.images {
 		img := &m.images[i]
 		switch {
-		case img.name == j.rec.Image && img.there:
+		case img.name == j.Rec.Image && img.there:
 			return 0
-		case img.name == j.rec.Image:
+		case img.name == j.Rec.Image:
 			return s / 2
 		case !img.there:
 			coming++
@@ -601,19 +601,19 @@
 
 // start places the job's next task on a machine. Attempts carry the grant, so
 // they never repeat, not even after a restart.
-func (c *Core) start(j *job, m *machine) *run {
+func (o *Owner) start(j *Job, m *machine) *run {
 	i := j.queue[0]
 	j.queue = j.queue[1:]
-	j.waitSince = c.loop.Now
-	c.class(j.rec.Class).startedAt = c.loop.Now
-	r := &run{j: j, i: i, task: taskName(j.rec.ID, i), attempt: c.hold.Attempt(), m: m,
-		state: runQueued, placed: c.loop.Now}
+	j.waitSince = o.loop.Now
+	o.class(j.Rec.Class).startedAt = o.loop.Now
+	r := &run{j: j, i: i, task: taskName(j.Rec.ID, i), attempt: o.hold.Attempt(), m: m,
+		state: runQueued, placed: o.loop.Now}
 	m.runs[runKey{r.task, r.attempt}] = r
 	j.runs[i] = r
-	c.count(r, 1)
-	m.keep(j.rec.Image, j.rec.ImageGB, c.view.Types[m.kind].CacheGB, false)
+	o.count(r, 1)
+	m.keep(j.Rec.Image, j.Rec.ImageGB, o.view.Types[m.kind].CacheGB, false)
 	m.idle = time.Time{}
-	c.hurry(m)
-	c.log.Debug("placed", "task", r.task, "attempt", r.attempt, "machine", m.name)
+	o.hurry(m)
+	o.log.Debug("placed", "task", r.task, "attempt", r.attempt, "machine", m.name)
 	return r
 }
--- /dev/null
+++ b/internal/owner/tell.go
@@ -0,0 +1,236 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/sched"
+	"fawncove/internal/wire"
+)
+
+const (
+	// starved is how long a job's tasks may wait without any of them being
+	// started before machines are rented for all of them. The fleet may be
+	// busy with work that never ends, or have no machine that they may use.
+	starved = 75 * time.Second
+	// stuck is how long nothing of a class may be started before its waiting
+	// work counts as starved rather than queued.
+	stuck = 15 * time.Second
+)
+
+// Describe tells the leader, in a renewal, of machines, waiting work and use.
+func (o *Owner) Describe(r *peerpb.Renewal) {
+	r.Waiting = map[string]int32{}
+	var gave, lost, heard, unknown, bound []string
+	for _, name := range cluster.SortedKeys(o.machines) {
+		m := o.machines[name]
+		switch {
+		case m.gave:
+			gave = append(gave, name)
+		case m.lost:
+			lost = append(lost, name)
+		}
+		if m.endpoint == "" && !m.gave {
+			unknown = append(unknown, name)
+		}
+		if m.spot && o.usable(m) {
+			r.FreeSpotCpus += max(0, m.free().CPUs)
+		}
+		if !m.spot && m.bound() {
+			bound = append(bound, name)
+		}
+		u := &peerpb.Use{Name: name, Bad: m.bad, Going: !m.gone.IsZero() || m.missed}
+		if !m.idle.IsZero() && m.session != 0 {
+			u.IdleS = o.loop.Now.Sub(m.idle).Seconds()
+		}
+		if u.Bad || u.Going || u.IdleS > 1 {
+			r.Use = append(r.Use, u)
+		}
+	}
+	for _, name := range cluster.SortedKeys(o.guests) {
+		g := o.guests[name]
+		if o.loop.Now.Sub(g.heard) > o.guestFresh() {
+			continue
+		}
+		if o.view.OwnerOf(name) == "" {
+			r.Seen = append(r.Seen, &peerpb.Seen{Name: name, Endpoint: g.rep.Endpoint,
+				Type: g.rep.Type, Zone: g.rep.Zone, Spot: g.rep.Spot, Session: g.rep.Session})
+		} else {
+			heard = append(heard, name)
+		}
+	}
+	r.Gave, r.Lost, r.Heard = wire.PackNames(gave), wire.PackNames(lost), wire.PackNames(heard)
+	r.Unknown, r.Bound = wire.PackNames(unknown), wire.PackNames(bound)
+	for _, j := range o.jobs {
+		if !o.owns(j) || j.Over || len(j.queue) == 0 {
+			continue
+		}
+		for kind, t := range o.view.Types {
+			if len(j.Rec.Types) == 0 || slices.Contains(j.Rec.Types, kind) {
+				if j.need().Fits(cluster.SizeOf(t)) {
+					r.Waiting[kind] += int32(len(j.queue))
+				}
+			}
+		}
+	}
+	r.Demand = o.demand()
+	r.Teams = o.TeamUses()
+	r.BusyCpus, r.BusySpotCpus, _ = o.Measure()
+}
+
+// demandMost bounds the groups of waiting tasks that a renewal carries.
+const demandMost = 80
+
+// demand groups the tasks without a place, for the leader, best first.
+func (o *Owner) demand() []*peerpb.Demand {
+	var list []sched.Demand
+	for _, j := range o.readyJobs() {
+		n := o.allowance(j, len(j.queue))
+		if n == 0 {
+			continue
+		}
+		// Where others of its class are started it only waits for its turn:
+		// machines rented for all of it would come when the backlog is gone.
+		long := o.loop.Now.Sub(j.waitSince) > starved && o.loop.Now.Sub(o.class(j.Rec.Class).startedAt) > stuck
+		list = append(list, sched.Demand{Rank: j.Rec.Rank(), Need: o.coarse(j), Types: j.Rec.Types,
+			Zone: j.Rec.Zone, Spot: j.Rec.Spot, Count: n, RunS: o.runSeconds(&j.Rec),
+			Whole: j.Rec.Shape != wire.Array || long, Starved: long,
+			SlackS: float64(o.dueStart(j)-o.loop.Now.UnixMilli()) / 1000})
+	}
+	var out []*peerpb.Demand
+	for _, d := range sched.Merge(list) {
+		if len(out) == demandMost {
+			break
+		}
+		out = append(out, &peerpb.Demand{Rank: int32(d.Rank), Cpus: d.Need.CPUs, Cards: d.Need.Cards,
+			MemoryGb: d.Need.MemoryGB, Types: d.Types, Zone: d.Zone, Spot: d.Spot,
+			Count: int32(d.Count), RunS: d.RunS, Whole: d.Whole, Starved: d.Starved, SlackS: d.SlackS})
+	}
+	return out
+}
+
+// coarse is what a task of the job needs, rounded up unless that would keep
+// it from every machine it may use.
+func (o *Owner) coarse(j *Job) sched.Amount {
+	rough := sched.Coarse(j.need())
+	for kind, t := range o.view.Types {
+		if (len(j.Rec.Types) == 0 || slices.Contains(j.Rec.Types, kind)) && j.need().Fits(cluster.SizeOf(t)) && !rough.Fits(cluster.SizeOf(t)) {
+			return j.need()
+		}
+	}
+	return rough
+}
+
+// imagesMost bounds the images that a controller tells of.
+const imagesMost = 64
+
+// Room sums up what is free on this controller's machines.
+func (o *Owner) Room() cluster.Room {
+	r := cluster.Room{Images: map[string]float64{}}
+	for _, m := range o.machines {
+		if !o.usable(m) {
+			continue
+		}
+		free := max(0, m.free().CPUs)
+		r.Free += free
+		for i := range m.images {
+			if m.images[i].there && free > 0 {
+				r.Images[m.images[i].name] += free
+			}
+		}
+	}
+	if len(r.Images) > imagesMost {
+		names := cluster.SortedKeys(r.Images)
+		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(r.Images[b], r.Images[a]) })
+		for _, n := range names[imagesMost:] {
+			delete(r.Images, n)
+		}
+	}
+	return r
+}
+
+// Measure returns the processors that this controller's tasks use or wait
+// for, the part of them that may be on spot machines, and those of its block.
+func (o *Owner) Measure() (busy, spot, size float64) {
+	for _, m := range o.machines {
+		if m.lost || m.bad || m.gave {
+			continue
+		}
+		size += m.size.CPUs
+	}
+	for _, j := range o.jobs {
+		if o.owns(j) && !j.Over {
+			n := float64(len(j.runs)+len(j.queue)) * j.Rec.CPUs
+			busy += n
+			if j.Rec.Spot {
+				spot += n
+			}
+		}
+	}
+	return busy, spot, size
+}
+
+// Block calls f for each machine of the block.
+func (o *Owner) Block(f func(name string, idle time.Duration, bad, lost bool)) {
+	for _, m := range o.machineOrder() {
+		idle := time.Duration(0)
+		if !m.idle.IsZero() && m.session != 0 {
+			idle = o.loop.Now.Sub(m.idle)
+		}
+		f(m.name, idle, m.bad, m.lost)
+	}
+}
+
+// Guests are the machines of others, or of nobody, that reported lately.
+func (o *Owner) Guests() []string {
+	var out []string
+	for n, g := range o.guests {
+		if o.loop.Now.Sub(g.heard) < o.guestFresh() {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Inflow is the work that has come in lately, in processors.
+func (o *Owner) Inflow() float64 { return o.inflow.Rate(o.loop.Now) }
+
+// Introduce learns how to reach machines that have not reported yet.
+func (o *Owner) Introduce(seen func(name string) *peerpb.Seen) {
+	for name, m := range o.machines {
+		if m.endpoint != "" {
+			continue
+		}
+		if s := seen(name); s != nil {
+			o.introduce(m, s)
+		}
+	}
+	o.askWorkers()
+}
+
+// News lists the counts of jobs that have changed since it was last called.
+func (o *Owner) News() []*peerpb.Progress {
+	var out []*peerpb.Progress
+	for _, j := range o.jobs {
+		if o.owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
+			j.shown = [2]int{j.doneCount, j.running()}
+			out = append(out, &peerpb.Progress{Id: j.Rec.ID, Done: int32(j.doneCount), Running: int32(j.running())})
+		}
+	}
+	slices.SortFunc(out, func(a, b *peerpb.Progress) int { return strings.Compare(a.GetId(), b.GetId()) })
+	return out
+}
+
+// Meet learns from others how to reach machines of the block.
+func (o *Owner) Meet(known []*peerpb.Seen) {
+	for _, k := range known {
+		if m := o.machines[k.GetName()]; m != nil {
+			o.introduce(m, k)
+		}
+	}
+	o.askWorkers()
+}
--- /dev/null
+++ b/internal/owner/uses.go
@@ -0,0 +1,210 @@
+package owner
+
+import (
+	"math"
+
+	"fawncove/internal/cluster"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/sched"
+	"fawncove/internal/share"
+	"fawncove/internal/wire"
+)
+
+// The limit of a team whose jobs are parted over several controllers is held
+// in shares, see package share: here is what the holder does for that. A
+// guarantee needs no shares, as nobody may be stopped wrongly by it: it is
+// judged by what all controllers tell of their use each second.
+
+// nothing is a ceiling of no processors; 0 would mean no limit.
+const nothing = 1e-9
+
+// ceilingOf is what the team's tasks may use on this controller's machines:
+// its limit, or this controller's share of that.
+func (o *Owner) ceilingOf(team string) sched.Limit {
+	l := o.view.LimitOf(team)
+	shares, parted := o.view.Lease.Shares[team]
+	if !parted || !l.Any() {
+		return l
+	}
+	s := o.hold.Ceiling(team, shares[o.view.Me])
+	if l.CPUs > 0 {
+		l.CPUs = max(nothing, float64(s.CPUs))
+	}
+	if l.Cards > 0 {
+		l.Cards = max(nothing, float64(s.Cards))
+	}
+	return l
+}
+
+// usedByAll is what a team's tasks use on all controllers, as far as known.
+func (o *Owner) usedByAll(team string) sched.Amount {
+	a := o.used[team]
+	for _, p := range o.view.Peers {
+		if u := p.Teams[team]; u != nil && o.loop.Now.Sub(p.Heard) < cluster.UseFresh {
+			a.CPUs += u.GetCpus()
+			a.Cards += u.GetCards()
+		}
+	}
+	return a
+}
+
+// hidden is the room that tasks may take up which this controller does not
+// know: it counts against every limit.
+func (o *Owner) hidden() sched.Amount {
+	var a sched.Amount
+	for _, m := range o.machines {
+		if m.dirty || m.orphans > 0 {
+			a = a.Add(o.sizeAtMost(m), 1)
+		}
+	}
+	return a
+}
+
+// sizeAtMost is a machine's size, or that of the largest as long as its kind
+// is not known.
+func (o *Owner) sizeAtMost(m *machine) sched.Amount {
+	if m.size.CPUs > 0 {
+		return m.size
+	}
+	size := m.size
+	for _, t := range o.view.Types {
+		size = sched.Amount{CPUs: max(size.CPUs, t.CPUs), Cards: max(size.Cards, t.Cards)}
+	}
+	return size
+}
+
+// Uses sums up what this controller's tasks use and want, for each team
+// with a limit or a guarantee.
+func (o *Owner) Uses() map[string]*peerpb.TeamUse {
+	out := map[string]*peerpb.TeamUse{}
+	for _, t := range o.view.Cfg.Cluster.Teams {
+		if !cluster.Unlimited(t) {
+			u := o.used[t.Name]
+			out[t.Name] = &peerpb.TeamUse{Team: t.Name, Cpus: u.CPUs, Cards: u.Cards, WantCpus: u.CPUs, WantCards: u.Cards}
+		}
+	}
+	for _, j := range o.jobs {
+		u := out[j.Rec.Team]
+		if u == nil || j.Over || !j.ready || len(j.queue) == 0 || !o.owns(j) {
+			continue
+		}
+		n := float64(len(j.queue))
+		u.WantCpus += n * j.Rec.CPUs
+		u.WantCards += n * j.Rec.Cards
+		// A share has to have room for the largest task, and for all of a
+		// gang beside what runs.
+		must := j.need()
+		if j.Rec.Shape == wire.Group {
+			must = o.used[j.Rec.Team].Add(j.need(), n)
+		}
+		u.MustCpus, u.MustCards = max(u.MustCpus, must.CPUs), max(u.MustCards, must.Cards)
+	}
+	return out
+}
+
+// ceilings lists the shares that this controller does not need in full while
+// others are short, with what it would do with, and what it has promised
+// already and no value honours yet.
+func (o *Owner) ceilings() map[string]wire.Share {
+	out := map[string]wire.Share{}
+	if !o.hold.Held() || len(o.view.Lease.Shares) == 0 {
+		return out
+	}
+	own := o.Uses()
+	hidden := o.hidden()
+	for _, team := range cluster.SortedKeys(o.view.Lease.Shares) {
+		shares := o.view.Lease.Shares[team]
+		limit, used := o.view.LimitOf(team), o.used[team].Add(hidden, 1)
+		cpus, cards := o.view.Needs(o.view.Lease.Homes, shares, team, own, o.loop.Now)
+		now := o.hold.Ceiling(team, shares[o.view.Me])
+		least := wire.Share{CPUs: int(math.Ceil(used.CPUs)), Cards: int(math.Ceil(used.Cards))}
+		next := now
+		if n, yes := o.spared(cpus, limit.CPUs, used.CPUs, now.CPUs, func(node string) int { return shares[node].CPUs }); yes {
+			next.CPUs = n
+		}
+		if n, yes := o.spared(cards, limit.Cards, used.Cards, now.Cards, func(node string) int { return shares[node].Cards }); yes {
+			next.Cards = n
+		}
+		next.CPUs, next.Cards = max(next.CPUs, min(least.CPUs, shares[o.view.Me].CPUs)), max(next.Cards, min(least.Cards, shares[o.view.Me].Cards))
+		if next.CPUs < shares[o.view.Me].CPUs || next.Cards < shares[o.view.Me].Cards {
+			out[team] = next
+		}
+	}
+	return out
+}
+
+// spared tells to what this controller can lower a ceiling for the sake of
+// others that are short.
+func (o *Owner) spared(needs map[string]share.Need, limit, used float64, now int, of func(node string) int) (int, bool) {
+	if limit <= 0 {
+		return 0, false
+	}
+	targets := share.Targets(math.Floor(limit), needs)
+	sum := 0
+	for node := range needs {
+		sum += of(node)
+	}
+	if float64(sum) > limit {
+		return share.Lower(now, targets[o.view.Me], used, false) // the settings have changed
+	}
+	short, stuck := false, false
+	for node, t := range targets {
+		if node != o.view.Me {
+			short = short || share.Short(float64(of(node)), t, needs[node])
+			stuck = stuck || share.Stuck(float64(of(node)), t, needs[node])
+		}
+	}
+	if !short {
+		return 0, false
+	}
+	return share.Lower(now, targets[o.view.Me], used, stuck)
+}
+
+// Trade asks for a renewal when there is something new to promise.
+func (o *Owner) Trade() {
+	for team, s := range o.ceilings() {
+		if s != o.hold.Ceiling(team, o.view.Lease.Shares[team][o.view.Me]) {
+			o.hold.Hurry()
+		}
+	}
+}
+
+// Promise puts what this controller can do without into a renewal, and keeps
+// to it from now on, whether or not the leader ever reads that.
+func (o *Owner) Promise(r *peerpb.Renewal) {
+	ceilings := o.ceilings()
+	r.Grant = o.hold.Grant()
+	for _, team := range cluster.SortedKeys(ceilings) {
+		s := ceilings[team]
+		o.hold.Promise(r.GetNumber(), team, s)
+		r.Ceilings = append(r.Ceilings, &peerpb.Ceiling{Team: team, Cpus: int64(s.CPUs), Cards: int64(s.Cards)})
+	}
+}
+
+// TeamUses lists what this controller's tasks use and want, where others
+// have to know it.
+func (o *Owner) TeamUses() []*peerpb.TeamUse {
+	uses := o.Uses()
+	var out []*peerpb.TeamUse
+	for _, team := range cluster.SortedKeys(uses) {
+		out = append(out, uses[team])
+	}
+	return out
+}
+
+// allowance is how many of n tasks the team's limit leaves room for.
+func (o *Owner) allowance(j *Job, n int) int {
+	limit := o.ceilingOf(j.Rec.Team)
+	if !limit.Any() {
+		return n
+	}
+	used, need := o.used[j.Rec.Team], j.need()
+	room := func(limit, used, need float64) {
+		if limit > 0 && need > 0 {
+			n = min(n, int(max(0, (limit-used+1e-6)/need)))
+		}
+	}
+	room(limit.CPUs, used.CPUs, need.CPUs)
+	room(limit.Cards, used.Cards, need.Cards)
+	return n
+}
--- a/internal/controller/workers.go
+++ b/internal/owner/workers.go
@@ -1,4 +1,4 @@
-package controller
+package owner
 
 import (
 	"slices"
@@ -26,7 +26,7 @@
 
 // run is one attempt at a task on one machine.
 type run struct {
-	j       *job // nil: a task this controller knows no job for
+	j       *Job // nil: a task this controller knows no job for
 	i       int
 	task    string
 	attempt uint64
@@ -40,7 +40,7 @@
 	stop    bool   // to be halted
 	placed  time.Time
 	started time.Time
-	counted bool // in c.used
+	counted bool // in o.used
 }
 
 func (r *run) over() bool { return r.state == wire.TaskEnded }
@@ -96,7 +96,7 @@
 // bound tells whether the machine runs tasks that may not run on a spot one.
 func (m *machine) bound() bool {
 	for _, r := range m.runs {
-		if r.j != nil && !r.over() && !r.j.rec.Spot {
+		if r.j != nil && !r.over() && !r.j.Rec.Spot {
 			return true
 		}
 	}
@@ -120,59 +120,55 @@
 	mean      float64
 }
 
-func (c *Core) tokenFor(m *machine) uint64 { return c.hold.Token(m.bump) }
+func (o *Owner) tokenFor(m *machine) uint64 { return o.hold.Token(m.bump) }
 
 // mayStart tells whether this controller's block lease allows starts now.
-func (c *Core) mayStart() bool { return c.hold.MayStart(c.loop.Now) }
+func (o *Owner) mayStart() bool { return o.hold.MayStart(o.loop.Now) }
 
 // answerUntil is until when reports may be answered, which keeps tasks alive.
 // A job cancelled at another controller must be gone cancel_s later: past
 // this moment somebody else may have cancelled a task that an answer given
 // here would keep alive for another lease_s.
-func (c *Core) answerUntil() time.Time {
-	w := c.view.Cfg.Cluster.Workers
-	return c.fresh.Add(cluster.Shrink(config.Seconds(w.CancelS-w.LeaseS) - 2*time.Second))
+func (o *Owner) answerUntil() time.Time {
+	w := o.view.Cfg.Cluster.Workers
+	return o.fresh.Add(cluster.Shrink(config.Seconds(w.CancelS-w.LeaseS) - 2*time.Second))
 }
 
-// onReport handles a worker's report.
-func (c *Core) onReport(e step.ReportIn) {
+// Report handles a worker's report.
+func (o *Owner) Report(e step.ReportIn) {
 	r := &e.Report
 	if r.Machine == "" || r.Session == 0 {
-		c.answer(e.Req, 400, wire.ErrorAnswer{Error: "stroj and smjena are needed"})
+		o.loop.Answer(e.Req, 400, wire.ErrorAnswer{Error: "stroj and smjena are needed"})
 		return
 	}
-	if !c.loaded || !c.loop.Now.Before(c.answerUntil()) {
-		c.unavailable(e.Req)
+	if !o.records.Ready() || !o.loop.Now.Before(o.answerUntil()) {
+		o.loop.Unavailable(e.Req)
 		return
 	}
-	if !c.hold.Held() && c.refusedAlone() {
-		c.unavailable(e.Req) // others know who owns the machine by now
-		return
-	}
-	m := c.machines[r.Machine]
+	m := o.machines[r.Machine]
 	// A higher token than ours means that somebody else has taken over.
-	if m == nil || !c.hold.Held() || r.Token > c.tokenFor(m) {
-		c.guestReport(e)
+	if m == nil || !o.hold.Held() || r.Token > o.tokenFor(m) {
+		o.guestReport(e)
 		return
 	}
-	delete(c.guests, r.Machine)
-	c.observe(m, r, true)
+	delete(o.guests, r.Machine)
+	o.observe(m, r, true)
 	m.asking = true
-	c.placeSoon()
+	o.placeSoon()
 	m.asking = false
-	until := c.answerUntil()
-	cmds := c.commandsFor(m, viaAnswer)
-	if slices.ContainsFunc(cmds, func(k wire.Command) bool { return k.Op == wire.OpStart }) && c.hold.Until().Before(until) {
-		until = c.hold.Until()
+	until := o.answerUntil()
+	cmds := o.commandsFor(m, viaAnswer)
+	if slices.ContainsFunc(cmds, func(k wire.Command) bool { return k.Op == wire.OpStart }) && o.hold.Until().Before(until) {
+		until = o.hold.Until()
 	}
-	c.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: until,
-		Body: wire.ReportAnswer{Token: c.tokenFor(m), Commands: cmds}})
+	o.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: until,
+		Body: wire.ReportAnswer{Token: o.tokenFor(m), Commands: cmds}})
 }
 
 // commandsFor collects what the worker is to do and marks starts as sent.
-func (c *Core) commandsFor(m *machine, how via) []wire.Command {
+func (o *Owner) commandsFor(m *machine, how via) []wire.Command {
 	cmds := []wire.Command{}
-	delete(c.hurried, m.name)
+	delete(o.hurried, m.name)
 	todo := false
 	for _, r := range m.runs {
 		todo = todo || r.over() || r.stop || r.state == runQueued
@@ -188,18 +184,18 @@
 		case r.over():
 			// A start that may still be on its way would run again after a
 			// forget; then the ended entry stays until the token has moved.
-			if c.mayForget(r) {
+			if o.mayForget(r) {
 				cmds = append(cmds, wire.Command{Op: wire.OpForget, Task: r.task, Attempt: r.attempt})
 			}
 		case r.stop && r.state != runQueued:
 			g := grace
-			if r.j != nil && !r.j.over && r.j.rec.CheckpointS > 0 {
-				g = r.j.rec.SaveS + 1
+			if r.j != nil && !r.j.Over && r.j.Rec.CheckpointS > 0 {
+				g = r.j.Rec.SaveS + 1
 			}
 			cmds = append(cmds, wire.Command{Op: wire.OpHalt, Task: r.task, Attempt: r.attempt, GraceS: &g})
 		}
 	}
-	if !c.mayStart() || m.gave {
+	if !o.mayStart() || m.gave {
 		return cmds
 	}
 	for _, key := range keys {
@@ -210,7 +206,7 @@
 		r.state, r.via = "", how
 		r.sentSeq = m.seq
 		r.flying = how == viaDirect
-		r.fence = c.tokenFor(m) + 1
+		r.fence = o.tokenFor(m) + 1
 		cmds = append(cmds, wire.Command{Op: wire.OpStart, Task: r.task, Attempt: r.attempt})
 	}
 	return cmds
@@ -238,17 +234,17 @@
 
 // mayForget tells whether an ended attempt may be forgotten: its completion
 // is stored and no copy of its start can still arrive.
-func (c *Core) mayForget(r *run) bool {
+func (o *Owner) mayForget(r *run) bool {
 	if r.via == viaDirect && (r.flying || (r.fence != 0 && r.m.token < r.fence)) {
 		return false
 	}
-	return r.j == nil || r.j.over || !r.j.isDone(r.i) || r.j.isStored(r.i)
+	return r.j == nil || r.j.Over || !r.j.isDone(r.i) || r.j.isStored(r.i)
 }
 
 // observe takes a report into the picture. full is true for a real report,
 // false for the report in the answer of a direct command: only a real one
 // proves that the answer to the report before it was executed or dropped.
-func (c *Core) observe(m *machine, r *wire.Report, full bool) {
+func (o *Owner) observe(m *machine, r *wire.Report, full bool) {
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
 		return // late
 	}
@@ -256,7 +252,7 @@
 	m.session, m.seq, m.token = r.Session, r.Seq, max(m.token, r.Token)
 	m.endpoint, m.zone, m.spot = r.Endpoint, r.Zone, r.Spot
 	if full {
-		m.heard = c.loop.Now
+		m.heard = o.loop.Now
 		// A machine that was given up and reports after all, say after a cut,
 		// is as good as before, unless it is being returned already.
 		m.lost, m.missed = false, false
@@ -264,19 +260,19 @@
 	if m.kind != r.Type {
 		m.kind = r.Type
 	}
-	if t, ok := c.view.Types[m.kind]; ok {
+	if t, ok := o.view.Types[m.kind]; ok {
 		m.size = cluster.SizeOf(t)
 	}
 	if r.NoticeS != nil {
 		if m.gone.IsZero() {
-			m.gone = c.loop.Now.Add(config.Seconds(*r.NoticeS))
-			c.renewSoon = true // another can be rented meanwhile
+			m.gone = o.loop.Now.Add(config.Seconds(*r.NoticeS))
+			o.hold.Hurry() // another can be rented meanwhile
 			// What can be saved is saved now and goes on elsewhere, and
 			// replicas move. The rest runs on: it may still complete.
 			for _, a := range m.runs {
-				if a.j != nil && !a.over() && a.state != runQueued && (a.j.rec.CheckpointS > 0 || a.j.rec.Shape == wire.Daemon) {
+				if a.j != nil && !a.over() && a.state != runQueued && (a.j.Rec.CheckpointS > 0 || a.j.Rec.Shape == wire.Daemon) {
 					a.stop = true
-					c.hurry(m)
+					o.hurry(m)
 				}
 			}
 		}
@@ -285,10 +281,10 @@
 		// The worker has seen this controller's token: no command of an
 		// earlier holder is executed any more and the list is complete.
 		m.dirty = false
-		c.placeDue = true
+		o.placeDue = true
 	} else if m.dirty {
 		// Its next report may be seconds away: it is asked at once.
-		c.strangers[m.name] = true
+		o.strangers[m.name] = true
 	}
 	m.unanswered = 0
 	listed := make(map[runKey]bool, len(r.Tasks))
@@ -299,7 +295,7 @@
 		listed[key] = true
 		a := m.runs[key]
 		if a == nil {
-			a = c.adoptRun(m, t)
+			a = o.adoptRun(m, t)
 		}
 		a.listed = true
 		if a.j == nil && t.State != wire.TaskEnded {
@@ -309,15 +305,15 @@
 			continue
 		}
 		if t.State == wire.TaskRunning && a.state != wire.TaskRunning {
-			a.started = c.loop.Now
+			a.started = o.loop.Now
 			if a.j != nil {
-				m.keep(a.j.rec.Image, a.j.rec.ImageGB, c.view.Types[m.kind].CacheGB, true)
+				m.keep(a.j.Rec.Image, a.j.Rec.ImageGB, o.view.Types[m.kind].CacheGB, true)
 			}
 		}
 		a.state = t.State
-		c.log.Debug("task", "task", t.Task, "attempt", t.Attempt, "machine", m.name, "state", t.State, "why", t.Why)
+		o.log.Debug("task", "task", t.Task, "attempt", t.Attempt, "machine", m.name, "state", t.State, "why", t.Why)
 		if a.over() {
-			c.runEnded(a, t)
+			o.runEnded(a, t)
 		}
 	}
 	for key, a := range m.runs {
@@ -337,19 +333,19 @@
 				continue
 			}
 		}
-		c.dropRun(a)
+		o.dropRun(a)
 	}
-	c.touchIdle(m)
+	o.touchIdle(m)
 }
 
 // adoptRun takes up an attempt that an earlier owner started, or one that
 // belongs to no job known here, which is then halted.
-func (c *Core) adoptRun(m *machine, t *wire.TaskReport) *run {
-	a := &run{task: t.Task, attempt: t.Attempt, m: m, stop: true, placed: c.loop.Now, started: c.loop.Now}
+func (o *Owner) adoptRun(m *machine, t *wire.TaskReport) *run {
+	a := &run{task: t.Task, attempt: t.Attempt, m: m, stop: true, placed: o.loop.Now, started: o.loop.Now}
 	m.runs[runKey{t.Task, t.Attempt}] = a
 	id, i, ok := splitTask(t.Task)
-	j := c.jobs[id]
-	if !ok || j == nil || j.runs == nil || i >= j.rec.Tasks {
+	j := o.jobs[id]
+	if !ok || j == nil || j.runs == nil || i >= j.Rec.Tasks {
 		return a
 	}
 	a.i = i
@@ -357,15 +353,15 @@
 		a.j = j
 		return a
 	}
-	if j.over || j.isDone(i) || j.runs[i] != nil {
+	if j.Over || j.isDone(i) || j.runs[i] != nil {
 		if j.runs[i] != nil {
-			c.log.Error("task is on two machines", "task", t.Task, "machine", m.name, "other", j.runs[i].m.name)
+			o.log.Error("task is on two machines", "task", t.Task, "machine", m.name, "other", j.runs[i].m.name)
 		}
 		return a
 	}
 	a.j, a.stop = j, false
 	j.runs[i] = a
-	c.count(a, 1)
+	o.count(a, 1)
 	if k, ok := slices.BinarySearch(j.queue, i); ok {
 		j.queue = slices.Delete(j.queue, k, k+1)
 	}
@@ -373,75 +369,75 @@
 }
 
 // count adds an attempt to what its team uses, or takes it off.
-func (c *Core) count(r *run, n float64) {
+func (o *Owner) count(r *run, n float64) {
 	if r.j == nil || r.counted == (n > 0) {
 		return
 	}
 	r.counted = n > 0
-	c.used[r.j.rec.Team] = c.used[r.j.rec.Team].Add(r.j.need(), n)
+	o.used[r.j.Rec.Team] = o.used[r.j.Rec.Team].Add(r.j.need(), n)
 }
 
 // detach takes an attempt that is surely not running off its job.
-func (c *Core) detach(r *run, again bool) {
-	c.count(r, -1)
+func (o *Owner) detach(r *run, again bool) {
+	o.count(r, -1)
 	j := r.j
 	if j == nil || j.runs[r.i] != r {
 		return
 	}
 	delete(j.runs, r.i)
-	if again && !j.over && !j.isDone(r.i) && j.ready {
+	if again && !j.Over && !j.isDone(r.i) && j.ready {
 		if k, ok := slices.BinarySearch(j.queue, r.i); !ok {
 			j.queue = slices.Insert(j.queue, k, r.i)
 		}
 		if len(j.queue) == 1 {
-			j.waitSince = c.loop.Now
+			j.waitSince = o.loop.Now
 		}
 	}
-	c.placeDue = true
-	if j.over && len(j.runs) == 0 {
-		delete(c.jobs, j.rec.ID)
+	o.placeDue = true
+	if j.Over && len(j.runs) == 0 {
+		delete(o.jobs, j.Rec.ID)
 	}
 }
 
 // dropRun removes an attempt that is surely not running any more.
-func (c *Core) dropRun(r *run) {
+func (o *Owner) dropRun(r *run) {
 	delete(r.m.runs, runKey{r.task, r.attempt})
-	c.detach(r, true)
+	o.detach(r, true)
 }
 
 // runEnded handles the end of an attempt; the entry stays until the worker
 // has forgotten it.
-func (c *Core) runEnded(r *run, t *wire.TaskReport) {
+func (o *Owner) runEnded(r *run, t *wire.TaskReport) {
 	j, m := r.j, r.m
 	if j == nil {
 		return
 	}
 	switch t.Why {
 	case wire.WhyDone:
-		if j.runs != nil && j.rec.Shape != wire.Daemon {
-			c.markDone(j, r.i)
-			c.learn(r)
+		if j.runs != nil && j.Rec.Shape != wire.Daemon {
+			o.markDone(j, r.i)
+			o.learn(r)
 		}
 		m.oks++
 		clear(m.errors)
 		j.failures = 0
 	case wire.WhyError:
-		c.failed(r)
+		o.failed(r)
 	case wire.WhyNoRoom, wire.WhyInUse:
-		m.pauseTo = c.loop.Now.Add(2 * time.Second)
+		m.pauseTo = o.loop.Now.Add(2 * time.Second)
 	case wire.WhyUnknown:
-		j.notBefore = c.loop.Now.Add(2 * time.Second)
+		j.notBefore = o.loop.Now.Add(2 * time.Second)
 	}
-	c.detach(r, true)
-	if j.doneCount == j.rec.Tasks {
-		c.endJobs()
+	o.detach(r, true)
+	if j.doneCount == j.Rec.Tasks {
+		o.endJobs()
 	}
 }
 
 // failed judges an error: machines that fail several tasks are set aside,
 // jobs that fail on several machines back off. A job that has failed on other
 // machines is no evidence against this one.
-func (c *Core) failed(r *run) {
+func (o *Owner) failed(r *run) {
 	j, m := r.j, r.m
 	if j.failedOn == nil {
 		j.failedOn = map[string]bool{}
@@ -449,7 +445,7 @@
 	j.failedOn[m.name] = true
 	j.failures++
 	if len(j.failedOn) >= 3 {
-		j.notBefore = c.loop.Now.Add(min(time.Minute, time.Second<<min(j.failures, 6)))
+		j.notBefore = o.loop.Now.Add(min(time.Minute, time.Second<<min(j.failures, 6)))
 		return
 	}
 	if m.errors == nil {
@@ -460,43 +456,43 @@
 	if key := r.task; j.doneCount > 0 {
 		m.errors[key] = true
 	} else {
-		m.errors[j.rec.ID] = true
+		m.errors[j.Rec.ID] = true
 	}
 	if len(m.errors) >= 2 {
 		m.bad = true
-		c.renewSoon = true
-		c.log.Info("machine set aside", "machine", m.name, "errors", len(m.errors))
+		o.hold.Hurry()
+		o.log.Info("machine set aside", "machine", m.name, "errors", len(m.errors))
 	}
 }
 
 // learn compares a completed task's run time with its estimate.
-func (c *Core) learn(r *run) {
-	if r.started.IsZero() || r.j.rec.EstimateS <= 0 {
+func (o *Owner) learn(r *run) {
+	if r.started.IsZero() || r.j.Rec.EstimateS <= 0 {
 		return
 	}
-	s := c.class(r.j.rec.Class)
+	s := o.class(r.j.Rec.Class)
 	s.n++
-	took := c.loop.Now.Sub(r.started).Seconds()
+	took := o.loop.Now.Sub(r.started).Seconds()
 	w := max(0.05, 1/float64(s.n+3))
-	s.ratio += w * (took/r.j.rec.EstimateS - s.ratio)
+	s.ratio += w * (took/r.j.Rec.EstimateS - s.ratio)
 	s.mean += max(0.05, 1/float64(s.n)) * (took - s.mean)
 }
 
-func (c *Core) class(name string) *classStats {
-	s := c.classes[name]
+func (o *Owner) class(name string) *classStats {
+	s := o.classes[name]
 	if s == nil {
 		s = &classStats{ratio: 1}
-		c.classes[name] = s
+		o.classes[name] = s
 	}
 	return s
 }
 
 // runSeconds estimates how long a task of the job runs.
-func (c *Core) runSeconds(rec *wire.JobRecord) float64 {
-	return rec.EstimateS * min(3, max(0.3, c.class(rec.Class).ratio))
+func (o *Owner) runSeconds(rec *wire.JobRecord) float64 {
+	return rec.EstimateS * min(3, max(0.3, o.class(rec.Class).ratio))
 }
 
-func (c *Core) touchIdle(m *machine) {
+func (o *Owner) touchIdle(m *machine) {
 	for _, r := range m.runs {
 		if !r.over() {
 			m.idle = time.Time{}
@@ -504,45 +500,45 @@
 		}
 	}
 	if m.idle.IsZero() {
-		m.idle = c.loop.Now
+		m.idle = o.loop.Now
 	}
 }
 
 // guestReport handles a machine that is not in this controller's block.
-func (c *Core) guestReport(e step.ReportIn) {
+func (o *Owner) guestReport(e step.ReportIn) {
 	r := &e.Report
-	g := c.guests[r.Machine]
-	if g == nil || r.Session > g.rep.Session || c.loop.Now.Sub(g.heard) > config.Seconds(c.view.Cfg.Cluster.Workers.LeaseS) {
-		g = &guest{since: c.loop.Now}
-		c.guests[r.Machine] = g
-		c.renewSoon = true // its owner may take it for lost
-	}
-	g.rep, g.heard = *r, c.loop.Now
-	owner := c.view.OwnerOf(r.Machine)
+	g := o.guests[r.Machine]
+	if g == nil || r.Session > g.rep.Session || o.loop.Now.Sub(g.heard) > config.Seconds(o.view.Cfg.Cluster.Workers.LeaseS) {
+		g = &guest{since: o.loop.Now}
+		o.guests[r.Machine] = g
+		o.hold.Hurry() // its owner may take it for lost
+	}
+	g.rep, g.heard = *r, o.loop.Now
+	owner := o.view.OwnerOf(r.Machine)
 	if owner == "" {
-		c.renewSoon = true // the leader has to hear of it
-		if c.lead == nil && c.view.LinkUp(c.view.Lease.Leader, c.loop.Now) {
-			c.answer(e.Req, 421, wire.Redirect{ReportTo: c.view.Lease.Leader})
+		o.hold.Hurry() // the leader has to hear of it
+		if !o.view.Leading && o.view.LinkUp(o.view.Lease.Leader, o.loop.Now) {
+			o.loop.Answer(e.Req, 421, wire.Redirect{ReportTo: o.view.Lease.Leader})
 			return
 		}
-		if c.lead != nil && r.Token <= c.hold.Token(0) {
+		if o.view.Leading && r.Token <= o.hold.Token(0) {
 			// Answered when the machine is in a block, see releaseGuests.
 			g.pending = append(g.pending, e.Req)
 			return
 		}
-	} else if owner != c.view.Me && c.view.LinkUp(owner, c.loop.Now) && c.loop.Now.Sub(g.sent) > 5*time.Second {
-		g.sent = c.loop.Now
-		c.answer(e.Req, 421, wire.Redirect{ReportTo: owner})
+	} else if owner != o.view.Me && o.view.LinkUp(owner, o.loop.Now) && o.loop.Now.Sub(g.sent) > 5*time.Second {
+		g.sent = o.loop.Now
+		o.loop.Answer(e.Req, 421, wire.Redirect{ReportTo: owner})
 		return
 	}
 	// The owner is out of reach for this worker. Its own token keeps its
 	// tasks alive without a right to start anything. Not for long: a direct
 	// start held back on the way is only void once the session ends.
-	w := c.view.Cfg.Cluster.Workers
-	if c.loop.Now.Sub(g.since) > config.Seconds(max(0, w.CancelS-w.LeaseS-7)) {
-		c.unavailable(e.Req)
-		if c.loop.Now.Sub(g.since) > config.Seconds(w.CancelS+2*w.LeaseS) {
-			delete(c.guests, r.Machine)
+	w := o.view.Cfg.Cluster.Workers
+	if o.loop.Now.Sub(g.since) > config.Seconds(max(0, w.CancelS-w.LeaseS-7)) {
+		o.loop.Unavailable(e.Req)
+		if o.loop.Now.Sub(g.since) > config.Seconds(w.CancelS+2*w.LeaseS) {
+			delete(o.guests, r.Machine)
 		}
 		return
 	}
@@ -553,74 +549,74 @@
 	cmds := []wire.Command{}
 	for _, t := range r.Tasks {
 		id, _, _ := splitTask(t.Task)
-		if j := c.jobs[id]; t.State == wire.TaskEnded || (j != nil && !j.over) {
+		if j := o.jobs[id]; t.State == wire.TaskEnded || (j != nil && !j.Over) {
 			continue
 		}
-		if !c.hasEnded(id) && c.loop.Now.Sub(c.fresh) > watchHold+time.Second {
-			c.unavailable(e.Req)
+		if !o.records.Ended(id) && o.loop.Now.Sub(o.fresh) > cluster.WatchHold+time.Second {
+			o.loop.Unavailable(e.Req)
 			return
 		}
 		zero := 0.0
 		cmds = append(cmds, wire.Command{Op: wire.OpHalt, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 	}
-	c.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: c.answerUntil(),
+	o.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: o.answerUntil(),
 		Body: wire.ReportAnswer{Token: r.Token, Commands: cmds}})
 }
 
 // guestFresh is for how long a guest's report says that its machine lives. One
 // that has died since would otherwise not be released, and all that may have
 // run on it would wait.
-func (c *Core) guestFresh() time.Duration {
-	return min(10*time.Second, config.Seconds(aloneReports*c.view.Cfg.Cluster.Workers.ReportS))
+func (o *Owner) guestFresh() time.Duration {
+	return min(10*time.Second, config.Seconds(aloneReports*o.view.Cfg.Cluster.Workers.ReportS))
 }
 
 // releaseGuests answers reports that waited for their machine's block.
-func (c *Core) releaseGuests(all bool) {
+func (o *Owner) releaseGuests(all bool) {
 	pending := false
-	for _, g := range c.guests {
+	for _, g := range o.guests {
 		pending = pending || len(g.pending) > 0
 	}
 	if !pending {
 		return
 	}
-	for _, name := range cluster.SortedKeys(c.guests) {
-		g := c.guests[name]
-		if g == nil || len(g.pending) == 0 || (!all && c.view.OwnerOf(name) == "" && c.loop.Now.Sub(g.heard) < 2*time.Second) {
+	for _, name := range cluster.SortedKeys(o.guests) {
+		g := o.guests[name]
+		if g == nil || len(g.pending) == 0 || (!all && o.view.OwnerOf(name) == "" && o.loop.Now.Sub(g.heard) < 2*time.Second) {
 			continue
 		}
 		reqs := g.pending
 		g.pending = nil
 		for _, req := range reqs[:len(reqs)-1] {
-			c.unavailable(req)
+			o.loop.Unavailable(req)
 		}
 		last := reqs[len(reqs)-1]
-		if c.view.OwnerOf(name) == "" {
-			c.unavailable(last)
+		if o.view.OwnerOf(name) == "" {
+			o.loop.Unavailable(last)
 			continue
 		}
-		c.onReport(step.ReportIn{Req: last, Report: g.rep})
+		o.Report(step.ReportIn{Req: last, Report: g.rep})
 	}
 }
 
 // hurry notes that a machine has commands that should go out at once.
-func (c *Core) hurry(m *machine) { c.hurried[m.name] = true }
+func (o *Owner) hurry(m *machine) { o.hurried[m.name] = true }
 
 // sendCommands sends starts that wait straight to their workers: waiting for
 // the next report would cost a task seconds.
-func (c *Core) sendCommands() {
-	if len(c.hurried) == 0 || !c.mayStart() {
+func (o *Owner) sendCommands() {
+	if len(o.hurried) == 0 || !o.mayStart() {
 		return
 	}
-	for _, name := range cluster.SortedKeys(c.hurried) {
-		m := c.machines[name]
+	for _, name := range cluster.SortedKeys(o.hurried) {
+		m := o.machines[name]
 		if m == nil {
-			delete(c.hurried, name)
+			delete(o.hurried, name)
 			continue
 		}
-		if m.calling || m.asking || m.gave || m.endpoint == "" || m.session == 0 || c.loop.Now.Before(m.noDirect) {
+		if m.calling || m.asking || m.gave || m.endpoint == "" || m.session == 0 || o.loop.Now.Before(m.noDirect) {
 			continue
 		}
-		cmds := c.commandsFor(m, viaDirect)
+		cmds := o.commandsFor(m, viaDirect)
 		if len(cmds) == 0 {
 			continue
 		}
@@ -631,18 +627,18 @@
 				sent = append(sent, r)
 			}
 		}
-		c.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: c.hold.Until(),
-			Body: wire.Commands{Token: c.tokenFor(m), Session: m.session, Commands: cmds},
-			ID:   c.loop.Call(func(d step.Completed) { c.directDone(m, sent, d) })})
+		o.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: o.hold.Until(),
+			Body: wire.Commands{Token: o.tokenFor(m), Session: m.session, Commands: cmds},
+			ID:   o.loop.Call(func(d step.Completed) { o.directDone(m, sent, d) })})
 	}
 }
 
-func (c *Core) directDone(m *machine, sent []*run, d step.Completed) {
+func (o *Owner) directDone(m *machine, sent []*run, d step.Completed) {
 	m.calling = false
 	for _, r := range sent {
 		r.flying = false
 	}
-	if c.machines[m.name] != m {
+	if o.machines[m.name] != m {
 		return
 	}
 	switch {
@@ -650,18 +646,18 @@
 		for _, r := range sent {
 			r.fence = 0 // answered: no copy is on its way
 		}
-		c.observe(m, d.Report, false)
+		o.observe(m, d.Report, false)
 	case d.Status == 409 || d.Status == 400 || d.Status == -1:
 		// Nothing was executed, and this request never will be.
 		for _, r := range sent {
 			if m.runs[runKey{r.task, r.attempt}] == r && !r.listed {
-				c.dropRun(r)
+				o.dropRun(r)
 			}
 		}
 		if d.Status == 409 && d.Report != nil && d.Report.Machine == m.name {
-			c.observe(m, d.Report, false)
+			o.observe(m, d.Report, false)
 		}
-		m.noDirect = c.loop.Now.Add(2 * time.Second)
+		m.noDirect = o.loop.Now.Add(2 * time.Second)
 	default:
 		// No answer: perhaps executed, perhaps later. A higher token in the
 		// next answer to the worker's report settles that.
@@ -669,9 +665,9 @@
 			m.bump++
 		}
 		m.unanswered++
-		m.noDirect = c.loop.Now.Add(config.Seconds(2 * c.view.Cfg.Cluster.Workers.ReportS))
+		m.noDirect = o.loop.Now.Add(config.Seconds(2 * o.view.Cfg.Cluster.Workers.ReportS))
 	}
-	c.touchIdle(m)
+	o.touchIdle(m)
 }
 
 // ---- machines that this controller has not heard yet
@@ -684,7 +680,7 @@
 // It is then asked: after a takeover every job that may have been started
 // before waits until the last machine has been heard, and the next reports
 // may be seconds away.
-func (c *Core) introduce(m *machine, s *peerpb.Seen) {
+func (o *Owner) introduce(m *machine, s *peerpb.Seen) {
 	if s.GetEndpoint() == "" || m.endpoint != "" {
 		return
 	}
@@ -692,26 +688,26 @@
 	if m.kind == "" {
 		m.kind, m.zone, m.spot = s.GetType(), s.GetZone(), s.GetSpot()
 	}
-	c.strangers[m.name] = true
+	o.strangers[m.name] = true
 }
 
 // askWorkers asks machines that were introduced for their tasks, by commands
 // that name none. The answer counts as a report; the token that comes with
 // the question rules out commands of an earlier holder.
-func (c *Core) askWorkers() {
-	if len(c.strangers) == 0 || !c.mayStart() {
+func (o *Owner) askWorkers() {
+	if len(o.strangers) == 0 || !o.mayStart() {
 		return
 	}
-	for _, name := range cluster.SortedKeys(c.strangers) {
-		m := c.machines[name]
-		if m == nil || m.gave || m.lost || (m.session != 0 && !m.dirty && !c.silent(m)) {
-			delete(c.strangers, name)
+	for _, name := range cluster.SortedKeys(o.strangers) {
+		m := o.machines[name]
+		if m == nil || m.gave || m.lost || (m.session != 0 && !m.dirty && !o.silent(m)) {
+			delete(o.strangers, name)
 			continue
 		}
-		if c.asking >= asksAtOnce {
+		if o.asking >= asksAtOnce {
 			return
 		}
-		if m.calling || m.asking || m.endpoint == "" || c.loop.Now.Before(m.noDirect) {
+		if m.calling || m.asking || m.endpoint == "" || o.loop.Now.Before(m.noDirect) {
 			continue
 		}
 		session := m.session
@@ -719,42 +715,23 @@
 			session = m.guess
 		}
 		m.calling = true
-		c.asking++
-		c.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: c.hold.Until(),
-			Body: wire.Commands{Token: c.tokenFor(m), Session: session, Commands: []wire.Command{}},
-			ID: c.loop.Call(func(d step.Completed) {
-				c.asking--
-				c.directDone(m, nil, d)
+		o.asking++
+		o.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: o.hold.Until(),
+			Body: wire.Commands{Token: o.tokenFor(m), Session: session, Commands: []wire.Command{}},
+			ID: o.loop.Call(func(d step.Completed) {
+				o.asking--
+				o.directDone(m, nil, d)
 				if d.Status == 409 && m.session != 0 && m.session != session {
 					m.noDirect = time.Time{} // the wrong session; now it is known
 				}
 				if d.Status == 200 {
-					c.placeDue = true
+					o.placeDue = true
 				}
-				c.askWorkers()
+				o.askWorkers()
 			})})
 	}
 }
 
-// tellKnown tells a controller how to reach machines of its block.
-func (c *Core) tellKnown(r *peerpb.Renewal) {
-	var known []*peerpb.Seen
-	names, err := wire.UnpackNames(r.GetUnknown())
-	if err != nil {
-		c.log.Error("names in a renewal", "err", err)
-	}
-	for _, name := range names {
-		if s := c.lead.Seen(name); s.GetEndpoint() != "" && c.view.OwnerOf(name) == r.GetNode() {
-			known = append(known, s)
-		}
-	}
-	if len(known) > 0 {
-		f := c.frame()
-		f.SpareCpus, f.Known = c.spare, known
-		c.loop.Emit(step.PeerSend{To: r.GetNode(), Frame: f})
-	}
-}
-
 // cutPatience is how much longer machines may be silent that fell silent with
 // half of their zone.
 const cutPatience = 25 * time.Second
@@ -777,8 +754,8 @@
 const DirectTimeout = 2 * time.Second
 
 // silent tells whether a machine has missed its reports.
-func (c *Core) silent(m *machine) bool {
-	return c.loop.Now.Sub(m.heard) > config.Seconds(aloneReports*c.view.Cfg.Cluster.Workers.ReportS)
+func (o *Owner) silent(m *machine) bool {
+	return o.loop.Now.Sub(m.heard) > config.Seconds(aloneReports*o.view.Cfg.Cluster.Workers.ReportS)
 }
 
 // census counts a zone's machines, all and ordinary ones, and how many of
@@ -800,22 +777,22 @@
 func (z *census) wave() bool { return z.ordinary >= zoneWitnesses && 10*z.silentThere <= z.ordinary }
 
 // checkMachines looks for machines that fell silent.
-func (c *Core) checkMachines() {
-	c.releaseGuests(false)
-	w := c.view.Cfg.Cluster.Workers
+func (o *Owner) checkMachines() {
+	o.releaseGuests(false)
+	w := o.view.Cfg.Cluster.Workers
 	limit := cluster.Stretch(config.Seconds(w.LeaseS)) + time.Second
 	// Machines of a zone that fall silent together are cut off rather than
 	// dead. They come back as they were when the cut ends, so they are given
 	// more time; new ones would take a boot time and may not be had at all.
 	zones := map[string]*census{}
 	alone := 0
-	for _, m := range c.machines {
+	for _, m := range o.machines {
 		z := zones[m.zone]
 		if z == nil {
 			z = &census{}
 			zones[m.zone] = z
 		}
-		silent := c.loop.Now.Sub(m.heard)
+		silent := o.loop.Now.Sub(m.heard)
 		z.all++
 		if !m.spot {
 			z.ordinary++
@@ -828,7 +805,7 @@
 				z.silentThere++
 			}
 		}
-		if c.silent(m) {
+		if o.silent(m) {
 			z.silent++
 		}
 	}
@@ -836,22 +813,22 @@
 		// They do not all come back in the moment in which a cut ends: some
 		// have first to be sent back by whom they turned to meanwhile.
 		if z.cut() {
-			c.cutUntil[zone] = c.loop.Now.Add(config.Seconds(w.LeaseS))
+			o.cutUntil[zone] = o.loop.Now.Add(config.Seconds(w.LeaseS))
 		}
 	}
-	for _, m := range c.machines {
+	for _, m := range o.machines {
 		if m.lost {
 			continue
 		}
-		silent := c.loop.Now.Sub(m.heard)
+		silent := o.loop.Now.Sub(m.heard)
 		patience := limit
 		z := zones[m.zone]
-		if c.silent(m) {
-			c.strangers[m.name] = true
+		if o.silent(m) {
+			o.strangers[m.name] = true
 		}
-		if c.loop.Now.Before(c.cutUntil[m.zone]) {
+		if o.loop.Now.Before(o.cutUntil[m.zone]) {
 			patience += cutPatience
-		} else if m.spot && (z.wave() || (!m.dirty && float64(alone) <= max(2, aloneShare*float64(len(c.machines))))) {
+		} else if m.spot && (z.wave() || (!m.dirty && float64(alone) <= max(2, aloneShare*float64(len(o.machines))))) {
 			few := config.Seconds(aloneReports * w.ReportS)
 			patience = min(patience, max(aloneLeast, few))
 			if m.unanswered > 0 && z.wave() {
@@ -859,35 +836,36 @@
 			}
 			// Another can be rented before this one is given up.
 			if silent > few && !m.missed {
-				m.missed, c.renewSoon = true, true
+				m.missed = true
+				o.hold.Hurry()
 			}
 		}
 		if silent > patience ||
-			(!m.gone.IsZero() && c.loop.Now.Sub(m.gone) > 2*time.Second && silent > config.Seconds(1.5*w.ReportS)) {
+			(!m.gone.IsZero() && o.loop.Now.Sub(m.gone) > 2*time.Second && silent > config.Seconds(1.5*w.ReportS)) {
 			m.lost = true
-			c.renewSoon = true
-			c.log.Info("machine lost", "machine", m.name, "silent", silent)
+			o.hold.Hurry()
+			o.log.Info("machine lost", "machine", m.name, "silent", silent)
 		}
 		// A machine that has not been heard since it was taken over may run
 		// tasks that are not known yet: empty means known to be empty.
 		if m.recall && !m.gave && len(m.runs) == 0 && !m.calling && !m.dirty && m.session != 0 && m.orphans == 0 {
 			m.gave = true
-			c.renewSoon = true
+			o.hold.Hurry()
 		}
 	}
-	for name, g := range c.guests {
-		if c.loop.Now.Sub(g.heard) > time.Minute {
-			delete(c.guests, name)
+	for name, g := range o.guests {
+		if o.loop.Now.Sub(g.heard) > time.Minute {
+			delete(o.guests, name)
 		}
 	}
 }
 
 // machineGone removes a machine that the cloud has surely ended.
-func (c *Core) machineGone(m *machine) {
-	delete(c.machines, m.name)
-	c.orderDue = true
+func (o *Owner) machineGone(m *machine) {
+	delete(o.machines, m.name)
+	o.orderDue = true
 	for _, r := range m.runs {
-		c.detach(r, true)
+		o.detach(r, true)
 	}
-	c.placeDue = true
+	o.placeDue = true
 }
--- a/internal/step/step.go
+++ b/internal/step/step.go
@@ -51,6 +51,16 @@
 	return true
 }
 
+// Answer answers a request.
+func (l *Loop) Answer(req uint64, status int, body any) {
+	l.Emit(Reply{Req: req, Status: status, Body: body})
+}
+
+// Unavailable tells whoever asked, at once, to come back.
+func (l *Loop) Unavailable(req uint64) {
+	l.Emit(Reply{Req: req, Status: 503, Body: wire.ErrorAnswer{Error: "not now"}, RetryAfter: 1})
+}
+
 // Event is something that happened.
 type Event any
 
