Homes move back: an owner offers homes of which nothing runs

A successor kept a dead controller's homes until their last job ended, also when nothing of them ran.

--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -193,6 +193,16 @@
 	return out
 }
 
+// Homes lists the homes of a team's jobs: its parts by name, then the team
+// itself, which is for all jobs that were filed under no part.
+func Homes(homes map[string]string, team string) []string {
+	out := Parts(homes, team)
+	if _, ok := homes[team]; ok {
+		out = append(out, team)
+	}
+	return out
+}
+
 // SortedKeys lists a map's keys in order, wherever the order shows in the
 // effects: the same events always have the same outcome.
 func SortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -124,6 +124,10 @@
 // Parted tells how many teams' limits are held in shares.
 func (c *Core) Parted() int { return len(c.view.Lease.Shares) }
 
+// Homes names the controller of every home, as the lease value last read does.
+// The map is not to be changed.
+func (c *Core) Homes() map[string]string { return c.view.Lease.Homes }
+
 // Holds tells how many machines are in this controller's block.
 func (c *Core) Holds() int { return c.own.Holds() }
 
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -107,12 +107,12 @@
 
 // trade has a renewal sent when there is something to promise.
 func (c *Core) trade() {
-	if c.loop.Now.Sub(c.tradedAt) < tradeEvery || len(c.view.Lease.Shares) == 0 {
+	if c.loop.Now.Sub(c.tradedAt) < tradeEvery {
 		return
 	}
 	c.tradedAt = c.loop.Now
 	c.own.Trade()
-	if c.lead != nil {
+	if c.lead != nil && len(c.view.Lease.Shares) > 0 {
 		c.lead.Trade()
 	}
 }
--- a/internal/grant/grant.go
+++ b/internal/grant/grant.go
@@ -11,6 +11,7 @@
 package grant
 
 import (
+	"slices"
 	"time"
 
 	"fawncove/internal/cluster"
@@ -31,9 +32,16 @@
 	sent     map[uint64]time.Time // when each renewal that is not yet honoured went out
 	attempts uint64
 	promises share.Holder
+	yields   []yield
 	hurry    bool
 }
 
+// yield is a home that a renewal offers to give up.
+type yield struct {
+	renewal uint64
+	home    string
+}
+
 // New returns the holder for a process with this incarnation, whose block
 // leases last for lease.
 func New(incarnation uint64, lease time.Duration) *Holder {
@@ -96,6 +104,7 @@
 		h.grant, h.attempts = b.Grant, 0 // attempts are counted under each grant anew
 	}
 	h.promises.Honoured(b.Renewal)
+	h.yields = slices.DeleteFunc(h.yields, func(y yield) bool { return y.renewal <= b.Renewal })
 	sent, ok := h.sent[b.Renewal]
 	if !ok {
 		return
@@ -115,6 +124,7 @@
 	h.grant, h.until = 0, time.Time{}
 	clear(h.sent)
 	h.promises.Reset()
+	h.yields = nil
 }
 
 // Promise notes that the renewal with this number promises to use no more of a
@@ -126,3 +136,15 @@
 // Ceiling is what of a team's share in the lease value may be used: all of it,
 // or less if less was promised.
 func (h *Holder) Ceiling(team string, s wire.Share) wire.Share { return h.promises.Ceiling(team, s) }
+
+// Yield notes that the renewal with this number offers to give up a home. From
+// now on nothing of it may be started.
+func (h *Holder) Yield(renewal uint64, home string) {
+	h.yields = append(h.yields, yield{renewal, home})
+}
+
+// Yielded tells whether a home is on offer. It is until a value honours the
+// renewal: that value says whether the home has moved.
+func (h *Holder) Yielded(home string) bool {
+	return slices.ContainsFunc(h.yields, func(y yield) bool { return y.home == home })
+}
--- a/internal/leader/homes.go
+++ b/internal/leader/homes.go
@@ -67,6 +67,27 @@
 // homeLeast bounds machinesPerHome from below, for very small controllers.
 const homeLeast = 150
 
+// seat chooses who gets a home that a controller offers: of those alive the one
+// with fewest homes of that team, and then with the smallest block; the one that
+// offers it when nobody has fewer.
+func (l *Leader) seat(rec *wire.LeaseRecord, home, from string) string {
+	team, _, _ := wire.CutPart(home)
+	count := map[string]int{}
+	for _, h := range cluster.Homes(rec.Homes, team) {
+		count[rec.Homes[h]]++
+	}
+	best := from
+	for _, node := range cluster.SortedKeys(rec.Blocks) {
+		if node == from || !l.alive(node) || count[node] >= count[from] {
+			continue
+		}
+		if best == from || count[node] < count[best] || (count[node] == count[best] && load(rec, node) < load(rec, best)) {
+			best = node
+		}
+	}
+	return best
+}
+
 // settleHomes gives every team a home, and large fleets the parts of teams
 // that may be parted.
 func (l *Leader) settleHomes(rec *wire.LeaseRecord) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -112,7 +112,7 @@
 	}
 	l.renewals[node], l.heardAt[node] = r, l.loop.Now
 	if !ok || b.Incarnation != r.GetIncarnation() ||
-		r.GetResigned() || len(r.GetGave())+len(r.GetLost())+len(r.GetSeen()) > 0 {
+		r.GetResigned() || len(r.GetGave())+len(r.GetLost())+len(r.GetSeen())+len(r.GetYields()) > 0 {
 		l.dirty = true
 	}
 	return true
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -184,3 +184,28 @@
 func (h *countingHandler) Handle(context.Context, slog.Record) error { h.lines++; return nil }
 func (h *countingHandler) WithAttrs([]slog.Attr) slog.Handler        { return h }
 func (h *countingHandler) WithGroup(string) slog.Handler             { return h }
+
+// TestHomesAreMovedOnce: an offer to give up a home counts with the write that
+// honours its renewal and under its grant only, and moves the home to whom has
+// fewest of the team. Later the owner may have started tasks of it again.
+func TestHomesAreMovedOnce(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		number, grant uint64
+		want          string
+	}{
+		{"a new renewal", 6, 3<<16 + 1, "n0"},
+		{"one that the value honours already", 5, 3<<16 + 1, "n1"},
+		{"one of an earlier grant", 6, 3 << 16, "n1"},
+	} {
+		l := newLeader([]config.Team{{Name: "red"}}, wire.LeaseRecord{Form: 2, Term: 3, Leader: "n0", Incarnation: 7,
+			Homes: map[string]string{"red #1": "n0", "red #2": "n1", "red #3": "n1", "red #4": "n1"},
+			Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7},
+				"n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 5}}})
+		l.Renewal(&peerpb.Renewal{Node: "n1", Incarnation: 9, Number: c.number, Grant: c.grant, Yields: []string{"red #3", "red #1"}})
+		rec, _ := l.Publish(&peerpb.Renewal{Node: "n0", Incarnation: 7, Number: 1})
+		if rec.Homes["red #3"] != c.want || rec.Homes["red #1"] != "n0" {
+			t.Errorf("%s: homes are %v", c.name, rec.Homes)
+		}
+	}
+}
--- a/internal/leader/shares.go
+++ b/internal/leader/shares.go
@@ -10,8 +10,8 @@
 	"fawncove/internal/wire"
 )
 
-// honour lowers a holder's shares to what the renewal promises. It may only be
-// called for the write that makes the renewal the one last honoured: the same
+// honour lowers a holder's shares to what the renewal promises, and moves the
+// homes that it offers. It may only be called for the write that makes the renewal the one last honoured: the same
 // promise, come late, says nothing about a share raised since. And a promise
 // made under another grant knows nothing of the machines, and the tasks on
 // them, that came with this one.
@@ -27,6 +27,11 @@
 		s.CPUs, s.Cards = min(s.CPUs, int(x.GetCpus())), min(s.Cards, int(x.GetCards()))
 		rec.Shares[x.GetTeam()][node] = s
 	}
+	for _, home := range r.GetYields() {
+		if rec.Homes[home] == node {
+			rec.Homes[home] = l.seat(rec, home, node)
+		}
+	}
 }
 
 // inherit gives the shares of a controller that ended to its successor, to
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -42,9 +42,10 @@
 
 	fresh   time.Time // all changes of jobs before this time are known
 	jobs    map[string]*Job
-	homes   map[string]uint64 // home -> version of the lease value with which it became ours
-	writing int               // ends under way
-	ending  map[string]bool   // jobs whose end is to be stored
+	homes   map[string]uint64    // home -> version of the lease value with which it became ours
+	offered map[string]time.Time // when each home was last offered, see yield.go
+	writing int                  // ends under way
+	ending  map[string]bool      // jobs whose end is to be stored
 
 	// The pages of completed tasks, see pages.go.
 	pages     []*page
@@ -78,6 +79,7 @@
 	return &Owner{loop: loop, view: view, hold: hold, records: records, log: log,
 		jobs:      map[string]*Job{},
 		homes:     map[string]uint64{},
+		offered:   map[string]time.Time{},
 		ending:    map[string]bool{},
 		pageOf:    map[string]*page{},
 		facts:     map[string][]byte{},
@@ -213,6 +215,7 @@
 	for home := range o.homes {
 		if homes[home] != o.view.Me {
 			delete(o.homes, home)
+			o.leave(home)
 		}
 	}
 	gained := map[string]bool{}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"fawncove/internal/config"
 	"fawncove/internal/grant"
 	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/sched"
 	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
@@ -334,3 +336,85 @@
 		}
 	}
 }
+
+// twoHomes is a lease value in which n0 has three homes of a team and n1 one.
+func twoHomes(old wire.NameSet) wire.LeaseRecord {
+	return wire.LeaseRecord{Term: 3, Leader: "n1",
+		Homes: map[string]string{"red #1": "n0", "red #2": "n0", "red #3": "n0", "red #4": "n1"},
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: wire.NameSet{"host-000001"}, Old: old},
+			"n1": {Grant: 1<<18 + 1, Incarnation: 9}}}
+}
+
+// TestOnlyDryHomesAreOffered: a home moves with nothing but its records. A task
+// of it that runs, may run, or was completed without that being stored would run
+// again with the next owner.
+func TestOnlyDryHomesAreOffered(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		old  wire.NameSet
+		do   func(o *Owner, j *Job)
+		want []string
+	}{
+		{"nothing runs", nil, func(*Owner, *Job) {}, []string{"red #3"}},
+		{"a task runs", nil, func(o *Owner, j *Job) { o.start(j, o.machines["host-000001"]) }, []string{"red #2"}},
+		{"a machine is not heard yet", wire.NameSet{"host-000002"}, func(*Owner, *Job) {}, nil},
+		{"a machine runs what is not known", nil, func(o *Owner, j *Job) { o.machines["host-000001"].orphans = 1 }, nil},
+		{"a completed task is not stored", nil, func(o *Owner, j *Job) { o.markDone(j, 3) }, []string{"red #2"}},
+		{"a completed task is stored", nil, func(o *Owner, j *Job) { o.markDone(j, 3); j.stored[0] = 1 << 3 }, []string{"red #3"}},
+		{"its end is being stored", nil, func(o *Owner, j *Job) { j.Writing = true }, []string{"red #2"}},
+		{"what was completed is still being read", nil, func(o *Owner, j *Job) { j.ready = false }, []string{"red #2"}},
+		{"it was offered a moment ago", nil, func(o *Owner, j *Job) { o.offered["red #3"] = o.loop.Now }, []string{"red #2"}},
+		{"the others are out of reach", nil, func(o *Owner, j *Job) { o.view.Peers["n1"].Heard = time.Time{} }, nil},
+	} {
+		o, now := newOwner(t, []config.Team{{Name: "red"}}, twoHomes(c.old))
+		o.view.Peers["n1"].Heard = now
+		o.Put(wire.JobRecord{Job: wire.Job{ID: "wk-000001", Team: "red", Shape: wire.Array, Priority: "standard", Tasks: 8, CPUs: 1}, Part: "red #3"}, 9)
+		c.do(o, o.jobs["wk-000001"])
+		if got := o.yields(); !slices.Equal(got, c.want) {
+			t.Errorf("%s: offers %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestOfferedHomeStaysQuiet expects that nothing of an offered home is started
+// until a value honours the offer, and that a home which comes back is owned as
+// if it never had been here: what this controller remembers of it is old.
+func TestOfferedHomeStaysQuiet(t *testing.T) {
+	rec := twoHomes(nil)
+	o, now := newOwner(t, []config.Team{{Name: "red"}}, rec)
+	o.view.Peers["n1"].Heard = now
+	mayStart(o)
+	m := o.machines["host-000001"]
+	m.kind, m.zone, m.session, m.endpoint, m.size = "s4", "x", 1, "e", sched.Amount{CPUs: 4, MemoryGB: 16}
+	o.Put(wire.JobRecord{Job: wire.Job{ID: "wk-000001", Team: "red", Shape: wire.Array, Priority: "standard", Tasks: 8, CPUs: 1}, Part: "red #3"}, 9)
+	j := o.jobs["wk-000001"]
+	r := &peerpb.Renewal{Number: o.hold.Sent(now)}
+	o.Promise(r)
+	if !slices.Equal(r.Yields, []string{"red #3"}) || r.Grant != 1<<18 {
+		t.Fatalf("offers %v under grant %d", r.Yields, r.Grant)
+	}
+	o.place()
+	if len(j.runs) > 0 {
+		t.Fatal("started though its home is on offer")
+	}
+	// The value that honours the offer moves the home.
+	lease := func(version uint64, node string) {
+		next := rec.Clone()
+		b := next.Blocks["n0"]
+		b.Renewal = r.Number
+		next.Blocks["n0"], next.Homes["red #3"] = b, node
+		o.view.Take(next, version)
+		o.hold.Granted(b)
+		o.Leased(b)
+	}
+	lease(10, "n1")
+	o.place()
+	if o.owns(j) || j.ready || len(j.runs) > 0 {
+		t.Errorf("after it has moved: owned %v, ready %v, %d tasks started", o.owns(j), j.ready, len(j.runs))
+	}
+	lease(11, "n0")
+	o.place()
+	if !o.owns(j) || j.ready || !j.reading || len(j.runs) > 0 {
+		t.Errorf("when it is back: owned %v, ready %v, reading %v, %d tasks started", o.owns(j), j.ready, j.reading, len(j.runs))
+	}
+}
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -25,7 +25,7 @@
 	}
 	var list []entry
 	for _, j := range o.jobs {
-		if !o.owns(j) || !j.ready || j.Over || len(j.queue) == 0 || o.loop.Now.Before(j.notBefore) {
+		if !o.owns(j) || !j.ready || j.Over || len(j.queue) == 0 || o.loop.Now.Before(j.notBefore) || o.hold.Yielded(j.home()) {
 			continue
 		}
 		list = append(list, entry{j, sched.Ready{
--- a/internal/owner/uses.go
+++ b/internal/owner/uses.go
@@ -167,6 +167,9 @@
 			o.hold.Hurry()
 		}
 	}
+	if len(o.yields()) > 0 {
+		o.hold.Hurry()
+	}
 }
 
 // Promise puts what this controller can do without into a renewal, and keeps
@@ -179,6 +182,11 @@
 		o.hold.Promise(r.GetNumber(), team, s)
 		r.Ceilings = append(r.Ceilings, &peerpb.Ceiling{Team: team, Cpus: int64(s.CPUs), Cards: int64(s.Cards)})
 	}
+	for _, home := range o.yields() {
+		o.hold.Yield(r.GetNumber(), home)
+		o.offered[home] = o.loop.Now
+		r.Yields = append(r.Yields, home)
+	}
 }
 
 // TeamUses lists what this controller's tasks use and want, where others
--- a/internal/simtest/world.go
+++ b/internal/simtest/world.go
@@ -8,10 +8,10 @@
 
 import (
 	"container/heap"
+	"context"
 	"encoding/json"
 	"fmt"
 	"hash"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"reflect"
@@ -51,6 +51,7 @@
 	doomed  []*user            // cancelled, and perhaps still running somewhere
 	Starts  int
 	Dones   int
+	moves   int         // of homes between controllers that live
 	trace   hash.Hash64 // of all that the cores asked for, if it is kept
 }
 
@@ -285,7 +286,7 @@
 	n.life++
 	n.up = true
 	n.waits = map[uint64]func(step.Reply){}
-	n.core = controller.New(s, n.w.par, slog.New(slog.NewTextHandler(io.Discard, nil)), uint64(n.clock().UnixMilli()))
+	n.core = controller.New(s, n.w.par, slog.New(moveCounter{slog.DiscardHandler, n.w}), uint64(n.clock().UnixMilli()))
 	life := n.life
 	var tick func()
 	tick = func() {
@@ -297,6 +298,21 @@
 	n.w.after(time.Millisecond, tick)
 }
 
+// moveCounter is a log that counts the homes which controllers gave up.
+type moveCounter struct {
+	slog.Handler
+	w *World
+}
+
+func (h moveCounter) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h moveCounter) Handle(_ context.Context, r slog.Record) error {
+	if r.Message == "home moved" {
+		h.w.moves++
+	}
+	return nil
+}
+
 // Crash ends controller i; it is back after d.
 func (w *World) Crash(i int, d time.Duration) {
 	n := w.nodes[i]
--- a/internal/simtest/world_test.go
+++ b/internal/simtest/world_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
@@ -232,7 +233,7 @@
 			if seed%2 == 1 && (form != 2 || parted != 2) {
 				t.Errorf("lease value in form %d, the limits of %d teams parted", form, parted)
 			}
-			t.Logf("form %d, %d machines in blocks, %d starts, %d completions", form, most, w.Starts, w.Dones)
+			t.Logf("form %d, %d machines in blocks, %d starts, %d completions, %d homes moved", form, most, w.Starts, w.Dones, w.moves)
 		})
 	}
 }
@@ -510,3 +511,48 @@
 		}
 	}
 }
+
+// TestHomesMoveBack has controllers taken over one after the other while jobs
+// come in, some of them twice, and expects the homes to spread again over all
+// of them with every rule kept: no task of a home that moves runs anywhere,
+// none that was completed is forgotten.
+func TestHomesMoveBack(t *testing.T) {
+	for seed := *first; seed < *first+*large; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := NewLarge(2*seed - 1)
+			for i := range 140 {
+				w.SubmitWide(i, time.Duration(w.rng.IntN(200000))*time.Millisecond)
+			}
+			for i := range 6 {
+				// The leader is among them, and whoever took over last.
+				w.after(time.Duration(15+25*i)*time.Second, func() { w.Crash(w.rng.IntN(len(w.nodes)), 30*time.Second) })
+			}
+			w.Run(420 * time.Second)
+			for _, b := range w.Broken() {
+				t.Error(b)
+			}
+			if left := w.Unfinished(); len(left) > 0 {
+				t.Errorf("not over: %v", left)
+			}
+			homes := w.nodes[0].core.Homes()
+			for _, team := range w.cfg.Teams {
+				count := map[string]int{}
+				for _, home := range cluster.Homes(homes, team.Name) {
+					count[homes[home]]++
+				}
+				least, most := len(homes), 0
+				for _, n := range w.nodes {
+					least, most = min(least, count[n.name]), max(most, count[n.name])
+				}
+				if most-least > 1 {
+					t.Errorf("homes of %s are with %v", team.Name, count)
+				}
+			}
+			t.Logf("%d starts, %d completions, %d homes moved", w.Starts, w.Dones, w.moves)
+			if w.moves == 0 {
+				t.Error("no home has moved between controllers that live")
+			}
+		})
+	}
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -122,6 +122,10 @@
 // PartName names part k of a team's jobs.
 func PartName(team string, k int) string { return team + partMark + strconv.Itoa(k) }
 
+// CutPart takes the name of a home apart: the team, and the part of its jobs if
+// it is one.
+func CutPart(home string) (team, part string, isPart bool) { return strings.Cut(home, partMark) }
+
 // IsPart tells whether a home is that of a part of the team's jobs.
 func IsPart(home, team string) bool { return strings.HasPrefix(home, team+partMark) }
 
