--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -8,61 +8,27 @@
 	"log/slog"
 	"time"
 
+	"fawncove/internal/cluster"
 	"fawncove/internal/config"
+	"fawncove/internal/grant"
+	"fawncove/internal/leader"
 	"fawncove/internal/leasevalue"
+	"fawncove/internal/owner"
 	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
-	"fawncove/internal/share"
+	"fawncove/internal/step"
 	"fawncove/internal/wire"
 )
 
-// Params are the open defaults of the design.
-type Params struct {
-	Lease   time.Duration // how long a block lease lasts
-	Publish time.Duration // how often the leader publishes
-	K2      int           // the look-ahead threshold
-	Pack    int           // fleets smaller than this have all homes in one place
-	Home    int           // fleets larger than this have the jobs of limited teams parted too
-}
-
-// Defaults are the starting values.
-func Defaults() Params {
-	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 700}
-}
-
-const (
-	// drift is how far two steady clocks may run apart, both ways together.
-	drift = 0.001
-	// margin covers what happens between a check of a right and its use.
-	margin = 500 * time.Millisecond
-	// watchHold bounds how old this controller's knowledge of cancellations
-	// gets while the state service answers.
-	watchHold = 2 * time.Second
-	// linkDead is the silence after which a peer counts as out of reach.
-	linkDead = 2500 * time.Millisecond
-)
-
-// stretch returns how long another machine's d may take on this one's clock.
-func stretch(d time.Duration) time.Duration { return d + time.Duration(float64(d)*drift) + margin }
-
-// shrink returns how much of d this machine may use for itself.
-func shrink(d time.Duration) time.Duration { return d - time.Duration(float64(d)*drift) - margin }
-
 // Core is the state of one controller.
 type Core struct {
-	cfg *config.Settings
-	// budgets are the limits of the settings that bound the fleet, but for the
-	// lease value, whose size is known.
-	budgets []config.Budget
-	par     Params
-	log     *slog.Logger
-	me      string
-	inc     uint64
+	view *cluster.View
+	hold *grant.Holder
+	log  *slog.Logger
+
+	loop step.Loop
 
-	now     time.Time
-	out     []Effect
-	nextID  uint64
-	waiting map[uint64]func(Completed)
+	own  *owner.Owner
+	lead *leader.Leader // nil while another controller leads
 
 	// What the state service holds, as far as this controller knows.
 	loaded     bool
@@ -71,167 +37,81 @@
 	rev        uint64
 	watchAt    time.Time
 	watching   bool
-	fresh      time.Time // all changes before this time are known
 	stateOK    time.Time // last answer of the state service
-	jobs       map[string]*job
 	ended      map[string]wire.EndRecord
 	endedOrder []string
 	verify     verifier
-	writing    int             // ends under way
-	ending     map[string]bool // jobs whose end is to be stored
 
-	// The pages of completed tasks, see progress.go.
-	pages     []*page
-	pageOf    map[string]*page  // by entry
-	facts     map[string][]byte // what the pages say, by entry
-	pageReads uint64            // readings of all pages begun
-	pagesBusy bool
-	pagesNext time.Time
-
-	types     map[string]wire.MachineType
 	typesAt   time.Time
 	typesBusy bool
 
-	// The lease value and this controller's rights under it.
-	lease        wire.LeaseRecord
-	owners       map[string]string // machine -> controller, by the lease value
-	leaseVersion uint64
+	// The lease value.
 	leaseSeen    time.Time
 	leaseBusy    bool
 	book         leasevalue.Book // the pages beside the lease value
 	unread       *wire.Pair      // a lease value whose pages are not all known
 	unreadSince  time.Time
 	leaseReading bool
-	valueBytes   int       // of the lease value written last, with pages
-	right        time.Time // until when this controller may start tasks
-	grant        uint64
-	renewals     uint64
-	renewalSent  map[uint64]time.Time
 	renewAt      time.Time
-	renewSoon    bool
-	homes        map[string]uint64 // team -> revision at which it became ours
-	lead         *leader
-	promises     share.Holder // to use less of a share
 	tradedAt     time.Time
 
-	machines map[string]*machine
-	used     map[string]sched.Amount
-	stopping map[string]sched.Amount // the part of used that is being stopped
-	attempts uint64
-	guests   map[string]*guest
-	peers    map[string]*peerState
-	classes  map[string]*classStats
-	inflow   map[int64]float64 // accepted work by step of time, see arrived
-	placeDue bool
-	placedAt time.Time
-	choices  []choice   // reused by placeTasks
-	order    []*machine // the block by name, see machineOrder
-	orderDue bool
-	// hurried are machines with commands that should go out at once.
-	hurried   map[string]bool
-	strangers map[string]bool      // machines to be asked for their tasks
-	asking    int                  // such questions under way
-	cutUntil  map[string]time.Time // zones whose machines may yet come back together
-	preemptAt time.Time
-	pingAt    time.Time
-	spare     float64 // processors free here beyond what waits
-	room      room    // free here now
-	progress  map[string]*peerpb.Progress
-}
-
-// peerState is what is known of another controller.
-type peerState struct {
-	area    string
-	heard   time.Time
-	stateOK bool
-	okSince time.Time // since when it says so without a break
-	spare   float64   // processors free beyond what waits
-	form    uint32    // the newest form of the lease value that it reads
-	teams   map[string]*peerpb.TeamUse
-	room    room
+	// What was last told to the peers.
+	pingAt time.Time
+	spare  float64      // processors free here beyond what waits
+	room   cluster.Room // free here
 }
 
 // New returns the core of the controller described by cfg. incarnation must
 // be larger than that of every earlier process of the same name.
-func New(cfg *config.Settings, par Params, log *slog.Logger, incarnation uint64) *Core {
-	c := &Core{cfg: cfg, par: par, log: log, me: cfg.HostName, inc: incarnation,
-		waiting:     map[uint64]func(Completed){},
-		jobs:        map[string]*job{},
-		ended:       map[string]wire.EndRecord{},
-		ending:      map[string]bool{},
-		pageOf:      map[string]*page{},
-		facts:       map[string][]byte{},
-		types:       map[string]wire.MachineType{},
-		renewalSent: map[uint64]time.Time{},
-		owners:      map[string]string{},
-		homes:       map[string]uint64{},
-		machines:    map[string]*machine{},
-		used:        map[string]sched.Amount{},
-		stopping:    map[string]sched.Amount{},
-		hurried:     map[string]bool{},
-		strangers:   map[string]bool{},
-		guests:      map[string]*guest{},
-		cutUntil:    map[string]time.Time{},
-		peers:       map[string]*peerState{},
-		classes:     map[string]*classStats{},
-		inflow:      map[int64]float64{},
-		progress:    map[string]*peerpb.Progress{},
-	}
-	for _, b := range cfg.Budgets() {
-		if b.Field != "cluster.state.value_kb" {
-			c.budgets = append(c.budgets, b)
-		}
-	}
-	for _, p := range cfg.Peers {
-		c.peers[p.HostName] = &peerState{area: p.Area}
-	}
+func New(cfg *config.Settings, par cluster.Params, log *slog.Logger, incarnation uint64) *Core {
+	c := &Core{view: cluster.New(cfg, par), log: log, hold: grant.New(incarnation, par.Lease),
+		ended: map[string]wire.EndRecord{}}
+	c.own = owner.New(&c.loop, c.view, c.hold, c, log)
 	return c
 }
 
 // Step handles one event and returns what is to be done.
-func (c *Core) Step(now time.Time, ev Event) []Effect {
-	c.now = now
-	c.out = nil
+func (c *Core) Step(now time.Time, ev step.Event) []step.Effect {
+	c.loop.Begin(now)
 	switch e := ev.(type) {
-	case Tick:
+	case step.Tick:
 		c.tick()
-	case ReportIn:
-		c.onReport(e)
-	case SubmitIn:
+	case step.ReportIn:
+		c.own.Report(e)
+	case step.SubmitIn:
 		c.onSubmit(e)
-	case PollIn:
+	case step.PollIn:
 		c.onPoll(e)
-	case CancelIn:
+	case step.CancelIn:
 		c.onCancel(e)
-	case PeerIn:
+	case step.PeerIn:
 		c.onPeer(e.Frame)
-	case Completed:
-		if f := c.waiting[e.ID]; f != nil {
-			delete(c.waiting, e.ID)
-			if e.State && (e.Status == 200 || e.Status == 404 || e.Status == 409) {
-				c.stateOK = now
-			}
-			f(e)
+	case step.Completed:
+		if e.State && (e.Status == 200 || e.Status == 404 || e.Status == 409) {
+			c.stateOK = now
+		}
+		c.loop.Complete(e)
+		if c.lead != nil && c.lead.Again() {
+			c.leadTick()
 		}
 	default:
 		c.log.Error("unknown event", "type", fmt.Sprintf("%T", ev))
 	}
-	c.placeSoon()
-	c.sendCommands()
-	return c.out
+	c.own.Work()
+	return c.loop.Effects()
 }
 
 // Healthy tells whether users can be served here: everything is read, and
 // where the state service is out of reach, nobody else does better.
 func (c *Core) Healthy() bool {
-	if !c.loaded || len(c.types) == 0 || c.leaseVersion == 0 {
+	if !c.loaded || len(c.view.Types) == 0 || c.view.Version == 0 {
 		return false
 	}
-	if c.now.Sub(c.stateOK) < 4*time.Second {
+	if c.loop.Now.Sub(c.stateOK) < 4*time.Second {
 		return true
 	}
-	for _, p := range c.peers {
-		if c.now.Sub(p.heard) < linkDead && p.stateOK {
+	for _, p := range c.view.Peers {
+		if c.loop.Now.Sub(p.Heard) < cluster.LinkDead && p.StateOK {
 			return false
 		}
 	}
@@ -239,22 +119,17 @@
 }
 
 // LeaseForm is the form of the lease value as this controller last read it.
-func (c *Core) LeaseForm() int { return c.lease.Form }
+func (c *Core) LeaseForm() int { return c.view.Lease.Form }
 
 // Parted tells how many teams' limits are held in shares.
-func (c *Core) Parted() int { return len(c.lease.Shares) }
+func (c *Core) Parted() int { return len(c.view.Lease.Shares) }
 
-// Holds tells how many machines are in this controller's block.
-func (c *Core) Holds() int { return len(c.machines) }
-
-func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
+// Homes names the controller of every home, as the lease value last read does.
+// The map is not to be changed.
+func (c *Core) Homes() map[string]string { return c.view.Lease.Homes }
 
-// call registers f for the completion of an effect and returns its id.
-func (c *Core) call(f func(Completed)) uint64 {
-	c.nextID++
-	c.waiting[c.nextID] = f
-	return c.nextID
-}
+// Holds tells how many machines are in this controller's block.
+func (c *Core) Holds() int { return c.own.Holds() }
 
 // tick does what time alone brings about.
 func (c *Core) tick() {
@@ -270,37 +145,33 @@
 	c.elect()
 	c.renew()
 	c.ping()
-	c.readPages()
-	c.endJobs()
-	c.flushPages()
+	c.own.Store()
 	c.runVerify()
-	c.checkMachines()
-	c.askWorkers()
+	c.own.Check()
 	c.leadTick()
-	c.placeDue = true
 }
 
 // loadTypes reads the machine types, which validation needs, and refreshes
 // the leader's prices now and then.
 func (c *Core) loadTypes() {
 	every := 30 * time.Second
-	if len(c.types) == 0 {
+	if len(c.view.Types) == 0 {
 		every = time.Second
 	} else if c.lead == nil {
 		return
 	}
-	if c.typesBusy || (!c.typesAt.IsZero() && c.now.Sub(c.typesAt) < every) {
+	if c.typesBusy || (!c.typesAt.IsZero() && c.loop.Now.Sub(c.typesAt) < every) {
 		return
 	}
-	c.typesBusy, c.typesAt = true, c.now
-	c.emit(CloudTypes{ID: c.call(func(d Completed) {
+	c.typesBusy, c.typesAt = true, c.loop.Now
+	c.loop.Emit(step.CloudTypes{ID: c.loop.Call(func(d step.Completed) {
 		c.typesBusy = false
 		if d.Status != 200 {
 			return
 		}
 		for _, t := range d.Types.Types {
 			if t.Name != "" && t.CPUs > 0 {
-				c.types[t.Name] = t
+				c.view.Types[t.Name] = t
 			}
 		}
 	})})
@@ -308,89 +179,53 @@
 
 // ping keeps the links to the peers alive and carries counts for display.
 func (c *Core) ping() {
-	if c.now.Before(c.pingAt) {
+	if c.loop.Now.Before(c.pingAt) {
 		return
 	}
-	c.pingAt = c.now.Add(time.Second)
+	c.pingAt = c.loop.Now.Add(time.Second)
 	f := c.frame()
-	busy, _, size := c.measure()
+	busy, _, size := c.own.Measure()
 	c.spare = size - busy
 	f.SpareCpus = c.spare
-	f.Teams = c.usesOfTeams()
-	c.room = c.roomNow()
-	c.room.size = size
-	f.FreeCpus, f.ImageCpus, f.SizeCpus = c.room.free, c.room.images, size
-	for _, j := range c.jobs {
-		if c.owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
-			j.shown = [2]int{j.doneCount, j.running()}
-			f.Progress = append(f.Progress, &peerpb.Progress{Id: j.rec.ID, Done: int32(j.doneCount), Running: int32(j.running())})
-		}
-	}
-	for _, name := range sortedKeys(c.peers) {
-		c.emit(PeerSend{To: name, Frame: f})
+	f.Teams = c.own.TeamUses()
+	c.room = c.own.Room()
+	c.room.Size = size
+	f.FreeCpus, f.ImageCpus, f.SizeCpus = c.room.Free, c.room.Images, size
+	f.Progress = c.own.News()
+	for _, name := range cluster.SortedKeys(c.view.Peers) {
+		c.loop.Emit(step.PeerSend{To: name, Frame: f})
 	}
 }
 
 // frame is the beginning of every message to another controller.
 func (c *Core) frame() *peerpb.Frame {
-	return &peerpb.Frame{From: c.me, Incarnation: c.inc, StateOk: c.now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
+	return &peerpb.Frame{From: c.view.Me, Incarnation: c.hold.Incarnation(), StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
 }
 
 func (c *Core) onPeer(f *peerpb.Frame) {
-	p := c.peers[f.GetFrom()]
+	p := c.view.Peers[f.GetFrom()]
 	if p == nil {
 		c.log.Warn("frame from an unknown peer", "from", f.GetFrom())
 		return
 	}
-	if f.GetStateOk() && (!p.stateOK || c.now.Sub(p.heard) > linkDead) {
-		p.okSince = c.now
+	if f.GetStateOk() && (!p.StateOK || c.loop.Now.Sub(p.Heard) > cluster.LinkDead) {
+		p.OKSince = c.loop.Now
 	}
-	p.heard, p.stateOK, p.form = c.now, f.GetStateOk(), f.GetReadsForm()
+	p.Heard, p.StateOK, p.Form = c.loop.Now, f.GetStateOk(), f.GetReadsForm()
 	if f.GetRenewal() == nil {
-		p.spare = f.GetSpareCpus()
+		p.Spare = f.GetSpareCpus()
 	}
 	if f.GetImageCpus() != nil {
-		p.room = room{f.GetFreeCpus(), f.GetSizeCpus(), f.GetImageCpus()}
+		p.Room = cluster.Room{Free: f.GetFreeCpus(), Size: f.GetSizeCpus(), Images: f.GetImageCpus()}
 	}
-	p.tell(f.GetTeams())
+	p.Tell(f.GetTeams())
 	for _, g := range f.GetProgress() {
-		if j := c.jobs[g.GetId()]; j != nil {
-			j.told = [2]int{int(g.GetDone()), int(g.GetRunning())}
-		}
-	}
-	for _, k := range f.GetKnown() {
-		if m := c.machines[k.GetName()]; m != nil {
-			c.introduce(m, k)
+		if j := c.own.Job(g.GetId()); j != nil {
+			j.Told = [2]int{int(g.GetDone()), int(g.GetRunning())}
 		}
 	}
-	c.askWorkers()
+	c.own.Meet(f.GetKnown())
 	if r := f.GetRenewal(); r != nil && r.GetNode() == f.GetFrom() {
 		c.onRenewal(r)
 	}
 }
-
-// tell notes what a controller's tasks use and want.
-func (p *peerState) tell(uses []*peerpb.TeamUse) {
-	for _, u := range uses {
-		if p.teams == nil {
-			p.teams = map[string]*peerpb.TeamUse{}
-		}
-		p.teams[u.GetTeam()] = u
-	}
-}
-
-// usesOfTeams lists what this controller's tasks use and want, where others
-// have to know it.
-func (c *Core) usesOfTeams() []*peerpb.TeamUse {
-	uses := c.teamUse()
-	var out []*peerpb.TeamUse
-	for _, team := range sortedKeys(uses) {
-		out = append(out, uses[team])
-	}
-	return out
-}
-
-func (c *Core) linkUp(name string) bool {
-	p := c.peers[name]
-	return p != nil && !p.heard.IsZero() && c.now.Sub(p.heard) < linkDead
-}
--- /dev/null
+++ b/internal/controller/lead.go
@@ -0,0 +1,118 @@
+package controller
+
+import (
+	"time"
+
+	"fawncove/internal/leader"
+	"fawncove/internal/owner"
+	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/step"
+	"fawncove/internal/wire"
+)
+
+// Here the core and its leader meet: what the core hands on to it, and what it
+// tells it of itself.
+
+// local is what the leader asks its own controller.
+type local struct {
+	*owner.Owner
+	core *Core
+}
+
+// Renewal describes the controller as its next renewal would.
+func (l local) Renewal() *peerpb.Renewal { return l.core.Renewal() }
+
+// startLeading makes this controller the leader of a term.
+func (c *Core) startLeading(term uint64) {
+	c.log.Info("leading", "term", term)
+	c.stopLeading()
+	c.lead = leader.New(&c.loop, c.view, &c.book, local{c.own, c}, c.log, c.hold.Incarnation(), term)
+	c.view.Leading = true
+}
+
+// stopLeading drops the leader, if there is one.
+func (c *Core) stopLeading() {
+	if c.lead != nil {
+		c.lead.End()
+		c.lead, c.view.Leading = nil, false
+	}
+}
+
+// onRenewal takes in a controller's renewal.
+func (c *Core) onRenewal(r *peerpb.Renewal) {
+	lease := &c.view.Lease
+	if c.lead == nil && r.GetResigned() && r.GetNode() == lease.Leader && r.GetIncarnation() > lease.Incarnation {
+		c.leaseSeen = c.loop.Now.Add(-leaderDead) // nobody leads: no need to wait that long
+	}
+	if c.lead == nil || r.GetNode() == c.view.Me {
+		return
+	}
+	if c.view.Peers[r.GetNode()] == nil {
+		c.log.Warn("renewal from an unknown controller", "node", r.GetNode())
+		return
+	}
+	if !c.lead.Renewal(r) {
+		return // late
+	}
+	c.view.Peers[r.GetNode()].Tell(r.GetTeams())
+	c.tellKnown(r)
+	c.log.Debug("renewal", "node", r.GetNode(), "number", r.GetNumber(), "heard", len(r.GetHeard()), "demand", len(r.GetDemand()))
+	c.leadTick()
+}
+
+// leadTick does what leading needs: the lease value, then the fleet.
+func (c *Core) leadTick() {
+	if c.lead == nil {
+		return
+	}
+	if c.hold.Hurried() {
+		c.hold.Calm()
+		c.lead.Stir()
+	}
+	if !c.leaseBusy && c.lead.Due() {
+		c.publish()
+	}
+	c.lead.Run()
+}
+
+// publish writes what the leader proposes.
+func (c *Core) publish() {
+	own := c.Renewal()
+	c.own.Promise(own)
+	rec, stored := c.lead.Publish(own)
+	c.writeLease(rec, stored)
+}
+
+// tellKnown tells a controller how to reach machines of its block.
+func (c *Core) tellKnown(r *peerpb.Renewal) {
+	var known []*peerpb.Seen
+	names, err := wire.UnpackNames(r.GetUnknown())
+	if err != nil {
+		c.log.Error("names in a renewal", "err", err)
+	}
+	for _, name := range names {
+		if s := c.lead.Seen(name); s.GetEndpoint() != "" && c.view.OwnerOf(name) == r.GetNode() {
+			known = append(known, s)
+		}
+	}
+	if len(known) > 0 {
+		f := c.frame()
+		f.SpareCpus, f.Known = c.spare, known
+		c.loop.Emit(step.PeerSend{To: r.GetNode(), Frame: f})
+	}
+}
+
+// tradeEvery spaces the looks at whether others are short of a share.
+const tradeEvery = 300 * time.Millisecond
+
+// trade has a renewal sent when there is something to promise.
+func (c *Core) trade() {
+	if c.loop.Now.Sub(c.tradedAt) < tradeEvery {
+		return
+	}
+	c.tradedAt = c.loop.Now
+	c.own.Trade()
+	if c.lead != nil && len(c.view.Lease.Shares) > 0 {
+		c.lead.Trade()
+	}
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 
@@ -94,12 +95,37 @@
 	Shares map[string]Shares `msgpack:"-"`
 }
 
+// Clone returns a copy whose blocks, homes and shares can be changed; the sets
+// of machines in the blocks are shared and must be replaced.
+func (r *LeaseRecord) Clone() LeaseRecord {
+	out := *r
+	out.Blocks = maps.Clone(r.Blocks)
+	if out.Blocks == nil {
+		out.Blocks = map[string]Block{}
+	}
+	out.Homes = maps.Clone(r.Homes)
+	if out.Homes == nil {
+		out.Homes = map[string]string{}
+	}
+	if r.Shares != nil {
+		out.Shares = make(map[string]Shares, len(r.Shares))
+		for team, s := range r.Shares {
+			out.Shares[team] = maps.Clone(s)
+		}
+	}
+	return out
+}
+
 // partMark parts a team's name from the number of a part.
 const partMark = " #"
 
 // PartName names part k of a team's jobs.
 func PartName(team string, k int) string { return team + partMark + strconv.Itoa(k) }
 
+// CutPart takes the name of a home apart: the team, and the part of its jobs if
+// it is one.
+func CutPart(home string) (team, part string, isPart bool) { return strings.Cut(home, partMark) }
+
 // IsPart tells whether a home is that of a part of the team's jobs.
 func IsPart(home, team string) bool { return strings.HasPrefix(home, team+partMark) }
 
