Artefact store: serve, capture, logs, list, get, verify, prune

The store gets its interface and its commands. capture runs a command, spools what it prints and produces within a bound and sends it as the store takes it; logs and artefacts read, label and tidy up. Nothing in the daemon depends on it.

--- a/cmd/fawncove/main.go
+++ b/cmd/fawncove/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
@@ -15,9 +16,20 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand())
-	if err := root.Execute(); err != nil {
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), artefactsCommand(), captureCommand(), logsCommand())
+	err := root.Execute()
+	var exit exitStatus
+	switch {
+	case errors.As(err, &exit):
+		os.Exit(int(exit))
+	case err != nil:
 		fmt.Fprintln(os.Stderr, "fawncove:", err)
 		os.Exit(1)
 	}
 }
+
+// exitStatus ends the program with a status and without a word: the command it
+// ran has said all there is.
+type exitStatus int
+
+func (e exitStatus) Error() string { return fmt.Sprintf("exit status %d", int(e)) }
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"time"
@@ -95,6 +96,9 @@
 	}
 	text := fmt.Sprintf("# Keys of the artefact store. The first signs, all are accepted.\n[[keys]]\nid = %q\nsecret = %q\n",
 		time.Now().UTC().Format("20060102-150405"), base64.StdEncoding.EncodeToString(secret[:]))
+	if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+		return fmt.Errorf("keys: %w", err)
+	}
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("keys: %w", err)
--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -58,6 +58,11 @@
 	Offset  int64
 }
 
+// After is the position right after a record.
+func (p Position) After(rec []byte) Position {
+	return Position{p.Segment, p.Offset + headerSize + int64(len(rec))}
+}
+
 // Before tells whether p comes before q.
 func (p Position) Before(q Position) bool {
 	return p.Segment < q.Segment || (p.Segment == q.Segment && p.Offset < q.Offset)
