--- a/internal/segment/segment.go
+++ b/internal/segment/segment.go
@@ -87,11 +87,17 @@
 	appends chan *request
 	done    chan struct{} // closed when the writer has ended
 
-	mu     sync.Mutex // guards what follows
+	// gate is held for reading while something is handed to the writer, so that
+	// Close cannot close the channel in between. It is not mu, which the writer
+	// itself needs: with more than the channel holds both would wait for ever.
+	gate   sync.RWMutex
 	closed bool
+
+	mu     sync.Mutex // guards what follows
 	sizes  map[uint64]int64
 	files  map[uint64]File // open for reading
 	active uint64
+	syncs  int64
 }
 
 type request struct {
@@ -197,14 +203,14 @@
 
 // Close ends the log once what was appended before is on disk.
 func (l *Log) Close() error {
-	l.mu.Lock()
+	l.gate.Lock()
 	if l.closed {
-		l.mu.Unlock()
+		l.gate.Unlock()
 		return nil
 	}
 	l.closed = true
 	close(l.appends)
-	l.mu.Unlock()
+	l.gate.Unlock()
 	<-l.done
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -234,17 +240,16 @@
 		}
 	}
 	req := &request{recs: recs, then: then, done: make(chan struct{})}
-	l.mu.Lock()
+	l.gate.RLock()
 	if l.closed {
-		l.mu.Unlock()
+		l.gate.RUnlock()
 		return nil, ErrClosed
 	}
-	// Sent under the lock, so that Close cannot close the channel in between.
 	select {
 	case l.appends <- req:
-		l.mu.Unlock()
+		l.gate.RUnlock()
 	case <-ctx.Done():
-		l.mu.Unlock()
+		l.gate.RUnlock()
 		return nil, ctx.Err()
 	}
 	select {
@@ -341,6 +346,7 @@
 	}
 	w.log.mu.Lock()
 	w.log.sizes[w.num] = w.size
+	w.log.syncs++
 	w.log.mu.Unlock()
 	return nil
 }
@@ -507,6 +513,13 @@
 	return out
 }
 
+// Syncs counts the commits so far, each of which was synced.
+func (l *Log) Syncs() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.syncs
+}
+
 // Active is the file that is appended to, or was last; it cannot be removed.
 func (l *Log) Active() uint64 {
 	l.mu.Lock()
--- a/internal/segment/segment_test.go
+++ b/internal/segment/segment_test.go
@@ -159,6 +159,27 @@
 	}
 }
 
+// TestManyAtOnce appends from more goroutines than the log takes at a time: they
+// and its writer once waited for each other for ever.
+func TestManyAtOnce(t *testing.T) {
+	l, err := segment.Open(segment.Options{FS: faultfs.New(1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	for i := range 3000 {
+		wg.Go(func() {
+			if _, err := l.Append(context.Background(), fmt.Append(nil, i)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	if err := l.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // FuzzReplay lets the reader of segments loose on anything: it must end, and
 // only ever return what reading the place again confirms.
 func FuzzReplay(f *testing.F) {
