--- a/internal/artefactd/artefactd.go
+++ b/internal/artefactd/artefactd.go
@@ -21,6 +21,7 @@
 	"fawncove/internal/artefactapi"
 	"fawncove/internal/keys"
 	"fawncove/internal/replica"
+	"fawncove/internal/s3fs"
 	"fawncove/internal/segment"
 )
 
@@ -47,10 +48,15 @@
 	if err != nil {
 		return nil, err
 	}
-	dir, err := segment.MkDir(filepath.Join(cfg.Dir, "segments"))
-	if err != nil {
+	var dir segment.FS
+	if dir, err = segment.MkDir(filepath.Join(cfg.Dir, "segments")); err != nil {
 		return nil, fmt.Errorf("dir: %w", err)
 	}
+	if cfg.S3 != nil {
+		if dir, err = s3fs.New(*cfg.S3); err != nil {
+			return nil, err
+		}
+	}
 	// Names the run of the machine: what its memory holds of the index is good
 	// for as long. Where it cannot be read the index is made again.
 	boot, _ := os.ReadFile("/proc/sys/kernel/random/boot_id")
--- a/internal/artefactd/config.go
+++ b/internal/artefactd/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/url"
+	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/BurntSushi/toml"
 
 	"fawncove/internal/artefactapi"
+	"fawncove/internal/s3fs"
 )
 
 // Config are an instance's settings. Paths are relative to the file's folder.
@@ -23,6 +25,7 @@
 	Dir       string        // where segments and index are kept
 	Keys      string        // file of keys; made if it is missing
 	Segment   int64         // size of a segment, in bytes
+	S3        *s3fs.Options // where segments are kept instead, if not nil
 	Quiet     time.Duration // after which an attempt without an end counts as cut off
 	CertFile  string        // TLS, with KeyFile; none if both are empty
 	KeyFile   string
@@ -44,7 +47,16 @@
 	Keys      string `toml:"keys"`
 	SegmentMB int64  `toml:"segment_mb"`
 	QuietS    int64  `toml:"quiet_s"`
-	TLS       struct {
+	S3        struct {
+		Endpoint   string `toml:"endpoint"`
+		Insecure   bool   `toml:"insecure"`
+		Region     string `toml:"region"`
+		Bucket     string `toml:"bucket"`
+		Prefix     string `toml:"prefix"`
+		AccessKey  string `toml:"access_key"`
+		SecretFile string `toml:"secret_file"`
+	} `toml:"s3"`
+	TLS struct {
 		Cert string `toml:"cert"`
 		Key  string `toml:"key"`
 	} `toml:"tls"`
@@ -123,6 +135,17 @@
 			return nil, fmt.Errorf("%s: %d is not between %d and %d", x.name, x.n, x.least, x.most)
 		}
 	}
+	if s := f.S3; s.Endpoint != "" || s.Bucket != "" {
+		if s.Endpoint == "" || s.Bucket == "" || s.AccessKey == "" || s.SecretFile == "" {
+			return nil, errors.New("s3: endpoint, bucket, access_key and secret_file go together")
+		}
+		secret, err := os.ReadFile(at(s.SecretFile))
+		if err != nil {
+			return nil, fmt.Errorf("s3.secret_file: %w", err)
+		}
+		c.S3 = &s3fs.Options{Endpoint: s.Endpoint, Secure: !s.Insecure, Region: s.Region, Bucket: s.Bucket, Prefix: s.Prefix,
+			AccessKey: s.AccessKey, SecretKey: strings.TrimSpace(string(secret))}
+	}
 	if (f.TLS.Cert == "") != (f.TLS.Key == "") {
 		return nil, errors.New("tls: cert and key go together")
 	}
