--- a/cmd/fawncove/artefacts.go
+++ b/cmd/fawncove/artefacts.go
@@ -7,12 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"net/url"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -28,6 +26,7 @@
 	"fawncove/internal/artefactd"
 	"fawncove/internal/client"
 	"fawncove/internal/keys"
+	"fawncove/internal/wholefile"
 	"fawncove/internal/wire"
 )
 
@@ -102,14 +101,6 @@
 	return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 }
 
-func textLog() (*slog.Logger, error) {
-	level, err := logLevel(os.Getenv("LOG_LEVEL"))
-	if err != nil {
-		return nil, err
-	}
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})), nil
-}
-
 func artefactsCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "artefacts", Short: "Keep and read what attempts print and produce"}
 	cmd.AddCommand(artefactsServe(), artefactsToken(), artefactsList(), artefactsGet(), artefactsVerify(), artefactsPrune())
@@ -204,6 +195,35 @@
 	return q, nil
 }
 
+// reading is what the commands share that read what attempts left.
+type reading struct {
+	access
+	attempt    uint64
+	controller string
+	asJSON     bool
+}
+
+func (r *reading) flags(cmd *cobra.Command) {
+	r.access.flags(cmd)
+	f := cmd.Flags()
+	f.Uint64Var(&r.attempt, "attempt", 0, "this attempt only")
+	f.BoolVar(&r.asJSON, "json", false, "one JSON object a line")
+	f.StringVar(&r.controller, "controller", os.Getenv("FAWNCOVE_CONTROLLER"), "URL of a controller, to tell which attempt counted (or FAWNCOVE_CONTROLLER)")
+}
+
+// begin returns what to ask for JOB or JOB/TASK, and whom.
+func (r *reading) begin(ctx context.Context, arg string) (url.Values, *artefactapi.Client, error) {
+	q, err := target(arg, r.attempt)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := askFinal(ctx, r.controller, q); err != nil {
+		return nil, nil, err
+	}
+	c, err := r.client()
+	return q, c, err
+}
+
 // askFinal asks a controller for its final answer about a job, by which one of
 // the attempts counted.
 func askFinal(ctx context.Context, controller string, q url.Values) error {
@@ -224,10 +244,8 @@
 }
 
 func artefactsList() *cobra.Command {
-	var a access
-	var asJSON, files bool
-	var attempt uint64
-	var controller string
+	var r reading
+	var files bool
 	cmd := &cobra.Command{
 		Use:   "list JOB[/TASK]",
 		Short: "List the attempts of a job, or their files",
@@ -235,14 +253,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := interrupted(cmd.Context())
 			defer cancel()
-			q, err := target(args[0], attempt)
-			if err != nil {
-				return err
-			}
-			if err := askFinal(ctx, controller, q); err != nil {
-				return err
-			}
-			c, err := a.client()
+			q, c, err := r.begin(ctx, args[0])
 			if err != nil {
 				return err
 			}
@@ -251,22 +262,22 @@
 			tw := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 			defer tw.Flush()
 			if files {
-				if !asJSON {
+				if !r.asJSON {
 					fmt.Fprintln(tw, "TASK\tATTEMPT\tWRITER\tSIZE\tPATH")
 				}
 				return artefactapi.Stream(ctx, c, http.MethodGet, "/v1/files", q, nil, func(f artefactapi.File) error {
-					if asJSON {
+					if r.asJSON {
 						return enc.Encode(f)
 					}
 					_, err := fmt.Fprintf(tw, "%d\t%d\t%s\t%s\t%s\n", f.Task, f.Attempt, f.Writer, humanize.IBytes(f.Size), f.Path)
 					return err
 				})
 			}
-			if !asJSON {
+			if !r.asJSON {
 				fmt.Fprintln(tw, "TASK\tATTEMPT\tWRITER\tSTATE\tEXIT\tOUTPUT\tFILES\tLAST\tMACHINE")
 			}
 			return artefactapi.Stream(ctx, c, http.MethodGet, "/v1/attempts", q, nil, func(x artefactapi.Attempt) error {
-				if asJSON {
+				if r.asJSON {
 					return enc.Encode(x)
 				}
 				exit := "-"
@@ -280,12 +291,8 @@
 			})
 		},
 	}
-	a.flags(cmd)
-	f := cmd.Flags()
-	f.BoolVar(&asJSON, "json", false, "one JSON object a line")
-	f.BoolVar(&files, "files", false, "list files instead")
-	f.Uint64Var(&attempt, "attempt", 0, "this attempt only")
-	f.StringVar(&controller, "controller", os.Getenv("FAWNCOVE_CONTROLLER"), "URL of a controller, to tell which attempt counted (or FAWNCOVE_CONTROLLER)")
+	r.flags(cmd)
+	cmd.Flags().BoolVar(&files, "files", false, "list files instead")
 	return cmd
 }
 
@@ -297,7 +304,7 @@
 		Use:   "get JOB/TASK PATH",
 		Short: "Get a file that a task produced",
 		Args:  cobra.ExactArgs(2),
-		RunE: func(cmd *cobra.Command, args []string) (err error) {
+		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := interrupted(cmd.Context())
 			defer cancel()
 			q, err := target(args[0], attempt)
@@ -316,16 +323,10 @@
 				_, err := c.File(ctx, q, cmd.OutOrStdout())
 				return err
 			}
-			// Whole under its name, or not at all.
-			f, err := os.CreateTemp(filepath.Dir(to), ".get-*")
-			if err != nil {
+			return wholefile.Write(to, func(w io.Writer) error {
+				_, err := c.File(ctx, q, w)
 				return err
-			}
-			_, err = c.File(ctx, q, f)
-			if err = errors.Join(err, f.Close()); err != nil {
-				return errors.Join(err, os.Remove(f.Name()))
-			}
-			return os.Rename(f.Name(), to)
+			})
 		},
 	}
 	a.flags(cmd)
@@ -432,10 +433,9 @@
 }
 
 func logsCommand() *cobra.Command {
-	var a access
-	var attempt uint64
-	var follow, asJSON bool
-	var since, grep, controller string
+	var r reading
+	var follow bool
+	var since, grep string
 	var tail int
 	cmd := &cobra.Command{
 		Use:   "logs JOB[/TASK]",
@@ -444,7 +444,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := interrupted(cmd.Context())
 			defer cancel()
-			q, err := target(args[0], attempt)
+			q, c, err := r.begin(ctx, args[0])
 			if err != nil {
 				return err
 			}
@@ -464,17 +464,10 @@
 			if tail > 0 {
 				q.Set("tail", strconv.Itoa(tail))
 			}
-			if err := askFinal(ctx, controller, q); err != nil {
-				return err
-			}
-			c, err := a.client()
-			if err != nil {
-				return err
-			}
 			out := cmd.OutOrStdout()
 			enc := json.NewEncoder(out)
 			err = artefactapi.Stream(ctx, c, http.MethodGet, "/v1/logs", q, nil, func(l artefactapi.Line) error {
-				if asJSON {
+				if r.asJSON {
 					return enc.Encode(l)
 				}
 				return printLine(out, l)
@@ -485,15 +478,12 @@
 			return err
 		},
 	}
-	a.flags(cmd)
+	r.flags(cmd)
 	f := cmd.Flags()
-	f.Uint64Var(&attempt, "attempt", 0, "this attempt only")
 	f.BoolVarP(&follow, "follow", "f", false, "go on as more is printed")
 	f.StringVar(&since, "since", "", "from this time on: 2026-03-01T02:00:00Z, or 15m for so long ago")
 	f.StringVar(&grep, "grep", "", "only lines that match this regular expression")
 	f.IntVar(&tail, "tail", 0, "only so many last lines of each attempt")
-	f.BoolVar(&asJSON, "json", false, "one JSON object a line")
-	f.StringVar(&controller, "controller", os.Getenv("FAWNCOVE_CONTROLLER"), "URL of a controller, to tell which attempt counted (or FAWNCOVE_CONTROLLER)")
 	return cmd
 }
 
--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -34,7 +34,7 @@
 		Short: "Run a controller until it is killed",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			level, err := logLevel(os.Getenv("LOG_LEVEL"))
+			log, err := textLog()
 			if err != nil {
 				return err
 			}
@@ -42,13 +42,22 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), s, slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+			return serve(cmd.Context(), s, log)
 		},
 	}
 	configFlag(cmd, &path)
 	return cmd
 }
 
+// textLog logs to standard error at the level that LOG_LEVEL says.
+func textLog() (*slog.Logger, error) {
+	level, err := logLevel(os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return nil, err
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})), nil
+}
+
 // logLevel reads LOG_LEVEL.
 func logLevel(name string) (slog.Level, error) {
 	switch name {
--- a/internal/archive/archive.go
+++ b/internal/archive/archive.go
@@ -133,12 +133,8 @@
 	var batch []entry
 	flush := func() error {
 		err := a.db.Update(func(tx *bolt.Tx) error {
-			for _, e := range batch {
-				if _, err := a.applyAll(tx, e); err != nil {
-					return err
-				}
-			}
-			return a.mark(tx, batch)
+			_, _, err := applyAll(tx, batch) // summed up afterwards
+			return err
 		})
 		n += len(batch)
 		batch = batch[:0]
@@ -196,17 +192,31 @@
 	a.counts[id[0]] += n
 }
 
-// applyAll applies a record, and of a prune what it means for others.
-func (a *Archive) applyAll(tx *bolt.Tx, e entry) (ids []artefact.ID, err error) {
-	fresh, err := apply(tx, e)
-	if err != nil || !fresh || e.rec.GetPrune() == nil {
-		return nil, err
+// applyAll applies records, and of prunes what they mean for others, and notes
+// up to where the segments are in the index. It returns the ids that came and
+// went, blocks aside.
+func applyAll(tx *bolt.Tx, entries []entry) (came, went []artefact.ID, err error) {
+	for _, e := range entries {
+		fresh, err := apply(tx, e)
+		if err != nil {
+			return nil, nil, err
+		}
+		if fresh && e.rec.GetBlock() == nil {
+			came = append(came, e.id)
+		}
+		if fresh && e.rec.GetPrune() != nil {
+			gone, err := forget(tx, e.rec.GetPrune().GetKey())
+			if err != nil {
+				return nil, nil, err
+			}
+			went = append(went, gone...)
+		}
 	}
-	return forget(tx, e.rec.GetPrune().GetKey())
+	return came, went, noteApplied(tx, entries)
 }
 
-// mark notes up to where the segments are in the index.
-func (a *Archive) mark(tx *bolt.Tx, batch []entry) error {
+// noteApplied notes up to where the segments are in the index.
+func noteApplied(tx *bolt.Tx, batch []entry) error {
 	meta := tx.Bucket(bucketMeta)
 	last := positionOf(meta.Get(metaApplied))
 	for _, e := range batch {
@@ -248,20 +258,11 @@
 	err := a.db.Update(func(tx *bolt.Tx) error {
 		came, went = nil, nil
 		for _, i := range batch {
-			for _, e := range i.entries {
-				known := tx.Bucket(bucketIDs).Get(e.id[:]) != nil
-				gone, err := a.applyAll(tx, e)
-				if err != nil {
-					return err
-				}
-				if !known && e.rec.GetBlock() == nil && tx.Bucket(bucketIDs).Get(e.id[:]) != nil {
-					came = append(came, e.id)
-				}
-				went = append(went, gone...)
-			}
-			if err := a.mark(tx, i.entries); err != nil {
+			in, out, err := applyAll(tx, i.entries)
+			if err != nil {
 				return err
 			}
+			came, went = append(came, in...), append(went, out...)
 		}
 		return nil
 	})
@@ -377,11 +378,8 @@
 		if e.rec.GetBlock() != nil {
 			a.mentioned[e.id] = true
 		}
-		if c := e.rec.GetChunk(); c != nil {
-			a.mentioned[artefact.BlockID(artefact.Hash(c.GetBlock()))] = true
-		}
-		for _, h := range e.rec.GetFile().GetBlocks() {
-			a.mentioned[artefact.BlockID(artefact.Hash(h))] = true
+		for _, id := range artefact.Refs(e.rec) {
+			a.mentioned[id] = true
 		}
 	}
 }
@@ -390,10 +388,7 @@
 func (a *Archive) admit(entries []entry, with map[artefact.ID]bool) (out []entry, err error) {
 	err = a.db.View(func(tx *bolt.Tx) error {
 		ids := tx.Bucket(bucketIDs)
-		has := func(hash []byte) bool {
-			id := artefact.BlockID(artefact.Hash(hash))
-			return with[id] || ids.Get(id[:]) != nil
-		}
+		has := func(id artefact.ID) bool { return with[id] || ids.Get(id[:]) != nil }
 		for _, e := range entries {
 			if ids.Get(e.id[:]) != nil {
 				continue
@@ -408,7 +403,7 @@
 	return out, err
 }
 
-func refuse(tx *bolt.Tx, r *artefactpb.Record, has func(hash []byte) bool) error {
+func refuse(tx *bolt.Tx, r *artefactpb.Record, has func(block artefact.ID) bool) error {
 	key := artefact.KeyOf(r)
 	if key == nil {
 		return nil
@@ -417,26 +412,21 @@
 	if r.GetPrune() == nil && tx.Bucket(bucketPrunes).Get(raw) != nil {
 		return ErrPruned
 	}
+	for _, id := range artefact.Refs(r) {
+		if !has(id) {
+			return ErrMissing
+		}
+	}
 	taken := false
 	switch b := r.GetBody().(type) {
 	case *artefactpb.Record_Chunk:
-		if !has(b.Chunk.GetBlock()) {
-			return ErrMissing
-		}
 		taken = tx.Bucket(bucketChunks).Get(numbered(raw, b.Chunk.GetSeq())) != nil
 	case *artefactpb.Record_File:
-		for _, h := range b.File.GetBlocks() {
-			if !has(h) {
-				return ErrMissing
-			}
-		}
-		taken = tx.Bucket(bucketFiles).Get(append(append([]byte(nil), raw...), b.File.GetPath()...)) != nil
+		taken = tx.Bucket(bucketFiles).Get(fileKey(raw, b.File.GetPath())) != nil
 	case *artefactpb.Record_Open, *artefactpb.Record_Seal:
 		old := new(artefactpb.Attempt)
-		if v := tx.Bucket(bucketAttempts).Get(raw); v != nil {
-			if err := proto.Unmarshal(v, old); err != nil {
-				return fmt.Errorf("archive: attempt in the index: %w", err)
-			}
+		if _, err := load(tx.Bucket(bucketAttempts), raw, old); err != nil {
+			return err
 		}
 		taken = (r.GetOpen() != nil && old.Open != nil) || (r.GetSeal() != nil && old.Seal != nil)
 	case *artefactpb.Record_Prune:
@@ -561,19 +551,7 @@
 // Attempts calls f for the attempts whose key begins with prefix, in the order
 // of their keys, until it returns false.
 func (a *Archive) Attempts(prefix []byte, f func(*artefactpb.Attempt) bool) error {
-	return a.db.View(func(tx *bolt.Tx) error {
-		c := tx.Bucket(bucketAttempts).Cursor()
-		for k, v := c.Seek(prefix); k != nil && strings.HasPrefix(string(k), string(prefix)); k, v = c.Next() {
-			at := new(artefactpb.Attempt)
-			if err := proto.Unmarshal(v, at); err != nil {
-				return fmt.Errorf("archive: attempt in the index: %w", err)
-			}
-			if !f(at) {
-				return nil
-			}
-		}
-		return nil
-	})
+	return a.db.View(func(tx *bolt.Tx) error { return scan(tx, bucketAttempts, prefix, prefix, f) })
 }
 
 // Attempt returns what is known of an attempt; nil when there is nothing.
@@ -589,15 +567,13 @@
 func (a *Archive) Chunks(key *artefactpb.Key, from uint64, most int) (out []*artefactpb.Chunk, err error) {
 	raw := artefact.Bytes(key)
 	err = a.db.View(func(tx *bolt.Tx) error {
-		c := tx.Bucket(bucketChunks).Cursor()
-		for k, v := c.Seek(numbered(raw, from)); k != nil && strings.HasPrefix(string(k), string(raw)) && len(out) < most; k, v = c.Next() {
-			m := new(artefactpb.Chunk)
-			if err := proto.Unmarshal(v, m); err != nil {
-				return fmt.Errorf("archive: chunk in the index: %w", err)
+		return scan(tx, bucketChunks, numbered(raw, from), raw, func(m *artefactpb.Chunk) bool {
+			if len(out) >= most {
+				return false
 			}
 			out = append(out, m)
-		}
-		return nil
+			return true
+		})
 	})
 	return out, err
 }
@@ -608,16 +584,14 @@
 	raw := artefact.Bytes(key)
 	err = a.db.View(func(tx *bolt.Tx) error {
 		c := tx.Bucket(bucketChunks).Cursor()
-		k, v := c.Seek(append(numbered(raw, ^uint64(0)), 0))
-		if k == nil {
-			k, v = c.Last()
-		} else {
-			k, v = c.Prev()
+		step := c.Prev
+		if k, _ := c.Seek(append(numbered(raw, ^uint64(0)), 0)); k == nil {
+			step = c.Last
 		}
-		for ; k != nil && strings.HasPrefix(string(k), string(raw)) && lines > 0; k, v = c.Prev() {
+		for k, v := step(); k != nil && strings.HasPrefix(string(k), string(raw)) && lines > 0; k, v = c.Prev() {
 			m := new(artefactpb.Chunk)
-			if err := proto.Unmarshal(v, m); err != nil {
-				return fmt.Errorf("archive: chunk in the index: %w", err)
+			if err := decode(v, m); err != nil {
+				return err
 			}
 			out = append([]*artefactpb.Chunk{m}, out...)
 			lines -= int(m.GetLines())
@@ -631,15 +605,10 @@
 func (a *Archive) Files(key *artefactpb.Key) (out []*artefactpb.File, err error) {
 	raw := artefact.Bytes(key)
 	err = a.db.View(func(tx *bolt.Tx) error {
-		c := tx.Bucket(bucketFiles).Cursor()
-		for k, v := c.Seek(raw); k != nil && strings.HasPrefix(string(k), string(raw)); k, v = c.Next() {
-			m := new(artefactpb.File)
-			if err := proto.Unmarshal(v, m); err != nil {
-				return fmt.Errorf("archive: file in the index: %w", err)
-			}
+		return scan(tx, bucketFiles, raw, raw, func(m *artefactpb.File) bool {
 			out = append(out, m)
-		}
-		return nil
+			return true
+		})
 	})
 	return out, err
 }
--- a/internal/archive/care.go
+++ b/internal/archive/care.go
@@ -25,7 +25,7 @@
 
 // Scrub reads all records and compares them with their checksums and hashes.
 // What is damaged is written again where the index knows it; a damaged block is
-// forgotten, so that comparing with another archive brings it back.
+// forgotten, so that it can be added again.
 func (a *Archive) Scrub(ctx context.Context) (Scrubbed, error) {
 	a.compact.Lock()
 	defer a.compact.Unlock()
@@ -63,7 +63,7 @@
 			if err != nil {
 				return out, err
 			}
-			if r != nil && artefact.IDOf(r) == id {
+			if r != nil && artefact.Check(r) == nil && artefact.IDOf(r) == id {
 				again = append(again, r)
 				out.Repaired++
 			}
@@ -97,28 +97,15 @@
 // references are the blocks that chunks and files refer to.
 func references(tx *bolt.Tx) (map[artefact.ID]bool, error) {
 	refs := map[artefact.ID]bool{}
-	err := tx.Bucket(bucketChunks).ForEach(func(_, v []byte) error {
-		m := new(artefactpb.Chunk)
-		if err := proto.Unmarshal(v, m); err != nil {
-			return err
+	note := func(m proto.Message) bool {
+		for _, id := range artefact.Refs(artefact.RecordOf(m)) {
+			refs[id] = true
 		}
-		refs[artefact.BlockID(artefact.Hash(m.GetBlock()))] = true
-		return nil
-	})
-	if err != nil {
-		return nil, err
+		return true
 	}
-	err = tx.Bucket(bucketFiles).ForEach(func(_, v []byte) error {
-		m := new(artefactpb.File)
-		if err := proto.Unmarshal(v, m); err != nil {
-			return err
-		}
-		for _, h := range m.GetBlocks() {
-			refs[artefact.BlockID(artefact.Hash(h))] = true
-		}
-		return nil
-	})
-	return refs, err
+	return refs, errors.Join(
+		scan(tx, bucketChunks, nil, nil, func(m *artefactpb.Chunk) bool { return note(m) }),
+		scan(tx, bucketFiles, nil, nil, func(m *artefactpb.File) bool { return note(m) }))
 }
 
 // unread lists the records of the index that are not among those read at their
@@ -156,50 +143,35 @@
 
 // fromIndex makes a record again from what the index knows; nil if it does not.
 func (a *Archive) fromIndex(p place) (r *artefactpb.Record, err error) {
+	var m proto.Message
+	attempt := new(artefactpb.Attempt)
+	bucket := bucketAttempts
+	switch p.kind {
+	case kindChunk:
+		bucket, m = bucketChunks, new(artefactpb.Chunk)
+	case kindFile:
+		bucket, m = bucketFiles, new(artefactpb.File)
+	case kindPrune:
+		bucket, m = bucketPrunes, new(artefactpb.Prune)
+	case kindOpen, kindSeal:
+		m = attempt
+	default:
+		return nil, nil
+	}
+	there := false
 	err = a.db.View(func(tx *bolt.Tx) error {
-		get := func(bucket []byte, m proto.Message) (bool, error) {
-			raw := tx.Bucket(bucket).Get(p.key)
-			if raw == nil {
-				return false, nil
-			}
-			return true, proto.Unmarshal(raw, m)
-		}
-		switch p.kind {
-		case kindChunk:
-			m := new(artefactpb.Chunk)
-			ok, err := get(bucketChunks, m)
-			if ok {
-				r = &artefactpb.Record{Body: &artefactpb.Record_Chunk{Chunk: m}}
-			}
-			return err
-		case kindFile:
-			m := new(artefactpb.File)
-			ok, err := get(bucketFiles, m)
-			if ok {
-				r = &artefactpb.Record{Body: &artefactpb.Record_File{File: m}}
-			}
-			return err
-		case kindPrune:
-			m := new(artefactpb.Prune)
-			ok, err := get(bucketPrunes, m)
-			if ok {
-				r = &artefactpb.Record{Body: &artefactpb.Record_Prune{Prune: m}}
-			}
-			return err
-		case kindOpen, kindSeal:
-			m := new(artefactpb.Attempt)
-			ok, err := get(bucketAttempts, m)
-			switch {
-			case ok && p.kind == kindOpen && m.Open != nil:
-				r = &artefactpb.Record{Body: &artefactpb.Record_Open{Open: m.Open}}
-			case ok && p.kind == kindSeal && m.Seal != nil:
-				r = &artefactpb.Record{Body: &artefactpb.Record_Seal{Seal: m.Seal}}
-			}
-			return err
-		}
-		return nil
+		there, err = load(tx.Bucket(bucket), p.key, m)
+		return err
 	})
-	return r, err
+	switch {
+	case err != nil || !there:
+		return nil, err
+	case p.kind == kindOpen:
+		m = attempt.GetOpen()
+	case p.kind == kindSeal:
+		m = attempt.GetSeal()
+	}
+	return artefact.RecordOf(m), nil
 }
 
 // drop forgets where records are, as if they had never come.
@@ -310,11 +282,15 @@
 		return out, err
 	}
 	out.Blocks = len(keep)
+	places, err := a.places(old)
+	if err != nil {
+		return out, err
+	}
 	for _, s := range a.log.Segments() {
 		if s.Segment == a.log.Active() || s.Segment > old {
 			continue
 		}
-		wanted, size, err := a.wanted(ctx, s.Segment)
+		wanted, size, err := a.wanted(ctx, places[s.Segment])
 		if err != nil {
 			return out, err
 		}
@@ -337,17 +313,13 @@
 func (a *Archive) oldSegments() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now, old := a.now(), uint64(0)
-	for len(a.marks) > 0 && now.Sub(a.marks[0].at) >= a.grace {
-		old = a.marks[0].segment
-		if len(a.marks) > 1 && now.Sub(a.marks[1].at) < a.grace {
-			break
-		}
-		if len(a.marks) == 1 {
-			break
+	now, old, first := a.now(), uint64(0), 0
+	for i, m := range a.marks {
+		if now.Sub(m.at) >= a.grace {
+			old, first = m.segment, i
 		}
-		a.marks = a.marks[1:]
 	}
+	a.marks = a.marks[first:]
 	a.marks = append(a.marks, mark{now, a.log.Active()})
 	return old
 }
@@ -373,27 +345,32 @@
 	return out, nil
 }
 
-// wanted lists the records of a segment that the index finds there.
-func (a *Archive) wanted(ctx context.Context, which uint64) (out []*artefactpb.Record, size int64, err error) {
-	var at []segment.Position
-	err = a.db.View(func(tx *bolt.Tx) error {
+// places lists where the index finds records in old segments, by segment.
+func (a *Archive) places(old uint64) (map[uint64][]segment.Position, error) {
+	out := map[uint64][]segment.Position{}
+	err := a.db.View(func(tx *bolt.Tx) error {
 		return tx.Bucket(bucketIDs).ForEach(func(_, v []byte) error {
-			if p, ok := placeOf(v); ok && p.at.Segment == which {
-				at = append(at, p.at)
+			if p, ok := placeOf(v); ok && p.at.Segment <= old {
+				out[p.at.Segment] = append(out[p.at.Segment], p.at)
 			}
 			return nil
 		})
 	})
 	if err != nil {
-		return nil, 0, fmt.Errorf("archive: index: %w", err)
+		return nil, fmt.Errorf("archive: index: %w", err)
 	}
+	return out, nil
+}
+
+// wanted reads the records of a segment that the index finds there.
+func (a *Archive) wanted(ctx context.Context, at []segment.Position) (out []*artefactpb.Record, size int64, err error) {
 	for _, p := range at {
 		if err := ctx.Err(); err != nil {
 			return nil, 0, err
 		}
 		r, err := a.read(p)
 		if errors.Is(err, segment.ErrDamaged) {
-			return nil, 0, fmt.Errorf("archive: segment %d wants a scrub first: %w", which, err)
+			return nil, 0, fmt.Errorf("archive: segment %d wants a scrub first: %w", p.Segment, err)
 		}
 		if err != nil {
 			return nil, 0, err
--- a/internal/archive/index.go
+++ b/internal/archive/index.go
@@ -6,10 +6,10 @@
 	"errors"
 	"fmt"
 	"os"
-	"strings"
 	"time"
 
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	"fawncove/internal/artefact"
@@ -77,6 +77,8 @@
 	return binary.BigEndian.AppendUint64(append([]byte(nil), key...), n)
 }
 
+func fileKey(key []byte, path string) []byte { return append(append([]byte(nil), key...), path...) }
+
 // openIndex opens the index file, and tells whether it can be trusted. One that
 // cannot is removed and begun anew.
 func openIndex(path, boot string) (db *bolt.DB, trusted bool, err error) {
@@ -84,7 +86,7 @@
 	if err == nil && trusted {
 		return db, true, nil
 	}
-	if errors.Is(err, bolt.ErrTimeout) {
+	if errors.Is(err, bolterrors.ErrTimeout) {
 		return nil, false, fmt.Errorf("archive: index %s is in use", path)
 	}
 	if db != nil {
@@ -168,9 +170,7 @@
 			return fresh, err
 		}
 		old := new(artefactpb.Chunk)
-		wins, err := settle(tx.Bucket(bucketChunks), at, b.Chunk, old, e.id, func() *artefactpb.Record {
-			return &artefactpb.Record{Body: &artefactpb.Record_Chunk{Chunk: old}}
-		})
+		wins, err := settle(tx.Bucket(bucketChunks), at, b.Chunk, old, e.id)
 		if err != nil || !wins {
 			return true, err
 		}
@@ -182,14 +182,12 @@
 			a.LastNs = max(a.LastNs, b.Chunk.GetLastNs())
 		})
 	case *artefactpb.Record_File:
-		at := append(append([]byte(nil), raw...), b.File.GetPath()...)
+		at := fileKey(raw, b.File.GetPath())
 		if err := put(kindFile, at); err != nil || !fresh {
 			return fresh, err
 		}
 		old := new(artefactpb.File)
-		wins, err := settle(tx.Bucket(bucketFiles), at, b.File, old, e.id, func() *artefactpb.Record {
-			return &artefactpb.Record{Body: &artefactpb.Record_File{File: old}}
-		})
+		wins, err := settle(tx.Bucket(bucketFiles), at, b.File, old, e.id)
 		if err != nil || !wins {
 			return true, err
 		}
@@ -205,7 +203,7 @@
 			return fresh, err
 		}
 		return true, change(tx, key, func(a *artefactpb.Attempt) {
-			if old := (&artefactpb.Record{Body: &artefactpb.Record_Seal{Seal: a.Seal}}); a.Seal != nil && lower(artefact.IDOf(old), e.id) {
+			if a.Seal != nil && lower(artefact.IDOf(artefact.RecordOf(a.Seal)), e.id) {
 				return
 			}
 			a.Seal = b.Seal
@@ -227,16 +225,47 @@
 // settle puts a record where there may be another that contradicts it, which
 // only a broken writer makes. It reads that into old and tells whether the new
 // one counts.
-func settle(b *bolt.Bucket, key []byte, m, old proto.Message, id artefact.ID, record func() *artefactpb.Record) (wins bool, err error) {
-	if raw := b.Get(key); raw != nil {
-		if err := proto.Unmarshal(raw, old); err != nil {
-			return false, fmt.Errorf("archive: record in the index: %w", err)
+func settle(b *bolt.Bucket, key []byte, m, old proto.Message, id artefact.ID) (wins bool, err error) {
+	there, err := load(b, key, old)
+	if err != nil || (there && lower(artefact.IDOf(artefact.RecordOf(old)), id)) {
+		return false, err
+	}
+	return true, store(b, key, m)
+}
+
+// load reads what is under a key, if there is anything.
+func load(b *bolt.Bucket, key []byte, m proto.Message) (there bool, err error) {
+	raw := b.Get(key)
+	if raw == nil {
+		return false, nil
+	}
+	return true, decode(raw, m)
+}
+
+func decode(raw []byte, m proto.Message) error {
+	if err := proto.Unmarshal(raw, m); err != nil {
+		return fmt.Errorf("archive: entry of the index: %w", err)
+	}
+	return nil
+}
+
+// scan calls f for the entries of a bucket whose keys begin with prefix, in
+// order, from a key on, until it returns false.
+func scan[T any, M interface {
+	*T
+	proto.Message
+}](tx *bolt.Tx, bucket, from, prefix []byte, f func(M) bool) error {
+	c := tx.Bucket(bucket).Cursor()
+	for k, v := c.Seek(from); k != nil && bytes.HasPrefix(k, prefix); k, v = c.Next() {
+		m := M(new(T))
+		if err := decode(v, m); err != nil {
+			return err
 		}
-		if lower(artefact.IDOf(record()), id) {
-			return false, nil
+		if !f(m) {
+			return nil
 		}
 	}
-	return true, store(b, key, m)
+	return nil
 }
 
 func store(b *bolt.Bucket, key []byte, m proto.Message) error {
@@ -251,10 +280,8 @@
 func change(tx *bolt.Tx, key *artefactpb.Key, f func(a *artefactpb.Attempt)) error {
 	b, raw := tx.Bucket(bucketAttempts), artefact.Bytes(key)
 	a := &artefactpb.Attempt{Key: key}
-	if old := b.Get(raw); old != nil {
-		if err := proto.Unmarshal(old, a); err != nil {
-			return fmt.Errorf("archive: attempt in the index: %w", err)
-		}
+	if _, err := load(b, raw, a); err != nil {
+		return err
 	}
 	f(a)
 	return store(b, raw, a)
@@ -264,62 +291,36 @@
 // that went.
 func forget(tx *bolt.Tx, key *artefactpb.Key) ([]artefact.ID, error) {
 	raw := artefact.Bytes(key)
-	var gone []artefact.ID
-	drop := func(r *artefactpb.Record) error {
-		id := artefact.IDOf(r)
-		if tx.Bucket(bucketIDs).Get(id[:]) == nil {
-			return nil
-		}
-		gone = append(gone, id)
-		return tx.Bucket(bucketIDs).Delete(id[:])
-	}
-	each := func(bucket []byte, f func(v []byte) (*artefactpb.Record, error)) error {
-		c := tx.Bucket(bucket).Cursor()
-		var keys [][]byte
-		for k, v := c.Seek(raw); k != nil && strings.HasPrefix(string(k), string(raw)); k, v = c.Next() {
-			r, err := f(v)
-			if err != nil {
-				return err
-			}
-			if err := drop(r); err != nil {
-				return err
-			}
-			keys = append(keys, append([]byte(nil), k...))
-		}
-		for _, k := range keys {
-			if err := tx.Bucket(bucket).Delete(k); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-	err := each(bucketChunks, func(v []byte) (*artefactpb.Record, error) {
-		m := new(artefactpb.Chunk)
-		return &artefactpb.Record{Body: &artefactpb.Record_Chunk{Chunk: m}}, proto.Unmarshal(v, m)
-	})
-	if err != nil {
-		return nil, err
-	}
-	err = each(bucketFiles, func(v []byte) (*artefactpb.Record, error) {
-		m := new(artefactpb.File)
-		return &artefactpb.Record{Body: &artefactpb.Record_File{File: m}}, proto.Unmarshal(v, m)
-	})
-	if err != nil {
-		return nil, err
-	}
+	var left []*artefactpb.Record
 	a := new(artefactpb.Attempt)
-	if old := tx.Bucket(bucketAttempts).Get(raw); old != nil {
-		if err := proto.Unmarshal(old, a); err != nil {
-			return nil, err
-		}
+	_, err := load(tx.Bucket(bucketAttempts), raw, a)
+	if err := errors.Join(err,
+		scan(tx, bucketChunks, raw, raw, func(m *artefactpb.Chunk) bool { left = append(left, artefact.RecordOf(m)); return true }),
+		scan(tx, bucketFiles, raw, raw, func(m *artefactpb.File) bool { left = append(left, artefact.RecordOf(m)); return true }),
+	); err != nil {
+		return nil, err
 	}
 	if a.Open != nil {
-		if err := drop(&artefactpb.Record{Body: &artefactpb.Record_Open{Open: a.Open}}); err != nil {
-			return nil, err
-		}
+		left = append(left, artefact.RecordOf(a.Open))
 	}
 	if a.Seal != nil {
-		if err := drop(&artefactpb.Record{Body: &artefactpb.Record_Seal{Seal: a.Seal}}); err != nil {
+		left = append(left, artefact.RecordOf(a.Seal))
+	}
+	var gone []artefact.ID
+	for _, r := range left {
+		var err error
+		switch b := r.GetBody().(type) {
+		case *artefactpb.Record_Chunk:
+			err = tx.Bucket(bucketChunks).Delete(numbered(raw, b.Chunk.GetSeq()))
+		case *artefactpb.Record_File:
+			err = tx.Bucket(bucketFiles).Delete(fileKey(raw, b.File.GetPath()))
+		}
+		id := artefact.IDOf(r)
+		if err == nil && tx.Bucket(bucketIDs).Get(id[:]) != nil {
+			gone = append(gone, id)
+			err = tx.Bucket(bucketIDs).Delete(id[:])
+		}
+		if err != nil {
 			return nil, err
 		}
 	}
--- a/internal/artefact/artefact.go
+++ b/internal/artefact/artefact.go
@@ -18,6 +18,7 @@
 
 	"github.com/klauspost/compress/zstd"
 	"github.com/zeebo/blake3"
+	"google.golang.org/protobuf/proto"
 
 	"fawncove/internal/artefact/artefactpb"
 )
@@ -160,6 +161,38 @@
 	return binary.BigEndian.AppendUint32(JobPrefix(job), task)
 }
 
+// RecordOf makes a record of what it holds, one of the kinds that
+// artefactpb.Record names; of anything else an empty one, which Check refuses.
+func RecordOf(m proto.Message) *artefactpb.Record {
+	switch m := m.(type) {
+	case *artefactpb.Block:
+		return &artefactpb.Record{Body: &artefactpb.Record_Block{Block: m}}
+	case *artefactpb.Open:
+		return &artefactpb.Record{Body: &artefactpb.Record_Open{Open: m}}
+	case *artefactpb.Chunk:
+		return &artefactpb.Record{Body: &artefactpb.Record_Chunk{Chunk: m}}
+	case *artefactpb.File:
+		return &artefactpb.Record{Body: &artefactpb.Record_File{File: m}}
+	case *artefactpb.Seal:
+		return &artefactpb.Record{Body: &artefactpb.Record_Seal{Seal: m}}
+	case *artefactpb.Prune:
+		return &artefactpb.Record{Body: &artefactpb.Record_Prune{Prune: m}}
+	}
+	return &artefactpb.Record{}
+}
+
+// Refs returns the ids of the blocks that a record refers to.
+func Refs(r *artefactpb.Record) []ID {
+	var out []ID
+	if c := r.GetChunk(); c != nil {
+		out = append(out, BlockID(Hash(c.GetBlock())))
+	}
+	for _, h := range r.GetFile().GetBlocks() {
+		out = append(out, BlockID(Hash(h)))
+	}
+	return out
+}
+
 // KeyOf returns the key of a record; nil of a block.
 func KeyOf(r *artefactpb.Record) *artefactpb.Key {
 	switch b := r.GetBody().(type) {
--- a/internal/artefactapi/care.go
+++ b/internal/artefactapi/care.go
@@ -50,33 +50,18 @@
 		l artefact.Label
 	}
 	var all []candidate
-	sc := scope{job: rule.Job}
-	visit := func(prefix []byte) error {
-		var task []*artefactpb.Attempt
-		end := func() {
-			for i, l := range artefact.Labels(task, sc.final, now, s.opt.Quiet) {
-				if o := outcome(task[i], l); o != "open" && (rule.Outcome == "" || rule.Outcome == o) &&
-					(rule.Team == "" || rule.Team == task[i].GetOpen().GetTeam()) {
-					all = append(all, candidate{task[i], l})
-				}
-			}
-			task = nil
-		}
-		err := s.opt.Archive.Attempts(prefix, func(a *artefactpb.Attempt) bool {
-			if len(task) > 0 && (task[0].GetKey().GetJob() != a.GetKey().GetJob() || task[0].GetKey().GetTask() != a.GetKey().GetTask()) {
-				end()
-			}
-			task = append(task, a)
-			return true
-		})
-		end()
-		return err
-	}
-	prefix := []byte(nil)
+	var prefix []byte
 	if rule.Job != "" {
-		prefix = sc.prefix()
+		prefix = artefact.JobPrefix(rule.Job)
 	}
-	if err := visit(prefix); err != nil {
+	err := s.labelled(prefix, artefact.Final{}, now, func(a *artefactpb.Attempt, l artefact.Label) error {
+		if o := outcome(a, l); o != "open" && (rule.Outcome == "" || rule.Outcome == o) &&
+			(rule.Team == "" || rule.Team == a.GetOpen().GetTeam()) {
+			all = append(all, candidate{a, l})
+		}
+		return nil
+	})
+	if err != nil {
 		return nil, err
 	}
 	slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.a.GetLastNs(), b.a.GetLastNs()) })
@@ -105,7 +90,7 @@
 func (s *Server) Prune(ctx context.Context, list []Pruned) (int, error) {
 	for n, p := range list {
 		key := &artefactpb.Key{Job: p.Job, Task: p.Task, Attempt: p.Attempt.Attempt, Writer: p.Writer}
-		rec := &artefactpb.Record{Body: &artefactpb.Record_Prune{Prune: &artefactpb.Prune{Key: key, Why: p.Why, AtNs: time.Now().UnixNano()}}}
+		rec := artefact.RecordOf(&artefactpb.Prune{Key: key, Why: p.Why, AtNs: time.Now().UnixNano()})
 		if _, err := s.opt.Set.Add(ctx, rec); err != nil {
 			return n, err
 		}
--- a/internal/artefactapi/client.go
+++ b/internal/artefactapi/client.go
@@ -203,11 +203,7 @@
 
 // Fetch returns records with the blocks that they refer to.
 func (c *Client) Fetch(ctx context.Context, ids []artefact.ID) ([]*artefactpb.Record, error) {
-	m := new(artefactpb.IDs)
-	for i := range ids {
-		m.Ids = append(m.Ids, ids[i][:])
-	}
-	body, err := proto.Marshal(m)
+	body, err := proto.Marshal(packIDs(ids))
 	if err != nil {
 		return nil, fmt.Errorf("artefact store: %w", err)
 	}
--- a/internal/artefactapi/server.go
+++ b/internal/artefactapi/server.go
@@ -321,28 +321,36 @@
 // attempts calls f for the attempts in scope that the grant lets be read, with
 // their labels.
 func (s *Server) attempts(sc scope, g keys.Grant, f func(*artefactpb.Attempt, artefact.Label) error) error {
+	return s.labelled(sc.prefix(), sc.final, time.Now(), func(a *artefactpb.Attempt, l artefact.Label) error {
+		if sc.attempt != 0 && a.GetKey().GetAttempt() != sc.attempt {
+			return nil
+		}
+		// Until its beginning has come an attempt is nobody's.
+		if g.Right != keys.Operate && a.GetOpen().GetTeam() != g.Team {
+			return nil
+		}
+		return f(a, l)
+	})
+}
+
+// labelled calls f for the attempts whose key begins with prefix, with their
+// labels, which take all attempts at a task to tell. It does so after reading
+// the index, which f does not hold up.
+func (s *Server) labelled(prefix []byte, final artefact.Final, now time.Time, f func(*artefactpb.Attempt, artefact.Label) error) error {
 	var all []*artefactpb.Attempt
-	if err := s.opt.Archive.Attempts(sc.prefix(), func(a *artefactpb.Attempt) bool {
+	if err := s.opt.Archive.Attempts(prefix, func(a *artefactpb.Attempt) bool {
 		all = append(all, a)
 		return true
 	}); err != nil {
 		return err
 	}
 	for len(all) > 0 {
-		n := 1
-		for n < len(all) && all[n].GetKey().GetTask() == all[0].GetKey().GetTask() {
+		k, n := all[0].GetKey(), 1
+		for n < len(all) && all[n].GetKey().GetJob() == k.GetJob() && all[n].GetKey().GetTask() == k.GetTask() {
 			n++
 		}
-		labels := artefact.Labels(all[:n], sc.final, time.Now(), s.opt.Quiet)
-		for i, a := range all[:n] {
-			if sc.attempt != 0 && a.GetKey().GetAttempt() != sc.attempt {
-				continue
-			}
-			// Until its beginning has come an attempt is nobody's.
-			if g.Right != keys.Operate && a.GetOpen().GetTeam() != g.Team {
-				continue
-			}
-			if err := f(a, labels[i]); err != nil {
+		for i, l := range artefact.Labels(all[:n], final, now, s.opt.Quiet) {
+			if err := f(all[i], l); err != nil {
 				return err
 			}
 		}
@@ -632,11 +640,7 @@
 
 func (s *Server) setDigests(w http.ResponseWriter, _ *http.Request, _ keys.Grant) error {
 	d := s.opt.Archive.Digests()
-	ids := new(artefactpb.IDs)
-	for i := range d {
-		ids.Ids = append(ids.Ids, d[i][:])
-	}
-	return send(w, ids)
+	return send(w, packIDs(d[:]))
 }
 
 func (s *Server) setIDs(w http.ResponseWriter, r *http.Request, _ keys.Grant) error {
@@ -648,11 +652,7 @@
 	if err != nil {
 		return err
 	}
-	ids := new(artefactpb.IDs)
-	for i := range list {
-		ids.Ids = append(ids.Ids, list[i][:])
-	}
-	return send(w, ids)
+	return send(w, packIDs(list))
 }
 
 func (s *Server) setFetch(w http.ResponseWriter, r *http.Request, _ keys.Grant) error {
@@ -668,11 +668,15 @@
 	if err != nil {
 		return refuse(http.StatusBadRequest, "%w", err)
 	}
-	recs, err := replica.Collect(s.opt.Archive, ids, fetchMost)
-	if err != nil {
-		return err
+	return send(w, &artefactpb.Batch{Records: replica.Collect(s.opt.Archive, ids, fetchMost)})
+}
+
+func packIDs(ids []artefact.ID) *artefactpb.IDs {
+	m := new(artefactpb.IDs)
+	for i := range ids {
+		m.Ids = append(m.Ids, ids[i][:])
 	}
-	return send(w, &artefactpb.Batch{Records: recs})
+	return m
 }
 
 func idsOf(m *artefactpb.IDs) ([]artefact.ID, error) {
--- a/internal/capture/capture.go
+++ b/internal/capture/capture.go
@@ -34,7 +34,8 @@
 	// cutBytes and cutEvery are when output is cut into a chunk.
 	cutBytes = 256 << 10
 	cutEvery = time.Second
-	// sendBytes is about how much is sent at once.
+	// sendBytes is about how much is sent at once: with one record more, at most
+	// a block, it is well below artefactapi.BatchMost.
 	sendBytes = 2 << 20
 	// backOffMost bounds the pause after a try that failed.
 	backOffMost = 10 * time.Second
@@ -116,7 +117,7 @@
 	}
 	r := &run{opt: opt, spool: sp, codec: codec, cutDue: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 	open := &artefactpb.Open{Key: opt.Ticket.Key, Team: opt.Team, Machine: opt.Machine, Command: opt.Command, AtNs: opt.Now().UnixNano()}
-	if err := sp.add(ctx, &artefactpb.Record{Body: &artefactpb.Record_Open{Open: open}}); err != nil {
+	if err := sp.add(ctx, artefact.RecordOf(open)); err != nil {
 		return Result{}, errors.Join(err, sp.close(true))
 	}
 	cmd := exec.Command(opt.Command[0], opt.Command[1:]...)
@@ -310,8 +311,8 @@
 			}
 		}
 	}
-	err = r.spool.add(context.Background(), &artefactpb.Record{Body: &artefactpb.Record_Block{Block: b}},
-		&artefactpb.Record{Body: &artefactpb.Record_Chunk{Chunk: c}})
+	err = r.spool.add(context.Background(), artefact.RecordOf(b),
+		artefact.RecordOf(c))
 	if err != nil {
 		return err
 	}
@@ -350,7 +351,7 @@
 		r.opt.Log.Error("command", "err", waitErr)
 	}
 	seal.Exit, seal.Signal = int32(res.Exit), res.Signal
-	if err := r.spool.add(context.Background(), &artefactpb.Record{Body: &artefactpb.Record_Seal{Seal: seal}}); err != nil {
+	if err := r.spool.add(context.Background(), artefact.RecordOf(seal)); err != nil {
 		r.opt.Log.Error("the end cannot be spooled", "err", err)
 	}
 	r.awake()
@@ -403,7 +404,7 @@
 			if err != nil {
 				return err
 			}
-			if err := r.spool.add(context.Background(), &artefactpb.Record{Body: &artefactpb.Record_Block{Block: b}}); err != nil {
+			if err := r.spool.add(context.Background(), artefact.RecordOf(b)); err != nil {
 				return err
 			}
 			rec.Blocks = append(rec.Blocks, b.Hash)
@@ -416,7 +417,7 @@
 			return err
 		}
 	}
-	return r.spool.add(context.Background(), &artefactpb.Record{Body: &artefactpb.Record_File{File: rec}})
+	return r.spool.add(context.Background(), artefact.RecordOf(rec))
 }
 
 // errLeft says that the store was not reached in time.
@@ -446,7 +447,7 @@
 			}
 			continue
 		}
-		if err := write(ctx, store, recs); err != nil {
+		if _, err := store.Write(ctx, recs...); err != nil {
 			var no *artefactapi.RefusedError
 			if errors.As(err, &no) && no.Lasting() {
 				return err
@@ -467,23 +468,6 @@
 	}
 }
 
-// write sends records in bodies that the store takes. Blocks come first; a
-// record that refers to many of them goes after the last.
-func write(ctx context.Context, store Store, recs []*artefactpb.Record) error {
-	for len(recs) > 0 {
-		n, size := 0, 0
-		for n < len(recs) && (n == 0 || size+proto.Size(recs[n]) < artefactapi.BatchMost/2) {
-			size += proto.Size(recs[n])
-			n++
-		}
-		if _, err := store.Write(ctx, recs[:n]...); err != nil {
-			return err
-		}
-		recs = recs[n:]
-	}
-	return nil
-}
-
 // Resume sends what earlier captures have left in their spools, and returns how
 // many spools are empty now, and how many are not.
 func Resume(ctx context.Context, dir string, store func(Ticket) Store, log *slog.Logger) (sent, left int, err error) {
--- a/internal/capture/capture_test.go
+++ b/internal/capture/capture_test.go
@@ -191,7 +191,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if err := write(context.Background(), f, recs); err != nil {
+			if _, err := f.Write(context.Background(), recs...); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -271,7 +271,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := write(context.Background(), f, recs); err != nil {
+	if _, err := f.Write(context.Background(), recs...); err != nil {
 		t.Fatal(err)
 	}
 	for _, rec := range recs {
--- a/internal/capture/spool.go
+++ b/internal/capture/spool.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -15,6 +16,7 @@
 
 	"fawncove/internal/artefact/artefactpb"
 	"fawncove/internal/segment"
+	"fawncove/internal/wholefile"
 )
 
 // ErrInUse says that another process has the spool.
@@ -51,11 +53,7 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("capture: spool: %w", err)
 	}
-	raw, err := json.Marshal(t)
-	if err != nil {
-		return nil, fmt.Errorf("capture: spool: %w", err)
-	}
-	if err := replaceFile(filepath.Join(dir, ticketFile), raw); err != nil {
+	if err := writeJSON(filepath.Join(dir, ticketFile), t); err != nil {
 		return nil, err
 	}
 	return openSpool(dir)
@@ -101,17 +99,9 @@
 	return err
 }
 
-// replaceFile puts a file in the place of another, whole or not at all.
-func replaceFile(path string, data []byte) error {
-	f, err := os.CreateTemp(filepath.Dir(path), ".new-*")
-	if err != nil {
-		return fmt.Errorf("capture: spool: %w", err)
-	}
-	_, err = f.Write(data)
-	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return fmt.Errorf("capture: spool: %w", errors.Join(err, os.Remove(f.Name())))
-	}
-	if err := os.Rename(f.Name(), path); err != nil {
+// writeJSON puts a value into a file of the spool, whole or not at all.
+func writeJSON(path string, v any) error {
+	if err := wholefile.Write(path, func(w io.Writer) error { return json.NewEncoder(w).Encode(v) }); err != nil {
 		return fmt.Errorf("capture: spool: %w", err)
 	}
 	return nil
@@ -172,11 +162,7 @@
 // done notes that all before a position are with the store, and gives back the
 // room that they took.
 func (s *spool) done(then segment.Position) error {
-	raw, err := json.Marshal(then)
-	if err != nil {
-		return fmt.Errorf("capture: spool: %w", err)
-	}
-	if err := replaceFile(filepath.Join(s.dir, sentFile), raw); err != nil {
+	if err := writeJSON(filepath.Join(s.dir, sentFile), then); err != nil {
 		return err
 	}
 	s.mu.Lock()
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -203,6 +203,17 @@
 	return out
 }
 
+// CountHomes tells how many homes of a team each controller has.
+func CountHomes(homes map[string]string, team string) map[string]int {
+	count := map[string]int{}
+	for home, node := range homes {
+		if wire.IsHome(home, team) {
+			count[node]++
+		}
+	}
+	return count
+}
+
 // SortedKeys lists a map's keys in order, wherever the order shows in the
 // effects: the same events always have the same outcome.
 func SortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
@@ -244,7 +255,7 @@
 func (v *View) Needs(homes map[string]string, shares wire.Shares, team string, own map[string]*peerpb.TeamUse, now time.Time) (cpus, cards map[string]share.Need) {
 	cpus, cards = map[string]share.Need{}, map[string]share.Need{}
 	for home, node := range homes {
-		if _, done := cpus[node]; done || (home != team && !wire.IsPart(home, team)) {
+		if _, done := cpus[node]; done || !wire.IsHome(home, team) {
 			continue
 		}
 		u := own[team]
--- a/internal/controller/jobs.go
+++ b/internal/controller/jobs.go
@@ -431,15 +431,10 @@
 	if len(c.view.Types) == 0 {
 		return 503, "machine types not known yet"
 	}
-	var team *sched.Limit
-	for _, t := range c.view.Cfg.Cluster.Teams {
-		if t.Name == j.Team {
-			team = &sched.Limit{CPUs: t.CPUsMax, Cards: t.GPUsMax}
-		}
-	}
-	if team == nil {
+	if _, known := c.view.TeamOf(j.Team); !known {
 		return 422, "unknown team"
 	}
+	team := c.view.LimitOf(j.Team)
 	need := sched.Amount{CPUs: j.CPUs, Cards: j.Cards, MemoryGB: j.MemoryGB}
 	fits := false
 	for name, t := range c.view.Types {
--- a/internal/leader/homes.go
+++ b/internal/leader/homes.go
@@ -72,10 +72,7 @@
 // offers it when nobody has fewer.
 func (l *Leader) seat(rec *wire.LeaseRecord, home, from string) string {
 	team, _, _ := wire.CutPart(home)
-	count := map[string]int{}
-	for _, h := range cluster.Homes(rec.Homes, team) {
-		count[rec.Homes[h]]++
-	}
+	count := cluster.CountHomes(rec.Homes, team)
 	best := from
 	for _, node := range cluster.SortedKeys(rec.Blocks) {
 		if node == from || !l.alive(node) || count[node] >= count[from] {
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -71,8 +71,13 @@
 	return j.Rec.Team
 }
 
-// owns tells whether this controller places the job's tasks.
-func (o *Owner) owns(j *Job) bool {
+// disown forgets what an owner knows of the job.
+func (j *Job) disown() {
+	j.ready, j.reading, j.runs, j.done, j.stored, j.doneCount, j.queue = false, false, nil, nil, nil, 0, nil
+}
+
+// Owns tells whether this controller places the job's tasks.
+func (o *Owner) Owns(j *Job) bool {
 	_, mine := o.homes[j.home()]
 	return mine
 }
@@ -165,7 +170,7 @@
 	}
 	for _, id := range cluster.SortedKeys(o.ending) {
 		j := o.jobs[id]
-		if j == nil || j.Over || !o.owns(j) {
+		if j == nil || j.Over || !o.Owns(j) {
 			delete(o.ending, id)
 			continue
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -110,9 +110,6 @@
 // Jobs are the jobs by id, not to be changed.
 func (o *Owner) Jobs() map[string]*Job { return o.jobs }
 
-// Owns tells whether this controller places the job's tasks.
-func (o *Owner) Owns(j *Job) bool { return o.owns(j) }
-
 // Put takes in a job's record under its version.
 func (o *Owner) Put(rec wire.JobRecord, version uint64) {
 	j := o.jobs[rec.ID]
@@ -242,7 +239,7 @@
 	clear(o.used)
 	clear(o.homes)
 	for id, j := range o.jobs {
-		j.ready, j.reading, j.runs, j.done, j.stored, j.doneCount, j.queue = false, false, nil, nil, nil, 0, nil
+		j.disown()
 		if j.Over {
 			delete(o.jobs, id)
 		}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -409,12 +409,12 @@
 	}
 	lease(10, "n1")
 	o.place()
-	if o.owns(j) || j.ready || len(j.runs) > 0 {
-		t.Errorf("after it has moved: owned %v, ready %v, %d tasks started", o.owns(j), j.ready, len(j.runs))
+	if o.Owns(j) || j.ready || len(j.runs) > 0 {
+		t.Errorf("after it has moved: owned %v, ready %v, %d tasks started", o.Owns(j), j.ready, len(j.runs))
 	}
 	lease(11, "n0")
 	o.place()
-	if !o.owns(j) || j.ready || !j.reading || len(j.runs) > 0 {
-		t.Errorf("when it is back: owned %v, ready %v, reading %v, %d tasks started", o.owns(j), j.ready, j.reading, len(j.runs))
+	if !o.Owns(j) || j.ready || !j.reading || len(j.runs) > 0 {
+		t.Errorf("when it is back: owned %v, ready %v, reading %v, %d tasks started", o.Owns(j), j.ready, j.reading, len(j.runs))
 	}
 }
--- a/internal/owner/pages.go
+++ b/internal/owner/pages.go
@@ -270,7 +270,7 @@
 			for _, id := range cluster.SortedKeys(o.jobs) {
 				// Only a read that began after the job became this
 				// controller's shows all that earlier owners stored.
-				if j := o.jobs[id]; j.reading && j.readFrom <= read && !j.Over && o.owns(j) {
+				if j := o.jobs[id]; j.reading && j.readFrom <= read && !j.Over && o.Owns(j) {
 					j.reading = false
 					o.takeFacts(j)
 					o.jobReady(j)
--- a/internal/owner/place.go
+++ b/internal/owner/place.go
@@ -25,7 +25,7 @@
 	}
 	var list []entry
 	for _, j := range o.jobs {
-		if !o.owns(j) || !j.ready || j.Over || len(j.queue) == 0 || o.loop.Now.Before(j.notBefore) || o.hold.Yielded(j.home()) {
+		if !o.Owns(j) || !j.ready || j.Over || len(j.queue) == 0 || o.loop.Now.Before(j.notBefore) || o.hold.Yielded(j.home()) {
 			continue
 		}
 		list = append(list, entry{j, sched.Ready{
@@ -112,7 +112,7 @@
 // usable tells whether new tasks may be placed on a machine.
 func (o *Owner) usable(m *machine) bool {
 	silence := config.Seconds(1.3*o.view.Cfg.Cluster.Workers.ReportS) + 700*time.Millisecond
-	return !m.gave && !m.recall && !m.bad && !m.lost && !m.dirty && m.orphans == 0 && m.gone.IsZero() &&
+	return !m.gave && !m.recall && !m.bad && !m.lost && !m.unsure() && m.gone.IsZero() &&
 		m.session != 0 && m.size.CPUs > 0 && !o.loop.Now.Before(m.pauseTo) && o.loop.Now.Sub(m.heard) < silence
 }
 
@@ -181,7 +181,7 @@
 	var spots []*spot
 	dear := o.dearness()
 	for _, m := range o.machineOrder() {
-		if m.dirty || m.orphans > 0 {
+		if m.unsure() {
 			unknown = append(unknown, m)
 			hidden = hidden.Add(o.sizeAtMost(m), 1)
 		}
--- a/internal/owner/tell.go
+++ b/internal/owner/tell.go
@@ -66,7 +66,7 @@
 	r.Gave, r.Lost, r.Heard = wire.PackNames(gave), wire.PackNames(lost), wire.PackNames(heard)
 	r.Unknown, r.Bound = wire.PackNames(unknown), wire.PackNames(bound)
 	for _, j := range o.jobs {
-		if !o.owns(j) || j.Over || len(j.queue) == 0 {
+		if !o.Owns(j) || j.Over || len(j.queue) == 0 {
 			continue
 		}
 		for kind, t := range o.view.Types {
@@ -163,7 +163,7 @@
 		size += m.size.CPUs
 	}
 	for _, j := range o.jobs {
-		if o.owns(j) && !j.Over {
+		if o.Owns(j) && !j.Over {
 			n := float64(len(j.runs)+len(j.queue)) * j.Rec.CPUs
 			busy += n
 			if j.Rec.Spot {
@@ -216,7 +216,7 @@
 func (o *Owner) News() []*peerpb.Progress {
 	var out []*peerpb.Progress
 	for _, j := range o.jobs {
-		if o.owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
+		if o.Owns(j) && j.shown != [2]int{j.doneCount, j.running()} {
 			j.shown = [2]int{j.doneCount, j.running()}
 			out = append(out, &peerpb.Progress{Id: j.Rec.ID, Done: int32(j.doneCount), Running: int32(j.running())})
 		}
--- a/internal/owner/uses.go
+++ b/internal/owner/uses.go
@@ -53,7 +53,7 @@
 func (o *Owner) hidden() sched.Amount {
 	var a sched.Amount
 	for _, m := range o.machines {
-		if m.dirty || m.orphans > 0 {
+		if m.unsure() {
 			a = a.Add(o.sizeAtMost(m), 1)
 		}
 	}
@@ -85,7 +85,7 @@
 	}
 	for _, j := range o.jobs {
 		u := out[j.Rec.Team]
-		if u == nil || j.Over || !j.ready || len(j.queue) == 0 || !o.owns(j) {
+		if u == nil || j.Over || !j.ready || len(j.queue) == 0 || !o.Owns(j) {
 			continue
 		}
 		n := float64(len(j.queue))
--- a/internal/owner/workers.go
+++ b/internal/owner/workers.go
@@ -93,6 +93,9 @@
 	there bool // a task has run from it
 }
 
+// unsure tells whether the machine may run tasks that are not known here.
+func (m *machine) unsure() bool { return m.dirty || m.orphans > 0 }
+
 // bound tells whether the machine runs tasks that may not run on a spot one.
 func (m *machine) bound() bool {
 	for _, r := range m.runs {
@@ -848,7 +851,7 @@
 		}
 		// A machine that has not been heard since it was taken over may run
 		// tasks that are not known yet: empty means known to be empty.
-		if m.recall && !m.gave && len(m.runs) == 0 && !m.calling && !m.dirty && m.session != 0 && m.orphans == 0 {
+		if m.recall && !m.gave && len(m.runs) == 0 && !m.calling && !m.unsure() && m.session != 0 {
 			m.gave = true
 			o.hold.Hurry()
 		}
--- a/internal/owner/yield.go
+++ b/internal/owner/yield.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"strings"
 	"time"
 
 	"fawncove/internal/cluster"
@@ -52,14 +51,13 @@
 // and how many the reachable controller with the fewest has; -1 when there is
 // none.
 func (o *Owner) spread(team string) (mine []string, least int) {
-	count := map[string]int{}
-	for _, home := range cluster.Homes(o.view.Lease.Homes, team) {
-		node := o.view.Lease.Homes[home]
-		count[node]++
-		if node == o.view.Me {
+	homes := o.view.Lease.Homes
+	for _, home := range cluster.Homes(homes, team) {
+		if homes[home] == o.view.Me {
 			mine = append(mine, home)
 		}
 	}
+	count := cluster.CountHomes(homes, team)
 	least = -1
 	for node := range o.view.Peers {
 		if _, ok := o.view.Lease.Blocks[node]; ok && o.view.LinkUp(node, o.loop.Now) && (least < 0 || count[node] < least) {
@@ -72,7 +70,7 @@
 // unknown tells whether some machine may run tasks that are not known here.
 func (o *Owner) unknown() bool {
 	for _, m := range o.machines {
-		if m.dirty || m.orphans > 0 {
+		if m.unsure() {
 			return true
 		}
 	}
@@ -133,8 +131,8 @@
 		}
 		moved++
 		j.Told = [2]int{j.doneCount, j.running()}
-		j.ready, j.reading, j.done, j.stored, j.doneCount, j.queue = false, false, nil, nil, 0, nil
-		j.shown, j.runs = [2]int{-1, -1}, nil
+		j.shown = [2]int{-1, -1}
+		j.disown()
 	}
-	o.log.Info("home moved", "home", strings.TrimSpace(home), "to", o.view.Lease.Homes[home], "jobs", moved)
+	o.log.Info("home moved", "home", home, "to", o.view.Lease.Homes[home], "jobs", moved)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -288,12 +288,9 @@
 	return n, nil
 }
 
-// blocksOf fetches the blocks that a record refers to, a few at a time.
+// blocksOf fetches the blocks that a record refers to, one at a time.
 func (s *Set) blocksOf(ctx context.Context, p Member, r *artefactpb.Record) error {
-	var ids []artefact.ID
-	for _, h := range r.GetFile().GetBlocks() {
-		ids = append(ids, artefact.BlockID(artefact.Hash(h)))
-	}
+	ids := artefact.Refs(r)
 	there, err := s.opt.Local.Has(ids)
 	if err != nil {
 		return err
@@ -341,23 +338,17 @@
 	return false
 }
 
-// Collect answers another instance's Fetch.
-func Collect(a *archive.Archive, ids []artefact.ID, most int) ([]*artefactpb.Record, error) {
+// Collect answers another instance's Fetch with about most bytes.
+func Collect(a *archive.Archive, ids []artefact.ID, most int) []*artefactpb.Record {
 	var out []*artefactpb.Record
 	size := 0
 	sent := map[artefact.ID]bool{}
-	add := func(id artefact.ID) error {
-		if sent[id] {
-			return nil
-		}
-		r, err := a.Record(id)
-		if err != nil {
-			return err
+	add := func(id artefact.ID, r *artefactpb.Record) {
+		if !sent[id] {
+			sent[id] = true
+			out = append(out, r)
+			size += len(r.GetBlock().GetZstd()) + 256
 		}
-		sent[id] = true
-		out = append(out, r)
-		size += len(r.GetBlock().GetZstd()) + 256
-		return nil
 	}
 	for _, id := range ids {
 		if size >= most {
@@ -368,23 +359,23 @@
 			continue // pruned, or damaged: somebody else may have it
 		}
 		whole := true
-		hashes := r.GetFile().GetBlocks()
-		if c := r.GetChunk(); c != nil {
-			hashes = append(hashes, c.GetBlock())
-		}
-		for _, h := range hashes {
+		for _, ref := range artefact.Refs(r) {
 			if size >= most {
 				break // the other side asks for the rest
 			}
-			if err := add(artefact.BlockID(artefact.Hash(h))); err != nil {
+			if sent[ref] {
+				continue
+			}
+			b, err := a.Record(ref)
+			if err != nil {
 				whole = false
+				continue
 			}
+			add(ref, b)
 		}
 		if whole {
-			if err := add(id); err != nil {
-				continue
-			}
+			add(id, r)
 		}
 	}
-	return out, nil
+	return out
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -79,7 +79,7 @@
 	if l.broken() {
 		return nil, errCut
 	}
-	return Collect(l.to.arch, ids, 3000)
+	return Collect(l.to.arch, ids, 3000), nil
 }
 
 func block(t *testing.T, codec *artefact.Codec, data []byte) *artefactpb.Record {
--- a/internal/simtest/world_test.go
+++ b/internal/simtest/world_test.go
@@ -537,10 +537,7 @@
 			}
 			homes := w.nodes[0].core.Homes()
 			for _, team := range w.cfg.Teams {
-				count := map[string]int{}
-				for _, home := range cluster.Homes(homes, team.Name) {
-					count[homes[home]]++
-				}
+				count := cluster.CountHomes(homes, team.Name)
 				least, most := len(homes), 0
 				for _, n := range w.nodes {
 					least, most = min(least, count[n.name]), max(most, count[n.name])
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -126,6 +126,9 @@
 // it is one.
 func CutPart(home string) (team, part string, isPart bool) { return strings.Cut(home, partMark) }
 
+// IsHome tells whether a home is that of the team's jobs, or of a part of them.
+func IsHome(home, team string) bool { return home == team || IsPart(home, team) }
+
 // IsPart tells whether a home is that of a part of the team's jobs.
 func IsPart(home, team string) bool { return strings.HasPrefix(home, team+partMark) }
 
