Packages grouped by part: core, edge, artefacts, testkit

internal/ had become a flat list of 31 packages of two programs. The folders now show the design; generated messages between controllers stand beside wire, since core and edge both use them.

--- a/cmd/fawncove/artefacts.go
+++ b/cmd/fawncove/artefacts.go
@@ -20,13 +20,13 @@
 	"github.com/dustin/go-humanize"
 	"github.com/spf13/cobra"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/artefactapi"
-	"fawncove/internal/artefactd"
-	"fawncove/internal/client"
-	"fawncove/internal/keys"
-	"fawncove/internal/wholefile"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/artefactapi"
+	"fawncove/internal/artefacts/artefactd"
+	"fawncove/internal/artefacts/keys"
+	"fawncove/internal/artefacts/wholefile"
+	"fawncove/internal/edge/client"
 	"fawncove/internal/wire"
 )
 
--- a/cmd/fawncove/capture.go
+++ b/cmd/fawncove/capture.go
@@ -14,9 +14,9 @@
 	"github.com/dustin/go-humanize"
 	"github.com/spf13/cobra"
 
-	"fawncove/internal/artefactapi"
-	"fawncove/internal/capture"
-	"fawncove/internal/keys"
+	"fawncove/internal/artefacts/artefactapi"
+	"fawncove/internal/artefacts/capture"
+	"fawncove/internal/artefacts/keys"
 )
 
 func captureCommand() *cobra.Command {
--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -17,14 +17,14 @@
 
 	"github.com/spf13/cobra"
 
-	"fawncove/internal/cloud"
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/controller"
-	"fawncove/internal/httpapi"
-	"fawncove/internal/node"
-	"fawncove/internal/peer"
-	"fawncove/internal/statestore"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/controller"
+	"fawncove/internal/edge/cloud"
+	"fawncove/internal/edge/httpapi"
+	"fawncove/internal/edge/node"
+	"fawncove/internal/edge/peer"
+	"fawncove/internal/edge/statestore"
 )
 
 func serveCommand() *cobra.Command {
--- a/internal/archive/archive.go
+++ b/internal/artefacts/archive/archive.go
@@ -19,9 +19,9 @@
 	bolt "go.etcd.io/bbolt"
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/segment"
 )
 
 // Errors of Add and of reading.
--- a/internal/archive/archive_test.go
+++ b/internal/artefacts/archive/archive_test.go
@@ -15,9 +15,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/faultfs"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/testkit/faultfs"
 )
 
 var seeds = flag.Uint64("seeds", 60, "number of seeded lives of archives to play")
--- a/internal/archive/bench_test.go
+++ b/internal/artefacts/archive/bench_test.go
@@ -14,9 +14,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/segment"
 )
 
 // onDisk opens an archive in a directory of the operating system.
--- a/internal/archive/care.go
+++ b/internal/artefacts/archive/care.go
@@ -9,9 +9,9 @@
 	bolt "go.etcd.io/bbolt"
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/segment"
 )
 
 // Scrubbed is what a scrub found.
--- a/internal/archive/index.go
+++ b/internal/artefacts/archive/index.go
@@ -12,9 +12,9 @@
 	bolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/segment"
 )
 
 // The index says where each record is and what there is of each attempt. All of
--- a/internal/artefact/artefact.go
+++ b/internal/artefacts/artefact/artefact.go
@@ -20,7 +20,7 @@
 	"github.com/zeebo/blake3"
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/artefact/artefactpb"
+	"fawncove/internal/artefacts/artefact/artefactpb"
 )
 
 const (
--- a/internal/artefact/artefact_test.go
+++ b/internal/artefacts/artefact/artefact_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/klauspost/compress/zstd"
 
-	"fawncove/internal/artefact/artefactpb"
+	"fawncove/internal/artefacts/artefact/artefactpb"
 )
 
 // TestBombsAreRefused: a block that claims, or turns out, to be larger than a
--- a/internal/artefact/label.go
+++ b/internal/artefacts/artefact/label.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"fawncove/internal/artefact/artefactpb"
+	"fawncove/internal/artefacts/artefact/artefactpb"
 )
 
 // State is how far an attempt's output is.
--- a/internal/artefactapi/care.go
+++ b/internal/artefacts/artefactapi/care.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/keys"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/keys"
 )
 
 // Rule says what is to go. A rule applies to attempts of its team and outcome,
--- a/internal/artefactapi/client.go
+++ b/internal/artefacts/artefactapi/client.go
@@ -12,9 +12,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/archive"
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
+	"fawncove/internal/artefacts/archive"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
 )
 
 // Client speaks to one instance, as a writer, a reader, an operator or another
--- a/internal/artefactapi/metrics.go
+++ b/internal/artefacts/artefactapi/metrics.go
@@ -8,8 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
 )
 
 // Metrics are the figures of one instance.
--- a/internal/artefactapi/server.go
+++ b/internal/artefacts/artefactapi/server.go
@@ -19,12 +19,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/archive"
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/keys"
-	"fawncove/internal/replica"
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/archive"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/keys"
+	"fawncove/internal/artefacts/replica"
+	"fawncove/internal/artefacts/segment"
 )
 
 const (
--- a/internal/artefactapi/server_test.go
+++ b/internal/artefacts/artefactapi/server_test.go
@@ -11,12 +11,12 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/archive"
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/faultfs"
-	"fawncove/internal/keys"
-	"fawncove/internal/replica"
+	"fawncove/internal/artefacts/archive"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/keys"
+	"fawncove/internal/artefacts/replica"
+	"fawncove/internal/testkit/faultfs"
 )
 
 // FuzzUpload hands anything to the way in for records: it is answered with one
--- a/internal/artefactd/artefactd.go
+++ b/internal/artefacts/artefactd/artefactd.go
@@ -17,12 +17,12 @@
 	"sync"
 	"time"
 
-	"fawncove/internal/archive"
-	"fawncove/internal/artefactapi"
-	"fawncove/internal/keys"
-	"fawncove/internal/replica"
-	"fawncove/internal/s3fs"
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/archive"
+	"fawncove/internal/artefacts/artefactapi"
+	"fawncove/internal/artefacts/keys"
+	"fawncove/internal/artefacts/replica"
+	"fawncove/internal/artefacts/s3fs"
+	"fawncove/internal/artefacts/segment"
 )
 
 // memberToken is for how long the tokens last that instances show each other.
--- a/internal/artefactd/artefactd_test.go
+++ b/internal/artefacts/artefactd/artefactd_test.go
@@ -24,11 +24,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/archive"
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/artefactapi"
-	"fawncove/internal/keys"
+	"fawncove/internal/artefacts/archive"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/artefactapi"
+	"fawncove/internal/artefacts/keys"
 )
 
 // start runs an instance until the test ends, or stop is called.
@@ -350,7 +350,7 @@
 			t.Errorf("%q: %v, want %q named", text, err, want)
 		}
 	}
-	if _, err := Load("../../deploy/artefacts.toml"); err != nil {
+	if _, err := Load("../../../deploy/artefacts.toml"); err != nil {
 		t.Errorf("the file in deploy: %v", err)
 	}
 }
--- a/internal/artefactd/config.go
+++ b/internal/artefacts/artefactd/config.go
@@ -15,8 +15,8 @@
 
 	"github.com/BurntSushi/toml"
 
-	"fawncove/internal/artefactapi"
-	"fawncove/internal/s3fs"
+	"fawncove/internal/artefacts/artefactapi"
+	"fawncove/internal/artefacts/s3fs"
 )
 
 // Config are an instance's settings. Paths are relative to the file's folder.
--- a/internal/capture/capture.go
+++ b/internal/artefacts/capture/capture.go
@@ -25,9 +25,9 @@
 	"github.com/bmatcuk/doublestar/v4"
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/artefactapi"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/artefactapi"
 )
 
 const (
--- a/internal/capture/capture_test.go
+++ b/internal/artefacts/capture/capture_test.go
@@ -16,11 +16,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/archive"
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/artefactapi"
-	"fawncove/internal/faultfs"
+	"fawncove/internal/artefacts/archive"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/artefactapi"
+	"fawncove/internal/testkit/faultfs"
 )
 
 // fakeStore is an archive that can be out of reach, and lose its answers.
--- a/internal/capture/spool.go
+++ b/internal/artefacts/capture/spool.go
@@ -14,9 +14,9 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/segment"
-	"fawncove/internal/wholefile"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/artefacts/segment"
+	"fawncove/internal/artefacts/wholefile"
 )
 
 // ErrInUse says that another process has the spool.
--- a/internal/replica/replica.go
+++ b/internal/artefacts/replica/replica.go
@@ -18,9 +18,9 @@
 	"sync"
 	"time"
 
-	"fawncove/internal/archive"
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
+	"fawncove/internal/artefacts/archive"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
 )
 
 // ErrTooFew says that not enough instances have stored a record. Some may have.
--- a/internal/replica/replica_test.go
+++ b/internal/artefacts/replica/replica_test.go
@@ -12,10 +12,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/archive"
-	"fawncove/internal/artefact"
-	"fawncove/internal/artefact/artefactpb"
-	"fawncove/internal/faultfs"
+	"fawncove/internal/artefacts/archive"
+	"fawncove/internal/artefacts/artefact"
+	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/testkit/faultfs"
 )
 
 var errCut = errors.New("cut off")
--- a/internal/s3fs/s3fs.go
+++ b/internal/artefacts/s3fs/s3fs.go
@@ -24,7 +24,7 @@
 	"github.com/minio/minio-go/v7"
 	"github.com/minio/minio-go/v7/pkg/credentials"
 
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/segment"
 )
 
 // patience bounds one request to the service.
--- a/internal/s3fs/s3fs_test.go
+++ b/internal/artefacts/s3fs/s3fs_test.go
@@ -16,7 +16,7 @@
 	"sync"
 	"testing"
 
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/segment"
 )
 
 // service is a stand-in that speaks the part of the S3 object protocol that the
--- a/internal/segment/segment_test.go
+++ b/internal/artefacts/segment/segment_test.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"testing"
 
-	"fawncove/internal/faultfs"
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/segment"
+	"fawncove/internal/testkit/faultfs"
 )
 
 // TestAcknowledgedSurvives crashes logs at random moments on disks that tear
--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"fawncove/internal/leasevalue"
+	"fawncove/internal/core/leasevalue"
 )
 
 // Budget is one of the limits that bound the fleet.
--- a/internal/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"fawncove/internal/config"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
-	"fawncove/internal/share"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/share"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -8,14 +8,14 @@
 	"log/slog"
 	"time"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/grant"
-	"fawncove/internal/leader"
-	"fawncove/internal/leasevalue"
-	"fawncove/internal/owner"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/grant"
+	"fawncove/internal/core/leader"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/owner"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/controller/controller_test.go
+++ b/internal/core/controller/controller_test.go
@@ -8,10 +8,10 @@
 	"testing"
 	"time"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/controller/homes.go
+++ b/internal/core/controller/homes.go
@@ -1,7 +1,7 @@
 package controller
 
 import (
-	"fawncove/internal/cluster"
+	"fawncove/internal/core/cluster"
 	"fawncove/internal/wire"
 )
 
--- a/internal/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -6,11 +6,11 @@
 	"strings"
 	"time"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/leasevalue"
-	"fawncove/internal/owner"
-	"fawncove/internal/sched"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/owner"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
--- a/internal/controller/lead.go
+++ b/internal/core/controller/lead.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"fawncove/internal/leader"
-	"fawncove/internal/owner"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/step"
+	"fawncove/internal/core/leader"
+	"fawncove/internal/core/owner"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -7,11 +7,11 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/leader"
-	"fawncove/internal/leasevalue"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/leader"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -14,8 +14,8 @@
 	"slices"
 	"time"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/share"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/share"
 	"fawncove/internal/wire"
 )
 
--- a/internal/leader/fleet.go
+++ b/internal/core/leader/fleet.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/leader/homes.go
+++ b/internal/core/leader/homes.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
+	"fawncove/internal/core/cluster"
 	"fawncove/internal/wire"
 )
 
--- a/internal/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -12,11 +12,11 @@
 	"log/slog"
 	"time"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/leasevalue"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/leader/plan.go
+++ b/internal/core/leader/plan.go
@@ -7,11 +7,11 @@
 	"slices"
 	"time"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/leasevalue"
-	"fawncove/internal/sched"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
--- a/internal/leader/publish.go
+++ b/internal/core/leader/publish.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/leasevalue"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/leader/shares.go
+++ b/internal/core/leader/shares.go
@@ -3,10 +3,10 @@
 import (
 	"math"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/share"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/share"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/owner/job.go
+++ b/internal/core/owner/job.go
@@ -6,8 +6,8 @@
 	"strings"
 	"time"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/sched"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/sched"
 	"fawncove/internal/wire"
 )
 
--- a/internal/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -11,11 +11,11 @@
 	"log/slog"
 	"time"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/grant"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/grant"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/owner/owner_test.go
+++ b/internal/core/owner/owner_test.go
@@ -8,12 +8,12 @@
 	"testing"
 	"time"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/grant"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/grant"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/owner/pages.go
+++ b/internal/core/owner/pages.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
--- a/internal/owner/place.go
+++ b/internal/core/owner/place.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"fawncove/internal/config"
-	"fawncove/internal/sched"
+	"fawncove/internal/core/sched"
 	"fawncove/internal/wire"
 )
 
--- a/internal/owner/tell.go
+++ b/internal/core/owner/tell.go
@@ -6,9 +6,9 @@
 	"strings"
 	"time"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/owner/uses.go
+++ b/internal/core/owner/uses.go
@@ -3,10 +3,10 @@
 import (
 	"math"
 
-	"fawncove/internal/cluster"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/sched"
-	"fawncove/internal/share"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/share"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/owner/yield.go
+++ b/internal/core/owner/yield.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"fawncove/internal/cluster"
+	"fawncove/internal/core/cluster"
 )
 
 // A controller that was away long enough to be taken over finds its homes with
--- a/internal/step/step.go
+++ b/internal/core/step/step.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/httpapi/httpapi.go
+++ b/internal/edge/httpapi/httpapi.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"time"
 
-	"fawncove/internal/step"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
--- a/internal/httpapi/httpapi_test.go
+++ b/internal/edge/httpapi/httpapi_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"fawncove/internal/step"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
--- a/internal/node/node.go
+++ b/internal/edge/node/node.go
@@ -8,14 +8,14 @@
 	"sync/atomic"
 	"time"
 
-	"fawncove/internal/client"
-	"fawncove/internal/cloud"
-	"fawncove/internal/controller"
-	"fawncove/internal/owner"
-	"fawncove/internal/peer"
-	"fawncove/internal/peer/peerpb"
-	"fawncove/internal/statestore"
-	"fawncove/internal/step"
+	"fawncove/internal/core/controller"
+	"fawncove/internal/core/owner"
+	"fawncove/internal/core/step"
+	"fawncove/internal/edge/client"
+	"fawncove/internal/edge/cloud"
+	"fawncove/internal/edge/peer"
+	"fawncove/internal/edge/statestore"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
--- a/internal/node/usage.go
+++ b/internal/edge/node/usage.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"fawncove/internal/step"
+	"fawncove/internal/core/step"
 )
 
 // usageEvery is how often the use of the budgets is logged.
--- a/internal/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -18,7 +18,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/peerpb"
 )
 
 const (
--- a/internal/peer/peer_test.go
+++ b/internal/edge/peer/peer_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"fawncove/internal/peer/peerpb"
+	"fawncove/internal/peerpb"
 )
 
 // TestLink sends frames over a loopback socket, with nonsense from another
--- a/internal/statestore/statestore.go
+++ b/internal/edge/statestore/statestore.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/time/rate"
 
-	"fawncove/internal/client"
+	"fawncove/internal/edge/client"
 	"fawncove/internal/wire"
 )
 
--- a/internal/faultfs/faultfs.go
+++ b/internal/testkit/faultfs/faultfs.go
@@ -15,7 +15,7 @@
 	"sync"
 	"syscall"
 
-	"fawncove/internal/segment"
+	"fawncove/internal/artefacts/segment"
 )
 
 // ErrIO is what a call that fails by itself returns.
--- a/internal/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"fawncove/internal/config"
-	"fawncove/internal/step"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
--- a/internal/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"fawncove/internal/step"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
--- a/internal/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -20,10 +20,10 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"fawncove/internal/cluster"
 	"fawncove/internal/config"
-	"fawncove/internal/controller"
-	"fawncove/internal/step"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/controller"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
