--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fawncove/internal/config"
+	"fawncove/internal/core/gate"
 	"fawncove/internal/core/sched"
 	"fawncove/internal/core/share"
 	"fawncove/internal/peerpb"
@@ -44,11 +45,22 @@
 	K2      int           // the look-ahead threshold
 	Pack    int           // fleets smaller than this have all homes in one place
 	Home    int           // fleets larger than this have the jobs of limited teams parted too
+	// Levels is what levels this version can work under, Version its name, and
+	// RaiseAfter how long all must have been able to follow a level before it is
+	// raised without the operator's word; 0: never.
+	Levels     gate.Range
+	Version    string
+	RaiseAfter time.Duration
 }
 
+// RaiseAfter is the default of Params.RaiseAfter: long enough to see a new
+// version fail, and to go back, before there is no way back.
+const RaiseAfter = 10 * time.Minute
+
 // Defaults are the starting values.
 func Defaults() Params {
-	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 700}
+	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 700,
+		Levels: gate.Current(), Version: "unknown", RaiseAfter: RaiseAfter}
 }
 
 // View is the picture of the cluster.
@@ -64,15 +76,27 @@
 	Lease   wire.LeaseRecord
 	Version uint64
 	Leading bool // this controller leads
+	// Controllers is what each controller has stored of itself, and Word what the
+	// operator has asked for.
+	Controllers map[string]Stored[wire.ControllerRecord]
+	Word        Stored[wire.WordRecord]
 	// ValueBytes is the size of the lease value that this controller wrote
 	// last, without pages.
 	ValueBytes int
 	owners     map[string]string // machine -> controller, by the lease value
 }
 
+// Stored is a value of the state service; version 0 says that there is none.
+type Stored[T any] struct {
+	Value   T
+	Version uint64
+}
+
 // Peer is what is known of another controller.
 type Peer struct {
 	Area    string
+	Process uint64     // its incarnation, as heard last
+	Seen    gate.Level // level that it has read
 	Heard   time.Time
 	StateOK bool
 	OKSince time.Time // since when it says so without a break
@@ -110,7 +134,7 @@
 // or heard anything.
 func New(cfg *config.Settings, par Params) *View {
 	v := &View{Cfg: cfg, Par: par, Me: cfg.HostName, Types: map[string]wire.MachineType{},
-		Peers: map[string]*Peer{}, owners: map[string]string{}}
+		Peers: map[string]*Peer{}, Controllers: map[string]Stored[wire.ControllerRecord]{}, owners: map[string]string{}}
 	for _, p := range cfg.Peers {
 		v.Peers[p.HostName] = &Peer{Area: p.Area}
 	}
@@ -127,6 +151,33 @@
 	}
 }
 
+// Levels is what the lease value says of levels.
+func (v *View) Levels() gate.State {
+	return gate.State{Level: gate.Level(v.Lease.Level), Confirmed: gate.Level(v.Lease.Confirmed)}
+}
+
+// Open tells whether a gate is open here.
+func (v *View) Open(g gate.Gate) bool { return v.Levels().Open(g) }
+
+// Members is what is known of all controllers of the settings, this one
+// included, in the order of their names.
+func (v *View) Members(process uint64, now time.Time) []gate.Member {
+	var out []gate.Member
+	for _, name := range SortedKeys(v.Peers) {
+		p := v.Peers[name]
+		out = append(out, gate.Member{Name: name, Heard: v.LinkUp(name, now), Process: p.Process, Seen: p.Seen})
+	}
+	out = append(out, gate.Member{Name: v.Me, Heard: true, Process: process, Seen: v.Levels().Level})
+	for i := range out {
+		m := &out[i]
+		r := v.Controllers[m.Name].Value
+		m.Holder = v.Lease.Blocks[m.Name].Incarnation
+		m.Told = gate.Told{Process: r.Incarnation, Version: r.Version,
+			Levels: gate.Range{Oldest: gate.Level(r.Oldest), Newest: gate.Level(r.Newest)}}
+	}
+	return out
+}
+
 // LinkUp tells whether another controller has been heard a moment ago.
 func (v *View) LinkUp(name string, now time.Time) bool {
 	p := v.Peers[name]
--- a/internal/core/controller/bench_test.go
+++ b/internal/core/controller/bench_test.go
@@ -10,6 +10,7 @@
 
 	"fawncove/internal/config"
 	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/owner"
 	"fawncove/internal/core/step"
 	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
@@ -101,7 +102,7 @@
 	for i, name := range c.view.Lease.Blocks["n0"].Machines {
 		if i%25 == 0 {
 			c.applyJob(wire.JobRecord{Job: wire.Job{ID: fmt.Sprintf("wk-%06d", i), Class: "c", Team: "red", Shape: wire.Array, Priority: "standard",
-				Tasks: 150, CPUs: 4, MemoryGB: 4, Spot: true, EstimateS: 60, Image: "img", ImageGB: 1}, Part: wire.PartName("red", 1)}, uint64(10+i))
+				Tasks: 150, CPUs: 4, MemoryGB: 4, Spot: true, EstimateS: 60, Image: "img", ImageGB: 1}, Part: wire.PartName("red", 1)}, owner.Stamp{Version: uint64(10 + i)})
 		}
 		c.own.Report(step.ReportIn{Req: uint64(i), Report: wire.Report{Machine: name, Endpoint: "10.0.0.1:9000", Type: "b8", Zone: "x", Spot: true, Session: 1, Seq: 1}})
 	}
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -10,6 +10,7 @@
 
 	"fawncove/internal/config"
 	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
 	"fawncove/internal/core/grant"
 	"fawncove/internal/core/leader"
 	"fawncove/internal/core/leasevalue"
@@ -41,6 +42,8 @@
 	ended      map[string]wire.EndRecord
 	endedOrder []string
 	verify     verifier
+	userWrites int       // submissions being stored
+	usersShort time.Time // when one last found no room in the write limit
 
 	typesAt   time.Time
 	typesBusy bool
@@ -54,6 +57,9 @@
 	leaseReading bool
 	renewAt      time.Time
 	tradedAt     time.Time
+	unreadable   uint64 // version of a lease value that could not be read
+	refused      error  // why this version cannot serve this cluster
+	level        level
 
 	// What was last told to the peers.
 	pingAt time.Time
@@ -66,6 +72,7 @@
 func New(cfg *config.Settings, par cluster.Params, log *slog.Logger, incarnation uint64) *Core {
 	c := &Core{view: cluster.New(cfg, par), log: log, hold: grant.New(incarnation, par.Lease),
 		ended: map[string]wire.EndRecord{}}
+	c.book.Before = !par.Levels.Gated()
 	c.own = owner.New(&c.loop, c.view, c.hold, c, log)
 	return c
 }
@@ -104,7 +111,7 @@
 // Healthy tells whether users can be served here: everything is read, and
 // where the state service is out of reach, nobody else does better.
 func (c *Core) Healthy() bool {
-	if !c.loaded || len(c.view.Types) == 0 || c.view.Version == 0 {
+	if !c.serves() || len(c.view.Types) == 0 || c.view.Version == 0 {
 		return false
 	}
 	if c.loop.Now.Sub(c.stateOK) < 4*time.Second {
@@ -118,6 +125,9 @@
 	return true
 }
 
+// Levels is what the lease value, as last read, says of levels.
+func (c *Core) Levels() gate.State { return c.view.Levels() }
+
 // LeaseForm is the form of the lease value as this controller last read it.
 func (c *Core) LeaseForm() int { return c.view.Lease.Form }
 
@@ -139,12 +149,16 @@
 		return
 	}
 	c.watch()
+	if c.refused != nil {
+		return
+	}
 	c.readLease()
 	c.resign()
 	c.trade()
 	c.elect()
 	c.renew()
 	c.ping()
+	c.tellLevel()
 	c.own.Store()
 	c.runVerify()
 	c.own.Check()
@@ -199,7 +213,12 @@
 
 // frame is the beginning of every message to another controller.
 func (c *Core) frame() *peerpb.Frame {
-	return &peerpb.Frame{From: c.view.Me, Incarnation: c.hold.Incarnation(), StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second, ReadsForm: leasevalue.Form}
+	f := &peerpb.Frame{From: c.view.Me, Incarnation: c.hold.Incarnation(), StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second,
+		ReadsForm: leasevalue.FormPages}
+	if c.view.Par.Levels.Gated() {
+		f.Form, f.NewestLevel, f.SeenLevel = frameForm, uint32(c.view.Par.Levels.Newest), c.view.Lease.Level
+	}
+	return f
 }
 
 func (c *Core) onPeer(f *peerpb.Frame) {
@@ -208,6 +227,11 @@
 		c.log.Warn("frame from an unknown peer", "from", f.GetFrom())
 		return
 	}
+	if c.view.Par.Levels.Gated() && (f.GetForm() > frameForm || f.GetRenewal().GetForm() > renewalForm) {
+		c.log.Warn("frame in a form that is unknown to this version", "from", f.GetFrom(), "form", f.GetForm(), "renewal", f.GetRenewal().GetForm())
+		return
+	}
+	p.Process, p.Seen = f.GetIncarnation(), gate.Level(f.GetSeenLevel())
 	if f.GetStateOk() && (!p.StateOK || c.loop.Now.Sub(p.Heard) > cluster.LinkDead) {
 		p.OKSince = c.loop.Now
 	}
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
 	"fawncove/internal/core/leasevalue"
 	"fawncove/internal/core/owner"
 	"fawncove/internal/core/sched"
@@ -142,21 +143,27 @@
 			c.applyValue(*c.unread)
 		}
 	case strings.HasPrefix(key, jobPrefix):
-		var rec wire.JobRecord
-		if err := wire.Decode(value, &rec); err != nil || rec.ID != key[len(jobPrefix):] {
+		env, rec, err := c.openJob(key, value)
+		if err != nil {
 			c.log.Error("job record", "key", key, "err", err)
 			return
 		}
-		c.applyJob(rec, version)
+		c.applyJob(rec, owner.Stamp{Version: version, Born: env.Born, Form: env.Form})
 	case strings.HasPrefix(key, endPrefix):
 		var rec wire.EndRecord
-		if err := wire.Decode(value, &rec); err != nil {
+		err := wire.Decode(value, &rec)
+		if err == nil && rec.Form > wire.EndForm && c.view.Par.Levels.Gated() {
+			err = wire.FormError{What: "end record", Form: rec.Form}
+		}
+		if err != nil {
 			c.log.Error("end record", "key", key, "err", err)
 			return
 		}
 		c.applyEnd(key[len(endPrefix):], rec)
 	case strings.HasPrefix(key, renPrefix):
 		c.applyStoredRenewal(value)
+	case strings.HasPrefix(key, LevelPrefix):
+		c.applyLevel(key, value, version)
 	}
 }
 
@@ -165,14 +172,34 @@
 		if j := c.own.Job(id); j != nil && version >= j.Version {
 			c.own.End(j)
 		}
+	} else if strings.HasPrefix(key, LevelPrefix) {
+		c.applyLevel(key, nil, version)
+	}
+}
+
+// openJob reads a job's record, in its envelope or as earlier versions store it.
+func (c *Core) openJob(key string, value []byte) (env wire.Envelope, rec wire.JobRecord, err error) {
+	env = wire.Envelope{Value: value}
+	if c.view.Par.Levels.Gated() {
+		if env, err = wire.Unwrap(key, value); err != nil {
+			return env, rec, err
+		}
+	}
+	if err = wire.Decode(env.Value, &rec); err != nil {
+		return env, rec, err
 	}
+	if rec.ID != key[len(jobPrefix):] {
+		return env, rec, fmt.Errorf("is of job %q", rec.ID)
+	}
+	rec.Unknown, err = wire.UnknownFields(env.Value, rec)
+	return env, rec, err
 }
 
-func (c *Core) applyJob(rec wire.JobRecord, version uint64) {
+func (c *Core) applyJob(rec wire.JobRecord, at owner.Stamp) {
 	if _, ok := c.ended[rec.ID]; ok {
 		return
 	}
-	c.own.Put(rec, version)
+	c.own.Put(rec, at)
 }
 
 // applyEnd notes that a job is over. An end is final.
@@ -190,6 +217,13 @@
 	}
 }
 
+// Key is where a job's record is stored.
+func (c *Core) Key(id string) string { return jobPrefix + id }
+
+// Users tells how many submissions are being stored, and when one last found no
+// room in the write limit.
+func (c *Core) Users() (pending int, short time.Time) { return c.userWrites, c.usersShort }
+
 // End decides a job's end by a compare on the version of its record, so
 // that of a completion and a cancellation exactly one wins. then is told
 // whether the end is stored; tries bounds the repeats.
@@ -200,6 +234,9 @@
 	if state == wire.Cancelled {
 		rec.Done = max(done, j.Told[0])
 	}
+	if c.view.Open(gate.Envelope) {
+		rec.Form = wire.EndForm
+	}
 	txn := wire.Txn{
 		If:   []wire.Cond{{Key: jobPrefix + id, Version: j.Version}, {Key: endPrefix + id}},
 		Then: []wire.Op{{Delete: jobPrefix + id}, {Put: endPrefix + id, Value: rec}},
@@ -379,7 +416,7 @@
 		c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		return
 	}
-	if !c.loaded {
+	if !c.serves() {
 		c.loop.Unavailable(e.Req)
 		return
 	}
@@ -402,7 +439,7 @@
 		c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		return
 	}
-	if !c.loaded {
+	if !c.serves() {
 		c.loop.Unavailable(e.Req)
 		return
 	}
@@ -456,28 +493,31 @@
 	return 0, ""
 }
 
+// known answers a submission of a job that is there already, or over. It returns
+// false when there is neither.
+func (c *Core) known(req uint64, id string, j *owner.Job, end *wire.EndRecord) bool {
+	switch {
+	case end != nil:
+		c.loop.Answer(req, 200, endAnswer(id, *end))
+	case j != nil:
+		c.loop.Answer(req, 200, c.jobAnswer(j))
+	default:
+		return false
+	}
+	return true
+}
+
 func (c *Core) onSubmit(e step.SubmitIn) {
 	bad := func() { c.loop.Answer(e.Req, 400, wire.ErrorAnswer{Error: fmt.Sprint(e.Err)}) }
 	if e.Job.ID == "" {
 		bad()
 		return
 	}
-	if !c.loaded {
+	if !c.serves() {
 		c.loop.Unavailable(e.Req)
 		return
 	}
 	id := e.Job.ID
-	known := func(j *owner.Job, end *wire.EndRecord) bool {
-		switch {
-		case end != nil:
-			c.loop.Answer(e.Req, 200, endAnswer(id, *end))
-		case j != nil:
-			c.loop.Answer(e.Req, 200, c.jobAnswer(j))
-		default:
-			return false
-		}
-		return true
-	}
 	status, why := 400, ""
 	if e.Err == nil {
 		status, why = c.refusal(&e.Job)
@@ -486,7 +526,7 @@
 		// A known job is answered as it stands, whatever the body says.
 		c.ask(id, func(j *owner.Job, end *wire.EndRecord, ok bool) {
 			switch {
-			case known(j, end):
+			case c.known(e.Req, id, j, end):
 			case !ok || status == 503 || status == 0:
 				c.loop.Unavailable(e.Req)
 			case status == 400:
@@ -502,29 +542,54 @@
 	if rec.Part != "" {
 		rec.Owner = c.homeOf(rec.Part)
 	}
+	c.store(e.Req, rec, c.view.Open(gate.Envelope))
+}
+
+// store stores the record of a new job and answers its user.
+func (c *Core) store(req uint64, rec wire.JobRecord, wrapped bool) {
+	id, form := rec.ID, 0
+	var value any = rec
+	if wrapped {
+		env, err := wire.Wrap(rec, c.view.Lease.Generation, 0)
+		if err != nil {
+			c.log.Error("job record", "job", id, "err", err)
+			c.loop.Unavailable(req)
+			return
+		}
+		value, form = env, env.Form
+	}
+	c.userWrites++
 	c.loop.Emit(step.StateTxn{
 		Txn: wire.Txn{
 			If:   []wire.Cond{{Key: jobPrefix + id}, {Key: endPrefix + id}},
-			Then: []wire.Op{{Put: jobPrefix + id, Value: rec}},
+			Then: []wire.Op{{Put: jobPrefix + id, Value: value}},
 		},
 		ID: c.loop.Call(func(d step.Completed) {
+			c.userWrites--
+			if d.Status != 200 && d.Status != 409 {
+				c.usersShort = c.loop.Now
+			}
 			switch d.Status {
 			case 200:
-				c.applyJob(rec, d.Txn.Revision)
+				c.applyJob(rec, owner.Stamp{Version: d.Txn.Revision, Form: form})
 				c.log.Debug("accepted", "job", id, "class", rec.Class, "tasks", rec.Tasks, "image", rec.Image, "owner", rec.Owner)
-				c.loop.Answer(e.Req, 201, wire.JobAnswer{ID: id, State: wire.Pending})
+				c.loop.Answer(req, 201, wire.JobAnswer{ID: id, State: wire.Pending})
 			case 409:
 				c.refresh(id, func(ok bool) {
 					if end, over := c.ended[id]; over {
-						known(nil, &end)
-					} else if j := c.own.Job(id); !ok || j == nil || j.Over || !known(j, nil) {
-						c.loop.Unavailable(e.Req)
+						c.known(req, id, nil, &end)
+					} else if j := c.own.Job(id); !ok || j == nil || j.Over || !c.known(req, id, j, nil) {
+						c.loop.Unavailable(req)
 					}
 				})
 			case 400:
-				c.loop.Answer(e.Req, 400, wire.ErrorAnswer{Error: "too large"})
+				if wrapped { // perhaps only the envelope is too much
+					c.store(req, rec, false)
+					return
+				}
+				c.loop.Answer(req, 400, wire.ErrorAnswer{Error: "too large"})
 			default:
-				c.loop.Unavailable(e.Req)
+				c.loop.Unavailable(req)
 			}
 		}),
 	})
@@ -533,7 +598,7 @@
 // Ready tells whether workers may be answered: jobs are known, and this
 // controller is not the only one refused by the state service; then others know
 // who owns the machines by now.
-func (c *Core) Ready() bool { return c.loaded && (c.hold.Held() || !c.refusedAlone()) }
+func (c *Core) Ready() bool { return c.serves() && (c.hold.Held() || !c.refusedAlone()) }
 
 // Ended tells whether a job is known to be over.
 func (c *Core) Ended(id string) bool { _, ok := c.ended[id]; return ok }
--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
 	"fawncove/internal/core/leader"
 	"fawncove/internal/core/leasevalue"
 	"fawncove/internal/core/step"
@@ -47,8 +48,11 @@
 		}
 		return
 	}
+	if err == nil && c.view.Par.Levels.Gated() {
+		err = c.view.Par.Levels.Follow(gate.Level(rec.Level))
+	}
 	if err != nil {
-		c.log.Error("lease value", "err", err)
+		c.cannotRead(p.Version, err)
 		return
 	}
 	c.applyLease(rec, p.Version)
@@ -153,6 +157,9 @@
 // Renewal describes this controller to the leader, numbered as the next one.
 func (c *Core) Renewal() *peerpb.Renewal {
 	r := &peerpb.Renewal{Node: c.view.Me, Incarnation: c.hold.Incarnation(), Number: c.hold.NextRenewal()}
+	if c.view.Par.Levels.Gated() {
+		r.Form = renewalForm
+	}
 	c.own.Describe(r)
 	return r
 }
@@ -284,6 +291,10 @@
 		c.log.Error("stored renewal", "err", err)
 		return
 	}
+	if r.GetForm() > renewalForm {
+		c.log.Warn("renewal in a form that is unknown to this version", "node", r.GetNode(), "form", r.GetForm())
+		return
+	}
 	c.onRenewal(r)
 }
 
@@ -302,6 +313,9 @@
 			patience += time.Second
 		}
 	}
+	if c.unreadable > c.view.Version {
+		return // somebody leads, in a form that cannot be read here
+	}
 	if c.view.Version != 0 && !mine && c.loop.Now.Sub(c.leaseSeen) < patience {
 		return
 	}
@@ -346,7 +360,7 @@
 		c.view.ValueBytes = draft.Bytes
 	}
 	c.loop.Emit(step.StateTxn{Control: true,
-		Txn: wire.Txn{If: []wire.Cond{{Key: leaseKey, Version: c.view.Version}}, Then: ops},
+		Txn: wire.Txn{If: append([]wire.Cond{{Key: leaseKey, Version: c.view.Version}}, c.raiseConds(&rec)...), Then: ops},
 		ID: c.loop.Call(func(d step.Completed) {
 			c.leaseBusy = false
 			if d.Status == 200 {
--- /dev/null
+++ b/internal/core/controller/level.go
@@ -0,0 +1,196 @@
+package controller
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
+	"fawncove/internal/core/step"
+	"fawncove/internal/wire"
+)
+
+// Levels of the cluster: what this process tells of itself, and what it does
+// when it cannot follow.
+
+const (
+	// LevelPrefix is where all that has to do with levels is stored, each
+	// controller's record below NodePrefix; WordKey is the operator's.
+	LevelPrefix = root + "g/"
+	NodePrefix  = LevelPrefix + "n/"
+	WordKey     = LevelPrefix + "word"
+
+	// frameForm and renewalForm are the newest forms of messages between
+	// controllers.
+	frameForm   = 1
+	renewalForm = 1
+
+	// tellGap spaces the writes of a controller's record, and leftGap those
+	// that only say how far rewriting has come.
+	tellGap = 2 * time.Second
+	leftGap = 10 * time.Second
+)
+
+// level is what has to do with levels.
+type level struct {
+	read    bool // what is stored of all controllers
+	reading bool
+	busy    bool // own record is being written
+	next    time.Time
+	told    wire.ControllerRecord
+	refused uint64 // the lease value that was refused last
+}
+
+// serves tells whether users and workers can be served at all.
+func (c *Core) serves() bool { return c.loaded && c.refused == nil }
+
+// Refused tells why this version cannot serve this cluster, or nil.
+func (c *Core) Refused() error { return c.refused }
+
+// cannotRead is told of a lease value that cannot be read. One in a form or at a
+// level that this version does not know says that the cluster has moved on: from
+// here on this process serves nobody and holds no right. Any other may be
+// damaged; it grants nothing, and what was read before it goes on until it lapses.
+func (c *Core) cannotRead(version uint64, err error) {
+	if version == c.unreadable {
+		return
+	}
+	c.unreadable = version
+	if !c.view.Par.Levels.Gated() || !tooOld(err) {
+		c.log.Error("lease value", "err", err)
+		return
+	}
+	if c.refused != nil {
+		return
+	}
+	c.refused = err
+	c.log.Error("refuses to serve", "version", c.view.Par.Version, "err", err)
+	c.stopLeading()
+	c.loseBlock()
+}
+
+// tooOld tells an unknown form or level from damage.
+func tooOld(err error) bool {
+	var form wire.FormError
+	var lvl gate.LevelError
+	return errors.As(err, &form) || errors.As(err, &lvl)
+}
+
+// raiseConds are the further conditions of a value that raises the level: each
+// controller's record, and the operator's word, must be those that the leader
+// decided by. A controller that has been replaced meanwhile stops the raise,
+// however late the write arrives.
+func (c *Core) raiseConds(rec *wire.LeaseRecord) []wire.Cond {
+	if rec.Level == c.view.Lease.Level && rec.Confirmed == c.view.Lease.Confirmed {
+		return nil
+	}
+	conds := []wire.Cond{{Key: WordKey, Version: c.view.Word.Version}, {Key: NodePrefix + c.view.Me, Version: c.view.Controllers[c.view.Me].Version}}
+	for _, name := range cluster.SortedKeys(c.view.Peers) {
+		conds = append(conds, wire.Cond{Key: NodePrefix + name, Version: c.view.Controllers[name].Version})
+	}
+	return conds
+}
+
+// applyLevel takes in a key below LevelPrefix; value is nil if it is gone.
+func (c *Core) applyLevel(key string, value []byte, version uint64) {
+	if !c.view.Par.Levels.Gated() {
+		return
+	}
+	if key == WordKey {
+		c.view.Word = keep(c, c.view.Word, key, value, version, func(w wire.WordRecord) int { return w.Form })
+	} else if name, ok := strings.CutPrefix(key, NodePrefix); ok {
+		c.view.Controllers[name] = keep(c, c.view.Controllers[name], key, value, version, func(r wire.ControllerRecord) int { return r.Form })
+	}
+	if c.lead != nil {
+		c.lead.Stir()
+	}
+}
+
+// keep returns what is stored under a key now. What cannot be read says nothing,
+// but its version counts.
+func keep[T any](c *Core, old cluster.Stored[T], key string, value []byte, version uint64, form func(T) int) cluster.Stored[T] {
+	if version <= old.Version {
+		return old
+	}
+	if value == nil {
+		return cluster.Stored[T]{}
+	}
+	out := cluster.Stored[T]{Version: version}
+	err := wire.Decode(value, &out.Value)
+	if f := form(out.Value); err == nil && f > wire.ControllerForm {
+		err = wire.FormError{What: key, Form: f}
+	}
+	if err != nil {
+		c.log.Error("level", "key", key, "err", err)
+		return cluster.Stored[T]{Version: version}
+	}
+	return out
+}
+
+// readLevels reads once what all controllers have told; later changes come with
+// the watch.
+func (c *Core) readLevels() {
+	if c.level.reading || c.loop.Now.Before(c.level.next) {
+		return
+	}
+	c.level.reading = true
+	c.loop.Emit(step.StateRange{Prefix: LevelPrefix, ID: c.loop.Call(func(d step.Completed) {
+		c.level.reading = false
+		if d.Status != 200 {
+			c.level.next = c.loop.Now.Add(time.Second)
+			return
+		}
+		for _, p := range d.Page.Pairs {
+			c.applyLevel(p.Key, p.Value, p.Version)
+		}
+		c.level.read = true
+	})})
+}
+
+// tellLevel stores what this process can follow, what it has read and how far
+// it has come, when that has changed. It is written under the version that is
+// known, so that an earlier process's late write cannot replace it.
+func (c *Core) tellLevel() {
+	if !c.view.Par.Levels.Gated() {
+		return
+	}
+	if !c.level.read {
+		c.readLevels()
+		return
+	}
+	if c.level.busy || c.loop.Now.Before(c.level.next) || c.view.Version == 0 {
+		return
+	}
+	stored := c.view.Controllers[c.view.Me]
+	rec := wire.ControllerRecord{Form: wire.ControllerForm, Incarnation: c.hold.Incarnation(), Version: c.view.Par.Version,
+		Oldest: uint32(c.view.Par.Levels.Oldest), Newest: uint32(c.view.Par.Levels.Newest), Seen: c.view.Lease.Level,
+		Ready: c.Healthy(), Left: c.own.Left()}
+	if c.lead != nil {
+		rec.Waits = c.lead.Waits()
+	}
+	same := rec
+	same.AtMs, same.Waits, same.Left = stored.Value.AtMs, stored.Value.Waits, stored.Value.Left
+	if same.Incarnation == stored.Value.Incarnation && same.Version == stored.Value.Version && same.Oldest == stored.Value.Oldest &&
+		same.Newest == stored.Value.Newest && same.Seen == stored.Value.Seen && same.Ready == stored.Value.Ready {
+		old := time.UnixMilli(stored.Value.AtMs)
+		if slices.Equal(rec.Waits, stored.Value.Waits) && rec.Left == stored.Value.Left || c.loop.Now.Sub(old) < leftGap {
+			return
+		}
+	}
+	rec.AtMs = c.loop.Now.UnixMilli()
+	c.level.busy, c.level.next = true, c.loop.Now.Add(tellGap)
+	key := NodePrefix + c.view.Me
+	c.loop.Emit(step.StateTxn{
+		Txn: wire.Txn{If: []wire.Cond{{Key: key, Version: stored.Version}}, Then: []wire.Op{{Put: key, Value: rec}}},
+		ID: c.loop.Call(func(d step.Completed) {
+			c.level.busy = false
+			switch d.Status {
+			case 200:
+				c.view.Controllers[c.view.Me] = cluster.Stored[wire.ControllerRecord]{Value: rec, Version: d.Txn.Revision}
+			case 409:
+				c.level.read = false // something has changed unseen: read again
+			}
+		})})
+}
--- /dev/null
+++ b/internal/core/gate/gate.go
@@ -0,0 +1,121 @@
+// Package gate is how new behaviour and new stored forms come into a cluster
+// whose controllers are replaced one by one.
+//
+// The cluster has a level, which stands in the lease value and so is part of
+// every compare. Each new behaviour is a gate with the level that opens it. A
+// version says which levels it can work under; the level is raised only when
+// every controller of the settings, as the process that it is at that moment,
+// has told that it can follow, and never goes back. A controller that reads a
+// level beyond its own serves nobody.
+//
+// A raise reaches the controllers one after the other, so for a while two act
+// under different levels. Each gate says in its comment why that breaks no rule,
+// or waits: it opens only when all controllers have confirmed that they have
+// seen the level, which the lease value says too.
+//
+// The package decides and nothing else: it reads no clock, sends nothing, and
+// knows of the state service only what it is handed.
+package gate
+
+import "fmt"
+
+// Level is the level of a cluster, or that which a gate needs. Level 0 is that
+// of all versions from before there were levels: no value names it.
+type Level uint32
+
+const (
+	// Oldest and Newest are the levels that this version can work under.
+	Oldest Level = 0
+	Newest Level = 2
+)
+
+// Range is what levels a version can work under.
+type Range struct{ Oldest, Newest Level }
+
+// Current is the range of this version.
+func Current() Range { return Range{Oldest, Newest} }
+
+// Gated tells whether the version knows of levels at all.
+func (r Range) Gated() bool { return r.Newest > 0 }
+
+// Follow returns a LevelError if a version cannot work under a level.
+func (r Range) Follow(l Level) error {
+	if l > r.Newest || l < r.Oldest {
+		return LevelError{l, r}
+	}
+	return nil
+}
+
+// LevelError says that a version cannot work under the level of the cluster.
+type LevelError struct {
+	Level Level
+	Can   Range
+}
+
+func (e LevelError) Error() string {
+	if e.Level > e.Can.Newest {
+		return fmt.Sprintf("the cluster is at level %d, this version follows up to %d: a newer version is needed", e.Level, e.Can.Newest)
+	}
+	return fmt.Sprintf("the cluster is at level %d, this version follows from %d on: a version in between has to be rolled out first", e.Level, e.Can.Oldest)
+}
+
+// Gate is a behaviour, or a stored form, that comes with a level.
+type Gate int
+
+const (
+	// LeaseLevel: the lease value is stored in the form that names level and
+	// generation, with pages and shares, without asking who reads them.
+	//
+	// Side by side: the value is the single point of every compare. Whoever has
+	// not read the raise yet bases its writes on a version that is gone, so
+	// they fail; all others only read, and have told that they can. An earlier
+	// version cannot read the value, and is granted nothing by it.
+	LeaseLevel Gate = iota
+	// Envelope: records of jobs and pages of completed tasks are stored with
+	// their form, the generation of the state and, for jobs, the version under
+	// which they were first stored.
+	//
+	// It waits. A controller that went back to a version without levels in the
+	// very moment of a raise, before the leader could know, still passes for
+	// healthy with the lease value that it read earlier; a job in an envelope
+	// would be 503 to its users for as long as it lives. It never confirms, so
+	// while it is there nothing is stored that it cannot read. All others read
+	// both forms, and decide by versions, whatever the form.
+	Envelope
+)
+
+// Info describes a gate.
+type Info struct {
+	Name    string
+	Level   Level  // that opens it
+	Waits   bool   // until all have confirmed the level
+	Version string // of the program that brought it
+}
+
+// Info describes the gate.
+func (g Gate) Info() Info { return table()[g] }
+
+// All lists the gates in order.
+func All() []Gate { return []Gate{LeaseLevel, Envelope} }
+
+func table() [2]Info {
+	return [...]Info{
+		LeaseLevel: {Name: "lease-level", Level: 1, Version: "0.2"},
+		Envelope:   {Name: "envelope", Level: 2, Waits: true, Version: "0.2"},
+	}
+}
+
+// State is what the lease value says of levels.
+type State struct {
+	Level     Level
+	Confirmed Level // seen by all controllers
+}
+
+// Open tells whether a gate is open.
+func (s State) Open(g Gate) bool {
+	i := g.Info()
+	if i.Waits {
+		return s.Confirmed >= i.Level
+	}
+	return s.Level >= i.Level
+}
--- /dev/null
+++ b/internal/core/gate/raise.go
@@ -0,0 +1,133 @@
+package gate
+
+import (
+	"fmt"
+	"time"
+)
+
+// Member is what the leader knows of one controller of the settings.
+type Member struct {
+	Name string
+	// Heard says that it has been heard a moment ago. Who is absent, cut off or
+	// frozen is not.
+	Heard bool
+	// Process is the incarnation heard last, and Holder that which the lease
+	// value names for its block; 0: none.
+	Process, Holder uint64
+	// Told is what that controller has stored of itself; the zero value: nothing.
+	Told Told
+	// Seen is the level that it has read, as it was heard last.
+	Seen Level
+}
+
+// Told is what a process has stored of itself.
+type Told struct {
+	Process uint64 // 0: nothing was stored
+	Levels  Range
+	Version string
+}
+
+// Lacks returns why a controller keeps the cluster from a level, or "". What
+// it told counts only as the process that it now is: an earlier one may have
+// been of another version.
+func (m Member) Lacks(l Level) string {
+	switch {
+	case m.Process == 0:
+		return "was never heard; it is named in the settings"
+	case !m.Heard:
+		return "is not heard at the moment"
+	case m.Told.Process == 0:
+		return "has told no level: its version is from before levels, or it has just started"
+	case m.Told.Process != m.Process:
+		return "told its level as an earlier process"
+	case m.Holder != 0 && m.Holder != m.Process:
+		return "holds its block as an earlier process"
+	}
+	if err := m.Told.Levels.Follow(l); err != nil {
+		return fmt.Sprintf("version %s follows levels %d to %d only", m.Told.Version, m.Told.Levels.Oldest, m.Told.Levels.Newest)
+	}
+	return ""
+}
+
+// Word is what the operator has asked for.
+type Word struct {
+	Level Level // to be raised to as soon as all can follow; 0: nothing asked
+	Hold  bool  // no raise by itself
+}
+
+// Raise decides when the level is raised. It belongs to a leader; a new one
+// begins to wait anew. Its zero value never raises by itself.
+type Raise struct {
+	// After is for how long all must have been able to follow a level before it
+	// is raised without the operator's word; 0: never.
+	After time.Duration
+
+	since map[Level]time.Time // all able, without a break
+}
+
+// Decide returns what the level should be now, of a leader that can follow
+// levels, and what keeps the cluster from the newest of them.
+func (r *Raise) Decide(now time.Time, st State, own Range, members []Member, word Word) (State, []string) {
+	if r.since == nil {
+		r.since = map[Level]time.Time{}
+	}
+	next := st
+	var waits []string
+	for l := st.Level + 1; l <= own.Newest; l++ {
+		lacking := lacks(members, l)
+		if len(lacking) > 0 {
+			delete(r.since, l)
+			if len(waits) == 0 {
+				waits = lacking
+			}
+			continue
+		}
+		if _, ok := r.since[l]; !ok {
+			r.since[l] = now
+		}
+		byItself := r.After > 0 && !word.Hold && now.Sub(r.since[l]) >= r.After
+		if (word.Level >= l || byItself) && next.Level == l-1 {
+			next.Level = l
+		} else if len(waits) == 0 {
+			waits = []string{fmt.Sprintf("level %d: all can follow; waits for %s", l, awaits(r, word, l))}
+		}
+	}
+	// Confirmed is a fact, and stands in the value so that whoever leads next
+	// knows it: all have read the level that the value had before this write.
+	if st.Confirmed < st.Level {
+		var unseen []string
+		for _, m := range members {
+			if why := m.Lacks(st.Level); why != "" {
+				unseen = append(unseen, m.Name+" "+why)
+			} else if m.Seen < st.Level {
+				unseen = append(unseen, fmt.Sprintf("%s has not read level %d yet", m.Name, st.Level))
+			}
+		}
+		if len(unseen) == 0 {
+			next.Confirmed = st.Level
+		} else {
+			waits = append(waits, unseen...)
+		}
+	}
+	return next, waits
+}
+
+func lacks(members []Member, l Level) []string {
+	var out []string
+	for _, m := range members {
+		if why := m.Lacks(l); why != "" {
+			out = append(out, m.Name+" "+why)
+		}
+	}
+	return out
+}
+
+func awaits(r *Raise, word Word, l Level) string {
+	switch {
+	case word.Hold:
+		return "the operator, who holds it"
+	case r.After == 0:
+		return "the operator"
+	}
+	return fmt.Sprintf("the operator, or %v from %s on", r.After, r.since[l].UTC().Format(time.TimeOnly))
+}
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -14,6 +14,7 @@
 
 	"fawncove/internal/config"
 	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
 	"fawncove/internal/core/leasevalue"
 	"fawncove/internal/core/step"
 	"fawncove/internal/peerpb"
@@ -70,6 +71,9 @@
 	recalls   map[string]bool
 	moves     map[string]string // recalled for another controller
 	fleet     fleet
+	raise     gate.Raise
+	raiseNext time.Time // no raise before then
+	waits     []string  // what keeps the level from being raised
 }
 
 // New returns the leader of a term. All leases of the value in view count as
@@ -85,6 +89,7 @@
 		}
 	}
 	l.fleet.init()
+	l.raise.After = view.Par.RaiseAfter
 	for node := range view.Lease.Blocks {
 		l.renewedAt[node] = loop.Now
 	}
--- a/internal/core/leader/publish.go
+++ b/internal/core/leader/publish.go
@@ -58,6 +58,7 @@
 	stored = l.takeOver(&p.rec)
 	l.settleHomes(&p.rec)
 	l.settleForm(&p.rec)
+	l.raiseLevel(&p.rec)
 	l.raiseShares(&p.rec)
 	l.limit(p)
 	l.handOver(p, l.partWith(p))
@@ -360,8 +361,9 @@
 	return true
 }
 
-// settleForm decides in which form the value is stored from now on. There is
-// no way back from a newer form.
+// settleForm decides in which form the value is stored from now on, as long as
+// the cluster has no level: versions from before levels ask each other which
+// forms they read. There is no way back from a newer form.
 func (l *Leader) settleForm(rec *wire.LeaseRecord) {
 	if rec.Form >= 2 || !l.mayPage() {
 		return
--- a/internal/core/leasevalue/leasevalue.go
+++ b/internal/core/leasevalue/leasevalue.go
@@ -10,7 +10,9 @@
 // this very edition. So the value alone still decides, and a takeover of
 // thousands of machines rewrites no page: the value says whose they are.
 //
-// Earlier versions cannot read form 2 and are granted nothing by it.
+// Earlier versions cannot read form 2 and are granted nothing by it. Form 3 adds
+// the level of the cluster (package gate) and the generation of the state; what
+// it holds that this version does not know is kept by who writes it again.
 package leasevalue
 
 import (
@@ -27,8 +29,10 @@
 const (
 	// Key is where the value is stored.
 	Key = "fc/lease"
-	// Form is the newest form that this version reads.
-	Form = 2
+	// Form is the newest form that this version reads, and FormPages the
+	// newest that versions from before levels read.
+	Form      = 3
+	FormPages = 2
 	// LeastOps is how many changes a transaction has to take for pages.
 	LeastOps = reserve + 4
 	// PagePrefix is the prefix of the pages' keys; a number follows.
@@ -84,9 +88,13 @@
 	ErrFull = errors.New("lease value: full")
 )
 
-// head is the value in form 2. Its sets are maps, which form 1 does not allow.
+// head is the value in forms 2 and 3. Its sets are maps, which form 1 does not
+// allow.
 type head struct {
 	Form        int                  `msgpack:"form"`
+	Level       uint32               `msgpack:"level,omitempty"`
+	Confirmed   uint32               `msgpack:"confirmed,omitempty"`
+	Generation  uint64               `msgpack:"gen,omitempty"`
 	Term        uint64               `msgpack:"term"`
 	Leader      string               `msgpack:"leader"`
 	Incarnation uint64               `msgpack:"inc"`
@@ -121,10 +129,14 @@
 
 // stored is a page as it is stored.
 type stored struct {
+	Form    int          `msgpack:"f,omitempty"` // absent in what earlier versions store
 	Edition uint64       `msgpack:"e"`
 	Names   wire.NameSet `msgpack:"n"`
 }
 
+// pageForm is the newest form of pages.
+const pageForm = 1
+
 type page struct {
 	edition uint64
 	names   []string
@@ -133,6 +145,9 @@
 // Book keeps the pages as far as they are known, and which of them the last
 // value named. The zero value is empty.
 type Book struct {
+	// Before reads forms from before levels only, as earlier versions do.
+	Before bool
+
 	pages  map[int]page
 	used   map[int]uint64 // by the last value, in that edition
 	pageOf map[string]int // machine -> page, by the last value
@@ -174,14 +189,22 @@
 		return rec, nil
 	case 2:
 	default:
-		return rec, fmt.Errorf("lease value: form %d is newer than this version", f.Form)
+		if f.Form != Form || b.Before {
+			return rec, wire.FormError{What: "lease value", Form: f.Form}
+		}
 	}
 	var h head
 	if err := wire.Decode(value, &h); err != nil {
 		return rec, fmt.Errorf("lease value: %w", err)
 	}
-	rec = wire.LeaseRecord{Form: 2, Term: h.Term, Leader: h.Leader, Incarnation: h.Incarnation, Grants: h.Grants,
+	rec = wire.LeaseRecord{Form: h.Form, Level: h.Level, Confirmed: h.Confirmed, Generation: h.Generation, Term: h.Term, Leader: h.Leader, Incarnation: h.Incarnation, Grants: h.Grants,
 		Beat: h.Beat, Blocks: make(map[string]wire.Block, len(h.Blocks)), Homes: h.Homes, Waiting: h.Waiting}
+	if h.Form >= 3 {
+		var err error
+		if rec.Unknown, err = wire.UnknownFields(value, h); err != nil {
+			return rec, fmt.Errorf("lease value: %w", err)
+		}
+	}
 	var used []int
 	for node, hb := range h.Blocks {
 		blk := wire.Block{Grant: hb.Grant, Incarnation: hb.Incarnation, Renewal: hb.Renewal}
@@ -307,6 +330,9 @@
 	if err := wire.Decode(value, &s); err != nil {
 		return true, fmt.Errorf("lease page %d: %w", n, err)
 	}
+	if s.Form > pageForm {
+		return true, wire.FormError{What: "lease page " + num, Form: s.Form}
+	}
 	if p, ok := b.pages[n]; ok && p.edition >= s.Edition {
 		return true, nil // as new here
 	}
--- a/internal/core/leasevalue/leasevalue_test.go
+++ b/internal/core/leasevalue/leasevalue_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
-	"strings"
 	"testing"
 
 	"fawncove/internal/wire"
@@ -301,11 +300,44 @@
 	if err := wire.Decode(raw, &before); err == nil {
 		t.Errorf("an earlier version reads form 2 as %+v", before)
 	}
-	if raw, err = wire.Encode(map[string]any{"form": 3}); err != nil {
+	if raw, err = wire.Encode(map[string]any{"form": Form + 1}); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := (&Book{}).Read(raw); err == nil || !strings.Contains(err.Error(), "newer") {
-		t.Errorf("form 3: %v", err)
+	if _, err := (&Book{}).Read(raw); err == nil || !errors.As(err, new(wire.FormError)) {
+		t.Errorf("a form to come: %v", err)
+	}
+}
+
+// TestLevelsNeedTheNewForm: a value with a level is unreadable to versions from
+// before levels, and whoever writes it again keeps what it does not know of it.
+func TestLevelsNeedTheNewForm(t *testing.T) {
+	rec := fleet(5, 60)
+	rec.Form, rec.Level, rec.Confirmed, rec.Generation = Form, 2, 1, 7
+	future, err := wire.Encode([]string{"of a later version"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec.Unknown = wire.Fields{"later": future}
+	s, b := &shelf{values: map[string][]byte{}}, &Book{}
+	for range 3 { // read and written again and again
+		d, err := b.Write(rec, Limits{ValueBytes: 4096, TxnOps: 12})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.apply(t, Limits{ValueBytes: 4096, TxnOps: 12}, d.Ops)
+		d.Stored()
+		_, got, err := s.readAll()
+		if err != nil || !same(&got, rec) || got.Level != 2 || got.Confirmed != 1 || got.Generation != 7 {
+			t.Fatalf("%+v, %v", got, err)
+		}
+		if !reflect.DeepEqual(got.Unknown, rec.Unknown) {
+			t.Fatalf("kept of what is unknown: %v", got.Unknown)
+		}
+		rec = &got
+		rec.Beat++
+	}
+	if _, err := (&Book{Before: true}).Read(s.values[Key]); !errors.As(err, new(wire.FormError)) {
+		t.Errorf("from before levels: %v", err)
 	}
 }
 
--- a/internal/core/leasevalue/write.go
+++ b/internal/core/leasevalue/write.go
@@ -93,7 +93,7 @@
 	return true
 }
 
-// Write makes a record ready to be stored in form 2, with as few changes as
+// Write makes a record ready to be stored in its form, 2 or 3, with as few changes as
 // can be. It returns ErrFull when the record does not fit.
 func (b *Book) Write(rec *wire.LeaseRecord, lim Limits) (*Draft, error) {
 	most := int(pagePart * float64(lim.ValueBytes))
@@ -129,7 +129,7 @@
 		taken[next] = true
 		return next
 	}
-	h := head{Form: 2, Term: rec.Term, Leader: rec.Leader, Incarnation: rec.Incarnation, Grants: rec.Grants,
+	h := head{Form: rec.Form, Level: rec.Level, Confirmed: rec.Confirmed, Generation: rec.Generation, Term: rec.Term, Leader: rec.Leader, Incarnation: rec.Incarnation, Grants: rec.Grants,
 		Beat: rec.Beat, Waiting: rec.Waiting}
 	putHomes(rec, &h)
 	putShares(rec, &h)
@@ -181,9 +181,17 @@
 	for _, g := range groups {
 		d.used = append(d.used, slices.Collect(maps.Keys(g.pages))...)
 	}
-	d.Ops = append(d.Ops, wire.Op{Put: Key, Value: h})
+	value, err := wire.WithFields(h, rec.Unknown)
+	if err != nil {
+		return nil, fmt.Errorf("lease value: %w", err)
+	}
+	d.Ops = append(d.Ops, wire.Op{Put: Key, Value: value})
+	form := 0
+	if rec.Form >= 3 {
+		form = pageForm
+	}
 	for _, n := range slices.Sorted(maps.Keys(d.pages)) {
-		d.Ops = append(d.Ops, wire.Op{Put: PagePrefix + strconv.Itoa(n), Value: stored{d.pages[n].edition, d.pages[n].names}})
+		d.Ops = append(d.Ops, wire.Op{Put: PagePrefix + strconv.Itoa(n), Value: stored{form, d.pages[n].edition, d.pages[n].names}})
 	}
 	return d, nil
 }
@@ -342,7 +350,11 @@
 		}
 		h.Blocks[g.node] = hb
 	}
-	raw, err := wire.Encode(*h)
+	value, err := wire.WithFields(*h, rec.Unknown)
+	if err != nil {
+		return 0, fmt.Errorf("lease value: %w", err)
+	}
+	raw, err := wire.Encode(value)
 	if err != nil {
 		return 0, fmt.Errorf("lease value: %w", err)
 	}
--- a/internal/core/owner/job.go
+++ b/internal/core/owner/job.go
@@ -25,7 +25,8 @@
 	Writing   bool
 	NextWrite time.Time
 
-	first uint64 // version under which it was first seen
+	first uint64 // version under which it was first stored
+	form  int    // of the envelope of its record
 	shown [2]int // counts last sent to the peers
 
 	// The owner's part.
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -30,6 +30,11 @@
 	// tries again as often as tries says when the record has changed; then is
 	// told whether an end is stored.
 	End(j *Job, state string, tries int, then func(stored bool))
+	// Key is where a job's record is stored.
+	Key(id string) string
+	// Users tells how many submissions are being stored, and when one last found
+	// no room in the write limit.
+	Users() (pending int, short time.Time)
 }
 
 // Owner is the state of the role. One goroutine owns it.
@@ -54,6 +59,7 @@
 	pageReads uint64            // readings of all pages begun
 	pagesBusy bool
 	pagesNext time.Time
+	rewriting rewriting
 
 	machines  map[string]*machine
 	order     []*machine // the block by name, see machineOrder
@@ -110,20 +116,30 @@
 // Jobs are the jobs by id, not to be changed.
 func (o *Owner) Jobs() map[string]*Job { return o.jobs }
 
-// Put takes in a job's record under its version.
-func (o *Owner) Put(rec wire.JobRecord, version uint64) {
+// Stamp is what a job's record bears beside itself.
+type Stamp struct {
+	Version uint64
+	Born    uint64 // version under which it was first stored; 0: this one
+	Form    int    // of its envelope; 0: it has none
+}
+
+// Put takes in a job's record.
+func (o *Owner) Put(rec wire.JobRecord, at Stamp) {
 	j := o.jobs[rec.ID]
 	if j == nil {
-		j = &Job{first: version, waitSince: o.loop.Now}
+		j = &Job{first: at.Born, waitSince: o.loop.Now}
+		if at.Born == 0 {
+			j.first = at.Version
+		}
 		o.jobs[rec.ID] = j
 		if rec.Shape != wire.Daemon { // one is never done; its processors are taken off what there is
 			o.inflow.Add(time.UnixMilli(rec.AtMs), float64(rec.Tasks)*rec.CPUs*max(1, o.runSeconds(&rec)))
 		}
 	}
-	if version <= j.Version {
+	if at.Version <= j.Version {
 		return
 	}
-	j.Rec, j.Version = rec, version
+	j.Rec, j.Version, j.form = rec, at.Version, at.Form
 	o.adopt(j)
 }
 
@@ -132,7 +148,9 @@
 func (o *Owner) Store() {
 	o.readPages()
 	o.endJobs()
+	o.rewritePages()
 	o.flushPages()
+	o.rewrite()
 }
 
 // Check looks after the machines. It is called with every tick.
--- a/internal/core/owner/owner_test.go
+++ b/internal/core/owner/owner_test.go
@@ -23,6 +23,8 @@
 func (noRecords) Ready() bool                              { return true }
 func (noRecords) Ended(string) bool                        { return false }
 func (noRecords) End(*Job, string, int, func(stored bool)) {}
+func (noRecords) Key(id string) string                     { return "fc/j/" + id }
+func (noRecords) Users() (int, time.Time)                  { return 0, time.Time{} }
 
 // newOwner returns an owner to whom the lease value grants what it says of n0.
 func newOwner(t testing.TB, teams []config.Team, rec wire.LeaseRecord) (*Owner, time.Time) {
@@ -114,7 +116,7 @@
 	}
 	a, now := newOwner(t, []config.Team{{Name: "free"}}, lease)
 	for i := range 40 {
-		a.Put(job(i), uint64(10+i))
+		a.Put(job(i), Stamp{Version: uint64(10 + i)})
 		for k := 0; k < a.jobs[job(i).ID].Rec.Tasks; k += 7 + i {
 			a.markDone(a.jobs[job(i).ID], k)
 		}
@@ -136,7 +138,7 @@
 	}
 	b, _ := newOwner(t, []config.Team{{Name: "free"}}, lease)
 	for i := range 40 {
-		b.Put(job(i), uint64(3)) // before the lease: taken over
+		b.Put(job(i), Stamp{Version: uint64(3)}) // before the lease: taken over
 	}
 	for key, body := range stored {
 		b.readPage(key, body.([]byte))
@@ -233,7 +235,7 @@
 		Homes:  map[string]string{"free": "n0"}})
 	mayStart(c)
 	job := func(id string, shape wire.Shape, spot bool) *Job {
-		c.Put(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: "standard", Tasks: 1, CPUs: 1, Spot: spot}}, 3)
+		c.Put(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: "standard", Tasks: 1, CPUs: 1, Spot: spot}}, Stamp{Version: 3})
 		j := c.jobs[id]
 		j.reading = false
 		c.jobReady(j)
@@ -314,7 +316,7 @@
 			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: wire.NameSet{"host-000001"}}}, Homes: map[string]string{"free": "n0"}})
 		mayStart(c)
 		submit := func(id string, shape wire.Shape, priority string, tasks int, spot bool) *Job {
-			c.Put(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: priority, Tasks: tasks, CPUs: 1, Spot: spot}}, 6)
+			c.Put(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: shape, Priority: priority, Tasks: tasks, CPUs: 1, Spot: spot}}, Stamp{Version: 6})
 			return c.jobs[id]
 		}
 		urgent := submit("wk-000001", wire.Array, "urgent", 40, spot)
@@ -368,7 +370,7 @@
 	} {
 		o, now := newOwner(t, []config.Team{{Name: "red"}}, twoHomes(c.old))
 		o.view.Peers["n1"].Heard = now
-		o.Put(wire.JobRecord{Job: wire.Job{ID: "wk-000001", Team: "red", Shape: wire.Array, Priority: "standard", Tasks: 8, CPUs: 1}, Part: "red #3"}, 9)
+		o.Put(wire.JobRecord{Job: wire.Job{ID: "wk-000001", Team: "red", Shape: wire.Array, Priority: "standard", Tasks: 8, CPUs: 1}, Part: "red #3"}, Stamp{Version: 9})
 		c.do(o, o.jobs["wk-000001"])
 		if got := o.yields(); !slices.Equal(got, c.want) {
 			t.Errorf("%s: offers %v, want %v", c.name, got, c.want)
@@ -386,7 +388,7 @@
 	mayStart(o)
 	m := o.machines["host-000001"]
 	m.kind, m.zone, m.session, m.endpoint, m.size = "s4", "x", 1, "e", sched.Amount{CPUs: 4, MemoryGB: 16}
-	o.Put(wire.JobRecord{Job: wire.Job{ID: "wk-000001", Team: "red", Shape: wire.Array, Priority: "standard", Tasks: 8, CPUs: 1}, Part: "red #3"}, 9)
+	o.Put(wire.JobRecord{Job: wire.Job{ID: "wk-000001", Team: "red", Shape: wire.Array, Priority: "standard", Tasks: 8, CPUs: 1}, Part: "red #3"}, Stamp{Version: 9})
 	j := o.jobs["wk-000001"]
 	r := &peerpb.Renewal{Number: o.hold.Sent(now)}
 	o.Promise(r)
--- a/internal/core/owner/pages.go
+++ b/internal/core/owner/pages.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
 	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
@@ -39,6 +40,9 @@
 // page is one of this controller's pages.
 type page struct {
 	version uint64
+	form    int         // of the envelope that it is stored in
+	unknown wire.Fields // of a newer version
+	foreign bool        // stored in a form that is not known here: left alone
 	busy    bool
 	dirtyAt time.Time // since when something waits to be stored; zero: nothing
 	nextTry time.Time
@@ -85,7 +89,7 @@
 func (o *Owner) pageFor(bytes int) *page {
 	most := int(pageFill * 1024 * o.view.Cfg.Cluster.State.ValueKB)
 	for _, p := range o.pages {
-		if p.size == 0 || p.size+bytes <= most {
+		if !p.foreign && (p.size == 0 || p.size+bytes <= most) {
 			return p
 		}
 	}
@@ -131,6 +135,7 @@
 		o.facts[entry] = raw
 		value[entry] = base64.RawStdEncoding.EncodeToString(raw)
 	}
+	stored, form := o.pageValue(p, value)
 	written := make(map[string][]byte, len(value))
 	for entry := range value {
 		written[entry] = o.facts[entry]
@@ -139,11 +144,11 @@
 	o.loop.Emit(step.StateTxn{
 		// Under the version it was based on: a late transaction of an earlier
 		// process, or an earlier try, cannot take anything back.
-		Txn: wire.Txn{If: []wire.Cond{{Key: key, Version: p.version}}, Then: []wire.Op{{Put: key, Value: value}}},
+		Txn: wire.Txn{If: []wire.Cond{{Key: key, Version: p.version}}, Then: []wire.Op{{Put: key, Value: stored}}},
 		ID: o.loop.Call(func(d step.Completed) {
 			p.busy = false
 			if d.Status == 200 {
-				p.version = d.Txn.Revision
+				p.version, p.form = d.Txn.Revision, form
 				for entry, raw := range written {
 					o.storedAt(entry, raw)
 				}
@@ -159,8 +164,11 @@
 				p.busy = false
 				switch d.Status {
 				case 200:
-					p.version = d.Pair.Version
-					o.readPage(key, d.Pair.Value)
+					env, _, err := o.readPage(key, d.Pair.Value)
+					p.version, p.form, p.unknown = d.Pair.Version, env.Form, env.Unknown
+					if err != nil {
+						o.abandon(p)
+					}
 				case 404:
 					p.version = 0
 				}
@@ -210,11 +218,11 @@
 }
 
 // readPage takes a page, anybody's, into what is known to be completed.
-func (o *Owner) readPage(key string, value []byte) map[string]string {
-	var entries map[string]string
-	if err := wire.Decode(value, &entries); err != nil {
+func (o *Owner) readPage(key string, value []byte) (wire.Envelope, map[string]string, error) {
+	env, entries, err := o.openPage(key, value)
+	if err != nil {
 		o.log.Error("page of completed tasks", "key", key, "err", err)
-		return nil
+		return env, nil, err
 	}
 	for entry, text := range entries {
 		raw, err := base64.RawStdEncoding.DecodeString(text)
@@ -230,7 +238,7 @@
 		}
 		o.facts[entry] = merge(o.facts[entry], raw)
 	}
-	return entries
+	return env, entries, nil
 }
 
 // readPages reads all pages of all controllers for the jobs that wait for it:
@@ -239,7 +247,8 @@
 	if o.pagesBusy || o.loop.Now.Before(o.pagesNext) {
 		return
 	}
-	waiting := false
+	// An earlier process's pages are known only once they have been read.
+	waiting := o.pageReads == 0 && o.view.Open(gate.Envelope)
 	for _, j := range o.jobs {
 		waiting = waiting || (j.reading && !j.Over)
 	}
@@ -258,8 +267,8 @@
 				return
 			}
 			for _, p := range d.Page.Pairs {
-				entries := o.readPage(p.Key, p.Value)
-				o.ownPage(p.Key, p.Version, entries)
+				env, entries, err := o.readPage(p.Key, p.Value)
+				o.ownPage(p.Key, p.Version, env, entries, err)
 				after = p.Key
 			}
 			if d.Page.More && len(d.Page.Pairs) > 0 {
@@ -282,10 +291,10 @@
 }
 
 // ownPage takes up a page that an earlier process of this controller wrote.
-func (o *Owner) ownPage(key string, version uint64, entries map[string]string) {
+func (o *Owner) ownPage(key string, version uint64, env wire.Envelope, entries map[string]string, err error) {
 	num, ok := strings.CutPrefix(key, pagePrefix+o.view.Me+"/")
-	n, err := strconv.Atoi(num)
-	if !ok || err != nil || n < 0 || n > 1000 {
+	n, bad := strconv.Atoi(num)
+	if !ok || bad != nil || n < 0 || n > 1000 {
 		return
 	}
 	for len(o.pages) <= n {
@@ -295,7 +304,10 @@
 	if p.version != 0 || p.busy {
 		return // known already
 	}
-	p.version = version
+	p.version, p.form, p.unknown = version, env.Form, env.Unknown
+	if err != nil {
+		o.abandon(p)
+	}
 	for entry, text := range entries {
 		if o.pageOf[entry] == nil {
 			p.entries[entry] = len(entry) + len(text) + 12
@@ -305,6 +317,20 @@
 	}
 }
 
+// abandon leaves a page alone that is stored in a form that is not known here: to
+// write over it would lose what it says. What was to be on it goes elsewhere.
+func (o *Owner) abandon(p *page) {
+	entries := cluster.SortedKeys(p.entries)
+	p.foreign, p.dirtyAt, p.entries, p.size = true, time.Time{}, map[string]int{}, 0
+	for _, entry := range entries {
+		delete(o.pageOf, entry)
+		id, k, ok := splitEntry(entry)
+		if j := o.jobs[id]; ok && j != nil && !j.Over && o.Owns(j) {
+			o.noteDone(j, k*chunk)
+		}
+	}
+}
+
 // takeFacts marks the tasks of a job that are stored as completed.
 func (o *Owner) takeFacts(j *Job) {
 	for i := 0; i < j.Rec.Tasks; i += chunk {
--- /dev/null
+++ b/internal/core/owner/rewrite.go
@@ -0,0 +1,198 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"fawncove/internal/core/gate"
+	"fawncove/internal/core/step"
+	"fawncove/internal/wire"
+)
+
+// Once the gate of envelopes is open, the owner of a home rewrites the records
+// of its jobs that earlier versions have stored. Each is rewritten under the
+// version that it has, so once only, whoever tries and however late; what is
+// left shows in the records themselves, so a successor goes on where the owner
+// stopped. A record that is in its envelope keeps the version under which it was
+// first stored: by that a later owner tells what may have been started before
+// it.
+
+const (
+	// rewritePart is the part of the write limit that rewriting may take, of
+	// all controllers together.
+	rewritePart = 0.2
+	// rewriteLook spaces the looks at all jobs for records to rewrite.
+	rewriteLook = 2 * time.Second
+	// rewriteBytes bounds a transaction of rewrites; the service takes 64 KiB.
+	rewriteBytes = 40 << 10
+	// rewriteRest is for how long users who found no room have it to
+	// themselves.
+	rewriteRest = 5 * time.Second
+)
+
+// rewriting is what is left to rewrite.
+type rewriting struct {
+	queue  []string // jobs, in order
+	lookAt time.Time
+	busy   bool
+	room   float64 // changes that may be made now
+	filled time.Time
+	whole  map[string]bool // records that do not fit with their envelope
+}
+
+// Left is how many records of this controller's homes are in an earlier form.
+func (o *Owner) Left() int { return len(o.rewriting.queue) }
+
+// plain tells whether a job's record is one to rewrite.
+func (o *Owner) plain(j *Job) bool {
+	return j != nil && j.form < wire.EnvelopeForm && !j.Over && o.Owns(j) && !o.rewriting.whole[j.Rec.ID]
+}
+
+// rewrite rewrites a few records, if users leave room for that.
+func (o *Owner) rewrite() {
+	r := &o.rewriting
+	if !o.view.Open(gate.Envelope) || !o.hold.MayStart(o.loop.Now) {
+		return
+	}
+	limits := o.view.Cfg.Cluster.State
+	rate := rewritePart * limits.WriteRPS / float64(o.view.Cfg.Controllers())
+	if !r.filled.IsZero() {
+		r.room = min(float64(limits.TxnOps), r.room+rate*o.loop.Now.Sub(r.filled).Seconds())
+	}
+	r.filled = o.loop.Now
+	if len(r.queue) == 0 && !o.loop.Now.Before(r.lookAt) {
+		r.lookAt = o.loop.Now.Add(rewriteLook)
+		for id, j := range o.jobs {
+			if o.plain(j) {
+				r.queue = append(r.queue, id)
+			}
+		}
+		slices.Sort(r.queue)
+		if len(r.queue) > 0 {
+			o.log.Info("records to rewrite", "jobs", len(r.queue))
+		}
+	}
+	if r.busy || len(r.queue) == 0 {
+		return
+	}
+	pending, short := o.records.Users()
+	if pending > 0 || (!short.IsZero() && o.loop.Now.Sub(short) < rewriteRest) {
+		return
+	}
+	// A few at a time, as far as there are so many: each transaction is a
+	// request too.
+	n := min(int(r.room), limits.TxnOps, len(r.queue))
+	if n < 1 || (n < len(r.queue) && n < limits.TxnOps/2) {
+		return
+	}
+	var batch []*Job
+	var txn wire.Txn
+	bytes := 0
+	for len(r.queue) > 0 && len(batch) < n {
+		j := o.jobs[r.queue[0]]
+		if !o.plain(j) || j.Writing {
+			r.queue = r.queue[1:]
+			continue
+		}
+		value, size, err := o.wrapped(j)
+		if err != nil {
+			o.log.Error("record to rewrite", "job", j.Rec.ID, "err", err)
+			r.skip(j.Rec.ID)
+			continue
+		}
+		if bytes += size; bytes > rewriteBytes && len(batch) > 0 {
+			break
+		}
+		key := o.records.Key(j.Rec.ID)
+		txn.If = append(txn.If, wire.Cond{Key: key, Version: j.Version})
+		txn.Then = append(txn.Then, wire.Op{Put: key, Value: value})
+		batch = append(batch, j)
+		r.queue = r.queue[1:]
+	}
+	if len(batch) == 0 {
+		return
+	}
+	r.busy = true
+	r.room -= float64(len(batch))
+	o.loop.Emit(step.StateTxn{Txn: txn, ID: o.loop.Call(func(d step.Completed) {
+		r.busy = false
+		switch {
+		case d.Status == 200:
+			for _, j := range batch {
+				// Unless the watch was faster, or a change since.
+				if d.Txn.Revision > j.Version {
+					j.Version, j.form = d.Txn.Revision, wire.EnvelopeForm
+				}
+			}
+		case d.Status == 400 && len(batch) == 1:
+			r.skip(batch[0].Rec.ID)
+			o.log.Info("record stays in its earlier form, its envelope does not fit", "job", batch[0].Rec.ID)
+		case d.Status == 400:
+			r.room = 1 // one by one, to find which
+		}
+		// Whatever was not rewritten, or perhaps was, comes up with the next
+		// look, with its version as the watch then has shown it.
+		r.lookAt = o.loop.Now.Add(rewriteLook)
+	})})
+}
+
+func (r *rewriting) skip(id string) {
+	if r.whole == nil {
+		r.whole = map[string]bool{}
+	}
+	r.whole[id] = true
+	r.queue = slices.DeleteFunc(r.queue, func(q string) bool { return q == id })
+}
+
+// wrapped returns a job's record in its envelope, and about how large it is.
+func (o *Owner) wrapped(j *Job) (value any, size int, err error) {
+	rec, err := wire.WithFields(j.Rec, j.Rec.Unknown)
+	if err != nil {
+		return nil, 0, err
+	}
+	env, err := wire.Wrap(rec, o.view.Lease.Generation, j.first)
+	return env, len(env.Value)*5/4 + 64, err
+}
+
+// rewritePages has pages of an earlier form stored again, once.
+func (o *Owner) rewritePages() {
+	if !o.view.Open(gate.Envelope) {
+		return
+	}
+	for _, p := range o.pages {
+		if p.version != 0 && p.form < wire.EnvelopeForm && !p.foreign && p.dirtyAt.IsZero() && !p.busy {
+			p.dirtyAt = o.loop.Now
+		}
+	}
+}
+
+// pageValue is what is stored for a page with these entries.
+func (o *Owner) pageValue(p *page, entries map[string]string) (any, int) {
+	if !o.view.Open(gate.Envelope) {
+		return entries, 0
+	}
+	env, err := wire.Wrap(entries, o.view.Lease.Generation, 0)
+	if err != nil {
+		o.log.Error("page of completed tasks", "err", err)
+		return entries, 0
+	}
+	env.Unknown = maps.Clone(p.unknown)
+	value, err := env.Stored()
+	if err != nil {
+		o.log.Error("page of completed tasks", "err", err)
+		return env, env.Form
+	}
+	return value, env.Form
+}
+
+// openPage takes a page's entries out of their envelope.
+func (o *Owner) openPage(key string, value []byte) (env wire.Envelope, entries map[string]string, err error) {
+	env = wire.Envelope{Value: value}
+	if o.view.Par.Levels.Gated() {
+		if env, err = wire.Unwrap(key, value); err != nil {
+			return env, nil, err
+		}
+	}
+	return env, entries, wire.Decode(env.Value, &entries)
+}
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -8,6 +8,9 @@
 	"strings"
 	"time"
 
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
+	"fawncove/internal/core/leasevalue"
 	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
@@ -33,6 +36,7 @@
 
 // store stands in for the state service.
 type store struct {
+	puts    map[string]int // of each job's record
 	w       *World
 	values  map[string]stored
 	rev     uint64
@@ -100,6 +104,7 @@
 				s.w.breakRule("value of %s too large: %d", op.Put, len(data))
 			}
 			s.values[op.Put] = stored{data, s.rev}
+			s.w.put(op.Put, data)
 			s.log = append(s.log, logged{wire.Change{Put: op.Put, Value: data, Version: s.rev}, op.Put})
 		} else {
 			delete(s.values, op.Delete)
@@ -253,3 +258,41 @@
 		k.gone, k.died = true, w.now
 	}
 }
+
+// put looks at what is stored: a job's record is stored when it is accepted and
+// when it is rewritten, and the level is raised only while all controllers run a
+// version that can follow, but for one that was replaced a moment ago, which the
+// leader cannot know.
+func (w *World) put(key string, data []byte) {
+	if strings.HasPrefix(key, "fc/j/") {
+		if w.store.puts == nil {
+			w.store.puts = map[string]int{}
+		}
+		if w.store.puts[key]++; w.store.puts[key] > 2 {
+			w.breakRule("%s is stored %d times", key, w.store.puts[key])
+		}
+	}
+	if key != leasevalue.Key {
+		return
+	}
+	var v struct {
+		Level uint32 `msgpack:"level"`
+	}
+	if err := wire.Decode(data, &v); err != nil {
+		w.breakRule("lease value: %v", err)
+	}
+	if gate.Level(v.Level) < w.level {
+		w.breakRule("level went back from %d to %d", w.level, v.Level)
+	}
+	if gate.Level(v.Level) > w.level {
+		for _, n := range w.nodes {
+			if (!n.up || n.rolls.Follow(gate.Level(v.Level)) != nil) && w.now-n.since > raiseBlind {
+				w.breakRule("raised to level %d without %s", v.Level, n.name)
+			}
+		}
+	}
+	w.level = gate.Level(v.Level)
+}
+
+// raiseBlind is for how long a leader may not know that a controller is gone.
+const raiseBlind = cluster.LinkDead + 2*time.Second
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -23,6 +23,7 @@
 	"fawncove/internal/config"
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/controller"
+	"fawncove/internal/core/gate"
 	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
@@ -52,6 +53,7 @@
 	Starts  int
 	Dones   int
 	moves   int         // of homes between controllers that live
+	level   gate.Level  // of the cluster, as stored
 	trace   hash.Hash64 // of all that the cores asked for, if it is kept
 }
 
@@ -158,7 +160,7 @@
 	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
 	for i := range nodes {
 		n := &simNode{w: w, name: fmt.Sprintf("n%d", i), zone: w.cfg.Zones[i%2],
-			rate: 1 + (w.rng.Float64()-0.5)*0.0005*2}
+			rate: 1 + (w.rng.Float64()-0.5)*0.0005*2, rolls: par.Levels}
 		w.nodes = append(w.nodes, n)
 	}
 	for _, n := range w.nodes {
@@ -260,16 +262,19 @@
 // ---- the controllers
 
 type simNode struct {
-	w     *World
-	name  string
-	zone  string
-	rate  float64 // of its steady clock
-	core  *controller.Core
-	life  int // counts the processes
-	up    bool
-	slow  time.Duration // until then everything takes it long
-	waits map[uint64]func(step.Reply)
-	next  uint64
+	w      *World
+	name   string
+	zone   string
+	rate   float64 // of its steady clock
+	core   *controller.Core
+	life   int        // counts the processes
+	rolls  gate.Range // levels of the version that is installed
+	up     bool
+	slow   time.Duration // until then everything takes it long
+	frozen time.Duration // until then it stands still
+	since  time.Duration // when the process began, or ended
+	waits  map[uint64]func(step.Reply)
+	next   uint64
 }
 
 func (n *simNode) clock() time.Time {
@@ -284,9 +289,11 @@
 		}
 	}
 	n.life++
-	n.up = true
+	n.up, n.since = true, n.w.now
 	n.waits = map[uint64]func(step.Reply){}
-	n.core = controller.New(s, n.w.par, slog.New(moveCounter{slog.DiscardHandler, n.w}), uint64(n.clock().UnixMilli()))
+	par := n.w.par
+	par.Levels, par.Version = n.rolls, fmt.Sprintf("up to level %d", n.rolls.Newest)
+	n.core = controller.New(s, par, slog.New(moveCounter{slog.DiscardHandler, n.w}), uint64(n.clock().UnixMilli()))
 	life := n.life
 	var tick func()
 	tick = func() {
@@ -319,11 +326,19 @@
 	if !n.up {
 		return
 	}
-	n.up = false
+	n.up, n.since = false, w.now
 	n.life++
 	w.after(d, n.start)
 }
 
+// Install replaces the version of controller i: its process ends, and is back
+// after d as one that can work under these levels. Range zero is a version from
+// before levels: it tells none, and reads none of the forms that came with them.
+func (w *World) Install(i int, levels gate.Range, d time.Duration) {
+	w.nodes[i].rolls = levels
+	w.Crash(i, d)
+}
+
 // lag is how late a controller is that computes slowly.
 func (n *simNode) lag() time.Duration {
 	if n.w.now < n.slow {
@@ -336,6 +351,13 @@
 func (w *World) Slow(i int, d time.Duration) { w.nodes[i].slow = w.now + d }
 
 func (n *simNode) step(ev step.Event) {
+	if n.w.now < n.frozen {
+		if ev != (step.Tick{}) {
+			life := n.life
+			n.w.after(n.frozen-n.w.now, func() { n.back(life, ev) })
+		}
+		return
+	}
 	for _, e := range n.core.Step(n.clock(), ev) {
 		if n.w.trace != nil {
 			n.w.note(n.name, e)
@@ -495,3 +517,16 @@
 		})
 	}
 }
+
+// Begin installs a version on all controllers of a world that has not begun, and
+// sets after what time the level is raised.
+func (w *World) Begin(levels gate.Range, raiseAfter time.Duration) {
+	w.par.RaiseAfter = raiseAfter
+	for _, n := range w.nodes {
+		n.rolls = levels
+		n.start()
+	}
+}
+
+// Freeze makes controller i stand still for d, while its clocks run on.
+func (w *World) Freeze(i int, d time.Duration) { w.nodes[i].frozen = w.now + d }
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -69,10 +69,14 @@
 	Part string `msgpack:"part,omitempty"`
 	// AtMs is the time of day of the submission, in milliseconds.
 	AtMs int64 `msgpack:"at_ms"`
+	// Unknown are fields of a newer version.
+	Unknown Fields `msgpack:"-"`
 }
 
 // EndRecord is the stored form of a job that is over.
 type EndRecord struct {
+	// Form is absent in what earlier versions store.
+	Form  int    `msgpack:"f,omitempty"`
 	State string `msgpack:"stanje"`
 	Tasks int    `msgpack:"komadi"`
 	Done  int    `msgpack:"done"`
@@ -93,6 +97,44 @@
 	// to form 1, the only one of earlier versions.
 	Form   int               `msgpack:"-"`
 	Shares map[string]Shares `msgpack:"-"`
+	// Level and Confirmed are the levels of package gate, and Generation counts
+	// how often the state has been built anew. Form 3 has them.
+	Level, Confirmed uint32 `msgpack:"-"`
+	Generation       uint64 `msgpack:"-"`
+	// Unknown are fields of a newer version.
+	Unknown Fields `msgpack:"-"`
+}
+
+// EndForm is the newest form of the records of jobs that are over.
+const EndForm = 1
+
+// ControllerRecord is what a controller's process stores of itself, for the
+// leader and for whoever operates the cluster.
+type ControllerRecord struct {
+	Form        int    `msgpack:"f"`
+	Incarnation uint64 `msgpack:"inc"`
+	Version     string `msgpack:"version"`
+	Oldest      uint32 `msgpack:"oldest"` // levels it can work under
+	Newest      uint32 `msgpack:"newest"`
+	Seen        uint32 `msgpack:"seen"`  // level it has read
+	Ready       bool   `msgpack:"ready"` // serves users
+	// Left is how many records of its homes are still in an earlier form.
+	Left int `msgpack:"left"`
+	// Waits is what keeps the level from being raised, told by who leads.
+	Waits []string `msgpack:"waits,omitempty"`
+	AtMs  int64    `msgpack:"at_ms"`
+}
+
+// ControllerForm is the newest form of controllers' records and of the
+// operator's word.
+const ControllerForm = 1
+
+// WordRecord is what the operator has asked for.
+type WordRecord struct {
+	Form  int    `msgpack:"f"`
+	Level uint32 `msgpack:"level"` // to be raised to; 0: none
+	Hold  bool   `msgpack:"hold"`  // no raise without a word
+	AtMs  int64  `msgpack:"at_ms"`
 }
 
 // Clone returns a copy whose blocks, homes and shares can be changed; the sets
