--- a/cmd/fawncove/check.go
+++ b/cmd/fawncove/check.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"fawncove/internal/config"
+	"fawncove/internal/core/gate"
 )
 
 const (
@@ -77,12 +78,17 @@
 		Short: "Print the version",
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			version := "unknown"
-			if info, ok := debug.ReadBuildInfo(); ok {
-				version = info.Main.Version
-			}
-			_, err := fmt.Fprintln(cmd.OutOrStdout(), "fawncove", version)
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "fawncove %s, levels %d to %d\n", buildVersion(), gate.Oldest, gate.Newest)
 			return err
 		},
 	}
 }
+
+// buildVersion names the build: the module's version, or of a build from a
+// working tree the revision.
+func buildVersion() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return "unknown"
+}
--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -29,6 +29,7 @@
 
 func serveCommand() *cobra.Command {
 	var path string
+	var raiseAfter time.Duration
 	cmd := &cobra.Command{
 		Use:   "serve",
 		Short: "Run a controller until it is killed",
@@ -42,10 +43,14 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), s, log)
+			par := cluster.Defaults()
+			par.Version, par.RaiseAfter = buildVersion(), raiseAfter
+			return serve(cmd.Context(), s, par, log)
 		},
 	}
 	configFlag(cmd, &path)
+	cmd.Flags().DurationVar(&raiseAfter, "raise-after", cluster.RaiseAfter,
+		"raise the cluster's level when all controllers could follow for so long; 0: only when asked")
 	return cmd
 }
 
@@ -71,7 +76,7 @@
 	return 0, fmt.Errorf("LOG_LEVEL: %q is none of error, info, debug", name)
 }
 
-func serve(ctx context.Context, s *config.Settings, logger *slog.Logger) error {
+func serve(ctx context.Context, s *config.Settings, par cluster.Params, logger *slog.Logger) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -91,7 +96,7 @@
 	for _, p := range s.Peers {
 		links[p.HostName] = peer.Dial(ctx, p.Endpoint)
 	}
-	core := controller.New(s, cluster.Defaults(), logger, uint64(time.Now().UnixMilli()))
+	core := controller.New(s, par, logger, uint64(time.Now().UnixMilli()))
 	n := node.New(core, logger,
 		statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, s.Controllers()),
 		cloud.New(s.External.Cloud, s.Cluster.Cloud.RPS, 0.8), links, 2*s.Cluster.Limits.Sockets/5)
@@ -108,13 +113,48 @@
 		ConnState:         n.Sockets().Track,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		stop, done := interrupted(ctx)
+		defer done()
+		<-stop.Done()
+		depart(n, server, logger)
+	}()
 	logger.Info("serving", "node", s.HostName, "area", s.Area, "clients", s.ClientListen)
 	if err := server.Serve(clients); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve: %w", err)
 	}
+	<-ended
 	return nil
 }
 
+const (
+	// leaveWithin bounds how long a controller that is told to end hands over
+	// what it holds. Others have it after a fraction of a second, or after a few
+	// if it led; what they have not by then they take when its lease lapses.
+	leaveWithin = 8 * time.Second
+	// answerWithin bounds how long it then answers what it has been asked.
+	answerWithin = 4 * time.Second
+)
+
+// depart ends a controller: it hands over what it holds, while the load balancer
+// finds it unhealthy and users that still come are answered, then takes no more
+// connections and answers what is left.
+func depart(n *node.Node, server *http.Server, logger *slog.Logger) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveWithin)
+	defer cancel()
+	if err := n.Leave(ctx); err != nil {
+		logger.Warn("not all was handed over", "err", err)
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), answerWithin)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		logger.Warn("some requests were not answered", "err", err)
+	}
+	logger.Info("ended")
+}
+
 // fitMachine keeps the program within a small machine: as many threads at
 // work as there are cores, and a garbage collector that works harder near the
 // memory limit instead of passing it.
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -58,6 +58,7 @@
 	renewAt      time.Time
 	tradedAt     time.Time
 	unreadable   uint64 // version of a lease value that could not be read
+	leaving      bool   // this process is about to end
 	refused      error  // why this version cannot serve this cluster
 	level        level
 
@@ -83,6 +84,8 @@
 	switch e := ev.(type) {
 	case step.Tick:
 		c.tick()
+	case step.Leave:
+		c.leave()
 	case step.ReportIn:
 		c.own.Report(e)
 	case step.SubmitIn:
@@ -111,7 +114,7 @@
 // Healthy tells whether users can be served here: everything is read, and
 // where the state service is out of reach, nobody else does better.
 func (c *Core) Healthy() bool {
-	if !c.serves() || len(c.view.Types) == 0 || c.view.Version == 0 {
+	if c.leaving || !c.serves() || len(c.view.Types) == 0 || c.view.Version == 0 {
 		return false
 	}
 	if c.loop.Now.Sub(c.stateOK) < 4*time.Second {
--- a/internal/core/controller/lead.go
+++ b/internal/core/controller/lead.go
@@ -42,7 +42,11 @@
 func (c *Core) onRenewal(r *peerpb.Renewal) {
 	lease := &c.view.Lease
 	if c.lead == nil && r.GetResigned() && r.GetNode() == lease.Leader && r.GetIncarnation() > lease.Incarnation {
-		c.leaseSeen = c.loop.Now.Add(-leaderDead) // nobody leads: no need to wait that long
+		// Nobody leads: no need to wait that long. It says so again and again,
+		// which must not put off those whose turn comes later.
+		if at := c.loop.Now.Add(-leaderDead); at.Before(c.leaseSeen) {
+			c.leaseSeen = at
+		}
 	}
 	if c.lead == nil || r.GetNode() == c.view.Me {
 		return
--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -194,16 +194,41 @@
 // on it is a new process to everybody, its own included: machines it gets back
 // are machines it knows nothing of.
 func (c *Core) resign() {
-	if !c.loaded || (!c.hold.Held() && c.lead == nil) || !c.refusedAlone() {
+	if c.leaving || !c.loaded || (!c.hold.Held() && c.lead == nil) || !c.refusedAlone() {
 		return
 	}
 	c.log.Info("resigned, the state service refuses this controller alone", "machines", c.own.Holds(), "led", c.lead != nil)
+	c.giveUp()
+}
+
+// giveUp ends every right that this process has; renew tells the others.
+func (c *Core) giveUp() {
 	c.hold.Outgrow(c.hold.Incarnation())
 	c.stopLeading()
 	c.loseBlock()
 	c.hold.Hurry()
 }
 
+// leave gives up block, homes and lead because this process is to end. Whoever
+// leads hands them on with the next value instead of waiting for the lease to
+// lapse; a late command of this process falls to the token.
+func (c *Core) leave() {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.log.Info("leaving", "machines", c.own.Holds(), "leads", c.lead != nil)
+	c.giveUp()
+	c.renew()
+}
+
+// Left tells whether nothing is left to hand over by a process that leaves: the
+// lease value names it no longer. It is true of one that never read any.
+func (c *Core) Left() bool {
+	_, held := c.view.Lease.Blocks[c.view.Me]
+	return c.leaving && !held && c.view.Lease.Leader != c.view.Me
+}
+
 // renew asks for a renewal of the block lease: straight from the leader where
 // it can be reached, else through the state service, which no cut between
 // zones touches.
@@ -223,7 +248,7 @@
 	c.hold.Calm()
 	c.renewAt = c.loop.Now.Add(c.view.Par.Publish)
 	r := c.Renewal()
-	r.Resigned = !c.hold.Held() && c.refusedAlone()
+	r.Resigned = !c.hold.Held() && (c.leaving || c.refusedAlone())
 	c.own.Promise(r)
 	c.hold.Sent(c.loop.Now)
 	to := []string{c.view.Lease.Leader}
@@ -301,7 +326,7 @@
 // elect takes the lead when there is no leader, when this controller led
 // before its restart, or when the lease value has not changed for long.
 func (c *Core) elect() {
-	if c.lead != nil || c.leaseBusy {
+	if c.lead != nil || c.leaseBusy || c.leaving {
 		return
 	}
 	mine := c.view.Lease.Leader == c.view.Me
--- a/internal/core/step/step.go
+++ b/internal/core/step/step.go
@@ -67,6 +67,9 @@
 // Tick says that time has passed.
 type Tick struct{}
 
+// Leave says that this process is to end: it gives up what it holds.
+type Leave struct{}
+
 // ReportIn is a worker's report; its answer is a Reply with the same Req.
 type ReportIn struct {
 	Req    uint64
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 	usage   usage
 	sockets Sockets
 	healthy atomic.Bool
+	left    atomic.Bool
 }
 
 type ask struct {
@@ -60,6 +62,22 @@
 // Healthy tells whether users can be served here.
 func (n *Node) Healthy() bool { return n.healthy.Load() }
 
+// Leave gives up all that this controller holds, and returns when others have
+// it, or when ctx ends.
+func (n *Node) Leave(ctx context.Context) error {
+	n.events <- step.Leave{}
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for !n.left.Load() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return fmt.Errorf("leaving: %w", ctx.Err())
+		}
+	}
+	return nil
+}
+
 // Sockets counts the connections of users and workers.
 func (n *Node) Sockets() *Sockets { return &n.sockets }
 
@@ -112,6 +130,7 @@
 	}
 	n.logUsage(now)
 	n.healthy.Store(n.core.Healthy())
+	n.left.Store(n.core.Left())
 }
 
 // carryOut does what the core asks for; whatever waits runs on the side and
--- a/internal/testkit/simtest/rollout_test.go
+++ b/internal/testkit/simtest/rollout_test.go
@@ -10,6 +10,7 @@
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/gate"
 	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
@@ -335,3 +336,32 @@
 }
 
 const rewritePart = 0.2
+
+// TestLeave has every controller told to end, one after the other, the leader
+// among them. Its block, homes and lead must be with others within two seconds,
+// where a crash costs a whole lease, and no rule broken by what it sent before.
+func TestLeave(t *testing.T) {
+	for seed := *first; seed < *first+6; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w, _ := rolloutWorld(seed)
+			r := newRollout(t, w, newest, 5*time.Second)
+			for i := range w.nodes {
+				w.after(time.Duration(40+12*i)*time.Second, func() {
+					n, life, led := w.nodes[i], w.nodes[i].life, w.nodes[i].name == w.leader()
+					n.step(step.Leave{})
+					if n.core.Healthy() {
+						t.Error("healthy while it leaves")
+					}
+					w.after(2500*time.Millisecond, func() {
+						if n.life == life && !n.core.Left() {
+							t.Errorf("%s (led: %v) has not left after 2.5 s", n.name, led)
+						}
+						w.Install(i, newest, 2*time.Second)
+					})
+				})
+			}
+			r.finish(420 * time.Second)
+		})
+	}
+}
--- /dev/null
+++ b/internal/upgrade/upgrade.go
@@ -0,0 +1,215 @@
+// Package upgrade tells an operator where a rollout of the controllers stands:
+// which versions run, which levels they can follow, what keeps the cluster from
+// being raised, what is left to rewrite, and which controller may be replaced
+// next. It reads the state service and nothing else, so it has the same answer
+// while controllers restart; what the leader waits for it tells in the leader's
+// own words.
+package upgrade
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/core/controller"
+	"fawncove/internal/core/gate"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/wire"
+)
+
+// Store is what of the state service's client is needed here. A status of 200
+// says that the call was carried out, 404 that there is no such key, 409 that a
+// condition failed; any other that it may not have been.
+type Store interface {
+	Get(ctx context.Context, key string) (int, wire.Pair, error)
+	Range(ctx context.Context, prefix, after string, most int) (int, wire.Page, error)
+	Txn(ctx context.Context, t wire.Txn, control bool) (int, wire.TxnAnswer, error)
+}
+
+// Controller is what is stored of one controller of the settings.
+type Controller struct {
+	Name    string `json:"name"`
+	Leads   bool   `json:"leads"`
+	Version string `json:"version"` // "" of versions from before levels
+	Oldest  uint32 `json:"oldest_level"`
+	Newest  uint32 `json:"newest_level"`
+	Seen    uint32 `json:"seen_level"`
+	Ready   bool   `json:"ready"`
+	// Process told its version, Holder has the block; 0: none.
+	Process  uint64    `json:"process"`
+	Holder   uint64    `json:"holder"`
+	Renewal  uint64    `json:"renewal"`
+	Machines int       `json:"machines"`
+	Unheard  int       `json:"unheard"` // of the machines: taken over and not heard yet
+	Left     int       `json:"left"`    // records to rewrite
+	Told     time.Time `json:"told"`
+}
+
+// Picture is a rollout at a moment.
+type Picture struct {
+	Level       gate.Level   `json:"level"`
+	Confirmed   gate.Level   `json:"confirmed"`
+	Generation  uint64       `json:"generation"`
+	Form        int          `json:"form"` // of the lease value
+	Term        uint64       `json:"term"`
+	Beat        uint64       `json:"beat"`
+	Controllers []Controller `json:"controllers"`
+	Asked       gate.Level   `json:"asked"` // by the operator; 0: none
+	Hold        bool         `json:"hold"`
+	Waits       []string     `json:"waits"` // the leader's words
+	Left        int          `json:"left"`
+
+	word uint64 // version of the operator's word
+}
+
+// Errors of reading and asking.
+var (
+	// ErrAway says that the state service does not answer.
+	ErrAway = errors.New("the state service does not answer")
+	// ErrEmpty says that no controller has stored a lease value yet.
+	ErrEmpty = errors.New("no controller has stored anything yet")
+	// ErrChanged says that somebody else has given the operator's word meanwhile.
+	ErrChanged = errors.New("somebody else has asked for something meanwhile")
+)
+
+// Read takes a picture of the cluster that the settings describe.
+func Read(ctx context.Context, store Store, s *config.Settings) (*Picture, error) {
+	rec, err := readLease(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	p := &Picture{Level: gate.Level(rec.Level), Confirmed: gate.Level(rec.Confirmed), Generation: rec.Generation,
+		Form: max(1, rec.Form), Term: rec.Term, Beat: rec.Beat}
+	told, err := p.readTold(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	names := []string{s.HostName}
+	for _, peer := range s.Peers {
+		names = append(names, peer.HostName)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		b, r := rec.Blocks[name], told[name]
+		c := Controller{Name: name, Leads: name == rec.Leader, Version: r.Version, Oldest: r.Oldest, Newest: r.Newest, Seen: r.Seen,
+			Ready: r.Ready, Process: r.Incarnation, Holder: b.Incarnation, Renewal: b.Renewal,
+			Machines: len(b.Machines) + len(b.Old), Unheard: len(b.Old), Left: r.Left}
+		if r.AtMs > 0 {
+			c.Told = time.UnixMilli(r.AtMs).UTC()
+		}
+		if c.Leads {
+			p.Waits = r.Waits
+			if c.Older() {
+				p.Waits = []string{fmt.Sprintf("%s leads in a version from before levels, which raises none", name)}
+			}
+		}
+		p.Left += r.Left
+		p.Controllers = append(p.Controllers, c)
+	}
+	return p, nil
+}
+
+// Older tells whether the controller's process is of a version from before
+// levels: then it has stored nothing of itself, or an earlier process has.
+func (c *Controller) Older() bool { return c.Holder != 0 && c.Process != c.Holder }
+
+// readLease reads the lease value with its pages.
+func readLease(ctx context.Context, store Store) (wire.LeaseRecord, error) {
+	var book leasevalue.Book
+	for try := 0; ; try++ {
+		status, pair, err := store.Get(ctx, leasevalue.Key)
+		switch {
+		case status == 404:
+			return wire.LeaseRecord{}, ErrEmpty
+		case status != 200:
+			return wire.LeaseRecord{}, away(status, err)
+		}
+		rec, err := book.Read(pair.Value)
+		if !errors.Is(err, leasevalue.ErrMissing) || try == 3 {
+			return rec, err
+		}
+		err = each(ctx, store, leasevalue.PagePrefix, func(p wire.Pair) error {
+			_, err := book.ReadPage(p.Key, p.Value)
+			return err
+		})
+		if err != nil {
+			return rec, err
+		}
+	}
+}
+
+// readTold reads what the controllers and the operator have stored.
+func (p *Picture) readTold(ctx context.Context, store Store) (map[string]wire.ControllerRecord, error) {
+	told := map[string]wire.ControllerRecord{}
+	return told, each(ctx, store, controller.LevelPrefix, func(pair wire.Pair) error {
+		if pair.Key == controller.WordKey {
+			var w wire.WordRecord
+			if err := open(pair, &w, func() int { return w.Form }); err != nil {
+				return err
+			}
+			p.Asked, p.Hold, p.word = gate.Level(w.Level), w.Hold, pair.Version
+			return nil
+		}
+		var r wire.ControllerRecord
+		if err := open(pair, &r, func() int { return r.Form }); err != nil {
+			return err
+		}
+		told[pair.Key[min(len(pair.Key), len(controller.NodePrefix)):]] = r
+		return nil
+	})
+}
+
+// open decodes a stored value of a known form.
+func open(pair wire.Pair, v any, form func() int) error {
+	if err := wire.Decode(pair.Value, v); err != nil {
+		return fmt.Errorf("%s: %w", pair.Key, err)
+	}
+	if f := form(); f > wire.ControllerForm {
+		return wire.FormError{What: pair.Key, Form: f}
+	}
+	return nil
+}
+
+// each calls f for every key under a prefix.
+func each(ctx context.Context, store Store, prefix string, f func(wire.Pair) error) error {
+	after := ""
+	for {
+		status, page, err := store.Range(ctx, prefix, after, 500)
+		if status != 200 {
+			return away(status, err)
+		}
+		for _, pair := range page.Pairs {
+			if err := f(pair); err != nil {
+				return err
+			}
+			after = pair.Key
+		}
+		if !page.More || len(page.Pairs) == 0 {
+			return nil
+		}
+	}
+}
+
+func away(status int, err error) error {
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrAway, err)
+	}
+	return fmt.Errorf("%w: status %d", ErrAway, status)
+}
+
+// Ask gives the operator's word, in place of the one that the picture shows.
+func (p *Picture) Ask(ctx context.Context, store Store, word gate.Word, at time.Time) error {
+	rec := wire.WordRecord{Form: wire.ControllerForm, Level: uint32(word.Level), Hold: word.Hold, AtMs: at.UnixMilli()}
+	status, _, err := store.Txn(ctx, wire.Txn{If: []wire.Cond{{Key: controller.WordKey, Version: p.word}},
+		Then: []wire.Op{{Put: controller.WordKey, Value: rec}}}, false)
+	switch status {
+	case 200:
+		return nil
+	case 409:
+		return ErrChanged
+	}
+	return away(status, err)
+}
