--- /dev/null
+++ b/internal/core/controller/level_test.go
@@ -0,0 +1,130 @@
+package controller
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/step"
+	"fawncove/internal/wire"
+)
+
+// levelled is a lease value of n0 at a level.
+func levelled(level, confirmed gate.Level) wire.LeaseRecord {
+	return wire.LeaseRecord{Form: leasevalue.Form, Level: uint32(level), Confirmed: uint32(confirmed), Generation: 3, Term: 3, Leader: "n0", Incarnation: 7,
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Renewal: 1}}, Homes: map[string]string{"free": "n0"}}
+}
+
+// txns are the transactions among effects that put a key.
+func txns(effects []step.Effect, key string) (out []step.StateTxn) {
+	for _, e := range effects {
+		if x, ok := e.(step.StateTxn); ok && slices.ContainsFunc(x.Txn.Then, func(op wire.Op) bool { return op.Put == key }) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// TestRaiseIsConditional: a write that raises the level is void if any
+// controller has been replaced, or the operator has spoken, since the leader
+// decided; it may arrive long afterwards.
+func TestRaiseIsConditional(t *testing.T) {
+	c, _ := newCore(t, []config.Team{{Name: "free"}}, levelled(1, 1))
+	c.view.Controllers["n0"] = cluster.Stored[wire.ControllerRecord]{Version: 11}
+	c.view.Controllers["n1"] = cluster.Stored[wire.ControllerRecord]{Version: 12}
+	c.view.Word.Version = 13
+	for _, raise := range []bool{false, true} {
+		c.loop.Begin(c.loop.Now.Add(time.Second))
+		rec := c.view.Lease.Clone()
+		rec.Beat++
+		if raise {
+			rec.Level++
+		}
+		c.writeLease(rec, func() {})
+		out := txns(c.loop.Effects(), leaseKey)
+		if len(out) != 1 {
+			t.Fatalf("%d writes", len(out))
+		}
+		want := []wire.Cond{{Key: leaseKey, Version: 5}}
+		if raise {
+			want = append(want, wire.Cond{Key: WordKey, Version: 13}, wire.Cond{Key: NodePrefix + "n0", Version: 11}, wire.Cond{Key: NodePrefix + "n1", Version: 12})
+		}
+		if !slices.Equal(out[0].Txn.If, want) {
+			t.Errorf("raise %v: conditions %v", raise, out[0].Txn.If)
+		}
+	}
+}
+
+// TestEnvelopesWaitForAll: until all have confirmed the level, a controller that
+// went back in the moment of the raise may still have users, and could not read
+// them. A record whose envelope does not fit is stored without.
+func TestEnvelopesWaitForAll(t *testing.T) {
+	for _, confirmed := range []gate.Level{1, 2} {
+		c, now := newCore(t, []config.Team{{Name: "free"}}, levelled(2, confirmed))
+		job := wire.Job{ID: "wk-000001", Team: "free", Shape: wire.Array, Priority: "standard", Tasks: 1, CPUs: 1}
+		out := txns(c.Step(now.Add(time.Second), step.SubmitIn{Req: 1, Job: job}), jobPrefix+job.ID)
+		if len(out) != 1 {
+			t.Fatalf("%d writes", len(out))
+		}
+		env, wrapped := out[0].Txn.Then[0].Value.(wire.Envelope)
+		if wrapped != (confirmed == 2) {
+			t.Errorf("confirmed up to %d: in an envelope %v", confirmed, wrapped)
+		}
+		if !wrapped {
+			continue
+		}
+		if env.Form != wire.EnvelopeForm || env.Generation != 3 {
+			t.Errorf("%+v", env)
+		}
+		out = txns(c.Step(now.Add(2*time.Second), step.Completed{ID: out[0].ID, State: true, Status: 400}), jobPrefix+job.ID)
+		if len(out) != 1 {
+			t.Fatal("not tried without its envelope")
+		}
+		if _, wrapped := out[0].Txn.Then[0].Value.(wire.Envelope); wrapped {
+			t.Error("tried again with the envelope that did not fit")
+		}
+	}
+}
+
+// TestUnreadableValue: a controller that finds a lease value in a form from the
+// future, truncated or of the wrong kind is granted nothing by it and does not
+// write over it. Only the first makes it refuse for good.
+func TestUnreadableValue(t *testing.T) {
+	future, err := wire.Encode(map[string]any{"form": leasevalue.Form + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tooHigh, err := wire.Encode(map[string]any{"form": leasevalue.Form, "level": gate.Newest + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, v := range map[string]struct {
+		value   []byte
+		refused bool
+	}{
+		"form from the future":  {future, true},
+		"level from the future": {tooHigh, true},
+		"truncated":             {future[:3], false},
+		"wrong kind":            {[]byte{0x93, 1, 2, 3}, false},
+	} {
+		c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{})
+		c.view.Version = 0 // as after a start
+		c.applyPut(leaseKey, v.value, 9)
+		if (c.Refused() != nil) != v.refused || c.Healthy() {
+			t.Errorf("%s: refused %v, healthy %v", name, c.Refused(), c.Healthy())
+		}
+		for s := range 30 {
+			if out := txns(c.Step(now.Add(time.Duration(s)*time.Second), step.Tick{}), leaseKey); len(out) > 0 {
+				t.Fatalf("%s: takes the lead over a value it cannot read", name)
+			}
+		}
+		reply := c.Step(now.Add(31*time.Second), step.PollIn{Req: 1, ID: "wk-000001"})
+		if r, ok := reply[0].(step.Reply); v.refused && (!ok || r.Status != 503 || r.RetryAfter == 0) {
+			t.Errorf("%s: a poll gets %+v", name, reply)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/gate/gate_test.go
@@ -0,0 +1,116 @@
+package gate
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// able is a controller that can follow all levels of this version.
+func able(name string) Member {
+	return Member{Name: name, Heard: true, Process: 7, Holder: 7, Told: Told{Process: 7, Levels: Current(), Version: "new"}}
+}
+
+// TestRaiseNeedsEveryController takes one reason after the other away from a
+// controller that keeps the cluster at its level, and raises without its consent
+// never.
+func TestRaiseNeedsEveryController(t *testing.T) {
+	start := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	for name, c := range map[string]struct {
+		spoil func(m *Member)
+		says  string
+	}{
+		"never heard":         {func(m *Member) { *m = Member{Name: m.Name} }, "b was never heard"},
+		"absent":              {func(m *Member) { m.Heard = false }, "b is not heard"},
+		"told nothing":        {func(m *Member) { m.Told = Told{} }, "b has told no level"},
+		"a new process":       {func(m *Member) { m.Process = 8 }, "b told its level as an earlier process"},
+		"block of another":    {func(m *Member) { m.Holder = 8 }, "b holds its block as an earlier process"},
+		"follows less":        {func(m *Member) { m.Told.Levels.Newest = 0 }, "b version new follows levels 0 to 0 only"},
+		"needs a later level": {func(m *Member) { m.Told.Levels = Range{3, 4} }, "b version new follows levels 3 to 4 only"},
+	} {
+		r := Raise{After: time.Second}
+		bad := able("b")
+		c.spoil(&bad)
+		// As long as the reason lasts neither time nor the operator's word helps.
+		for s := range 5 {
+			next, waits := r.Decide(start.Add(time.Duration(s)*time.Second), State{}, Current(), []Member{able("a"), bad}, Word{Level: Newest})
+			if next != (State{}) || !strings.Contains(strings.Join(waits, ";"), c.says) {
+				t.Errorf("%s: raised to %+v, waits for %q", name, next, waits)
+			}
+		}
+		// The time counts from when all can, not from before.
+		good := []Member{able("a"), able("b")}
+		at := start.Add(10 * time.Second)
+		if next, _ := r.Decide(at, State{}, Current(), good, Word{}); next != (State{}) {
+			t.Errorf("%s: raised to %+v the moment the reason was gone", name, next)
+		}
+		if next, _ := r.Decide(at.Add(time.Second), State{}, Current(), good, Word{}); next.Level != Newest {
+			t.Errorf("%s: not raised a second later: %+v", name, next)
+		}
+	}
+}
+
+// TestConfirmedByAll: a level counts as confirmed when all have read it, as the
+// processes that they are, and gates that wait stay closed until then.
+func TestConfirmedByAll(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	st := State{Level: Newest}
+	a, b := able("a"), able("b")
+	a.Seen, b.Seen = Newest, Newest-1
+	var r Raise
+	next, waits := r.Decide(now, st, Current(), []Member{a, b}, Word{})
+	if next.Confirmed != 0 || len(waits) != 1 || next.Open(Envelope) || !next.Open(LeaseLevel) {
+		t.Errorf("%+v, waits %q", next, waits)
+	}
+	b.Seen, b.Heard = Newest, false
+	if next, _ := r.Decide(now, st, Current(), []Member{a, b}, Word{}); next.Open(Envelope) {
+		t.Error("confirmed by one that is not heard")
+	}
+	b.Heard = true
+	if next, _ := r.Decide(now, st, Current(), []Member{a, b}, Word{}); !next.Open(Envelope) {
+		t.Errorf("not confirmed: %+v", next)
+	}
+}
+
+// TestOperatorsWord: held back, asked for, and a level that its own version does
+// not know.
+func TestOperatorsWord(t *testing.T) {
+	now := time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+	all := []Member{able("a"), able("b")}
+	for _, c := range []struct {
+		after time.Duration
+		word  Word
+		later time.Duration
+		want  Level
+	}{
+		{0, Word{}, time.Hour, 0},
+		{time.Minute, Word{}, 59 * time.Second, 0},
+		{time.Minute, Word{}, time.Minute, Newest},
+		{time.Minute, Word{Hold: true}, time.Hour, 0},
+		{time.Minute, Word{Hold: true, Level: 1}, time.Hour, 1},
+		{0, Word{Level: 1}, 0, 1},
+		{0, Word{Level: Newest + 5}, 0, Newest},
+	} {
+		r := Raise{After: c.after}
+		r.Decide(now, State{}, Current(), all, Word{})
+		if next, waits := r.Decide(now.Add(c.later), State{}, Current(), all, c.word); next.Level != c.want {
+			t.Errorf("%+v: level %d, waits %q", c, next.Level, waits)
+		}
+	}
+}
+
+// TestGatesAreInOrder: every gate has a name, a level of this version and the
+// version that brought it.
+func TestGatesAreInOrder(t *testing.T) {
+	last := Level(1)
+	for _, g := range All() {
+		i := g.Info()
+		if i.Name == "" || i.Version == "" || i.Level < last || i.Level > Newest {
+			t.Errorf("%+v", i)
+		}
+		last = i.Level
+	}
+	if last != Newest {
+		t.Errorf("no gate at level %d", Newest)
+	}
+}
--- /dev/null
+++ b/internal/core/owner/rewrite_test.go
@@ -0,0 +1,137 @@
+package owner
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/step"
+	"fawncove/internal/wire"
+)
+
+// rewriter is an owner of five jobs that were stored before there were
+// envelopes, in a cluster where the gate is open.
+func rewriter(t *testing.T) (*Owner, time.Time) {
+	rec := wire.LeaseRecord{Form: leasevalue.Form, Level: 2, Confirmed: 2, Generation: 3, Term: 1, Leader: "n1", Homes: map[string]string{"red": "n0"},
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}}
+	o, now := newOwner(t, []config.Team{{Name: "red"}}, rec)
+	o.hold.Sent(now)
+	o.hold.Granted(wire.Block{Grant: 1 << 18, Renewal: 1})
+	for i := range 5 {
+		rec := wire.JobRecord{Job: wire.Job{ID: fmt.Sprintf("wk-%06d", i), Team: "red", Shape: wire.Array, Priority: "standard", Tasks: 1, CPUs: 1},
+			Unknown: wire.Fields{"later": []byte{0x01}}}
+		o.Put(rec, Stamp{Version: uint64(100 + i)})
+	}
+	return o, now
+}
+
+// rewrites lets time pass until a transaction of rewrites goes out.
+func rewrites(o *Owner, now time.Time) (step.StateTxn, time.Time) {
+	for range 100 {
+		now = now.Add(150 * time.Millisecond)
+		o.loop.Begin(now)
+		o.rewrite()
+		for _, e := range o.loop.Effects() {
+			if x, ok := e.(step.StateTxn); ok {
+				return x, now
+			}
+		}
+	}
+	return step.StateTxn{}, now
+}
+
+// TestRewritesAreConditional: each record is rewritten under the version that it
+// has, and keeps its age and what this version does not know of it. A late
+// rewrite by a former owner else brings a job back that is over, or has a later
+// owner take a job that runs for one that cannot have been started.
+func TestRewritesAreConditional(t *testing.T) {
+	o, now := rewriter(t)
+	x, _ := rewrites(o, now)
+	if len(x.Txn.Then) != 5 || len(x.Txn.If) != 5 {
+		t.Fatalf("%d rewrites under %d conditions", len(x.Txn.Then), len(x.Txn.If))
+	}
+	for i, op := range x.Txn.Then {
+		env := op.Value.(wire.Envelope)
+		if want := (wire.Cond{Key: op.Put, Version: uint64(100 + i)}); x.Txn.If[i] != want || env.Born != want.Version || env.Generation != 3 {
+			t.Errorf("%s: under %+v, born %d, generation %d", op.Put, x.Txn.If[i], env.Born, env.Generation)
+		}
+		if kept, err := wire.UnknownFields(env.Value, wire.JobRecord{}); err != nil || len(kept) != 1 {
+			t.Errorf("%s: kept %v, %v", op.Put, kept, err)
+		}
+	}
+	o.loop.Complete(step.Completed{ID: x.ID, Status: 200, Txn: wire.TxnAnswer{Revision: 200}})
+	if again, _ := rewrites(o, now.Add(20*time.Second)); len(again.Txn.Then) > 0 || o.Left() > 0 {
+		t.Errorf("rewritten again: %v", again.Txn.Then)
+	}
+	// A later process finds the record rewritten after it took the home over:
+	// the job is as old as it was.
+	b, _ := newOwner(t, []config.Team{{Name: "red"}}, wire.LeaseRecord{Term: 1, Leader: "n1", Homes: map[string]string{"red": "n0"},
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}})
+	b.homes["red"] = 150
+	b.Put(wire.JobRecord{Job: wire.Job{ID: "wk-000001", Team: "red", Shape: wire.Array, Tasks: 1, CPUs: 1}}, Stamp{Version: 200, Born: 101, Form: 1})
+	if j := b.Job("wk-000001"); j.ready {
+		t.Error("a job that may run is taken for a new one")
+	}
+}
+
+// TestRewriteThatDoesNotFit: a record at the size limit has no room for its
+// envelope. The others are rewritten, it stays as it is, and is not tried again.
+func TestRewriteThatDoesNotFit(t *testing.T) {
+	o, now := rewriter(t)
+	const big = "fc/j/wk-000003"
+	revision, done := uint64(200), map[string]bool{}
+	for range 20 {
+		x, at := rewrites(o, now)
+		now = at
+		if x.ID == 0 {
+			break
+		}
+		status := 200
+		if slices.ContainsFunc(x.Txn.Then, func(op wire.Op) bool { return op.Put == big }) {
+			status = 400
+		}
+		for _, op := range x.Txn.Then {
+			done[op.Put] = done[op.Put] || status == 200
+		}
+		revision++
+		o.loop.Complete(step.Completed{ID: x.ID, Status: status, Txn: wire.TxnAnswer{Revision: revision}})
+	}
+	if len(done) != 5 || done[big] || o.Left() != 0 {
+		t.Errorf("rewritten %v, %d left", done, o.Left())
+	}
+	for key, ok := range done {
+		if !ok && key != big {
+			t.Errorf("%s was not rewritten", key)
+		}
+	}
+}
+
+// TestForeignPageIsLeftAlone: a page in a form from the future is not written
+// over; what is completed goes to another page.
+func TestForeignPageIsLeftAlone(t *testing.T) {
+	o, now := rewriter(t)
+	o.pages = append(o.pages, &page{version: 3, entries: map[string]int{"wk-000001": 20}, size: 20})
+	o.pageOf["wk-000001"] = o.pages[0]
+	future, err := wire.Encode(map[string]any{"f": wire.EnvelopeForm + 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, err = o.readPage("fp/n0/0", future)
+	if err == nil {
+		t.Fatal("read")
+	}
+	o.abandon(o.pages[0])
+	o.loop.Begin(now.Add(time.Minute))
+	o.flushPages()
+	for _, e := range o.loop.Effects() {
+		if x, ok := e.(step.StateTxn); ok && x.Txn.Then[0].Put != "fp/n0/1" {
+			t.Errorf("writes %s", x.Txn.Then[0].Put)
+		}
+	}
+	if p := o.pageOf["wk-000001"]; p == nil || p == o.pages[0] {
+		t.Error("what is completed has no page any more")
+	}
+}
