Records that do not fit with their envelope are found one by one

A batch that the state service refuses as too large was tried again whole, so that none of its records was rewritten (TestRewriteThatDoesNotFit).

--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -185,14 +185,15 @@
 			return env, rec, err
 		}
 	}
-	if err = wire.Decode(env.Value, &rec); err != nil {
+	unknown, err := wire.DecodeKeeping(env.Value, &rec)
+	if err != nil {
 		return env, rec, err
 	}
 	if rec.ID != key[len(jobPrefix):] {
 		return env, rec, fmt.Errorf("is of job %q", rec.ID)
 	}
-	rec.Unknown, err = wire.UnknownFields(env.Value, rec)
-	return env, rec, err
+	rec.Unknown = unknown
+	return env, rec, nil
 }
 
 func (c *Core) applyJob(rec wire.JobRecord, at owner.Stamp) {
--- a/internal/core/owner/rewrite.go
+++ b/internal/core/owner/rewrite.go
@@ -38,6 +38,7 @@
 	busy   bool
 	room   float64 // changes that may be made now
 	filled time.Time
+	single int             // how many are to be tried one by one
 	whole  map[string]bool // records that do not fit with their envelope
 }
 
@@ -83,9 +84,12 @@
 	// A few at a time, as far as there are so many: each transaction is a
 	// request too.
 	n := min(int(r.room), limits.TxnOps, len(r.queue))
-	if n < 1 || (n < len(r.queue) && n < limits.TxnOps/2) {
+	if n < 1 || (n < len(r.queue) && n < limits.TxnOps/2 && r.single == 0) {
 		return
 	}
+	if r.single > 0 {
+		r.single, n = r.single-1, 1
+	}
 	var batch []*Job
 	var txn wire.Txn
 	bytes := 0
@@ -129,7 +133,7 @@
 			r.skip(batch[0].Rec.ID)
 			o.log.Info("record stays in its earlier form, its envelope does not fit", "job", batch[0].Rec.ID)
 		case d.Status == 400:
-			r.room = 1 // one by one, to find which
+			r.single = len(batch) // to find which
 		}
 		// Whatever was not rewritten, or perhaps was, comes up with the next
 		// look, with its version as the watch then has shown it.
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -50,7 +50,8 @@
 // has none: then it is returned as it is, with form 0.
 func Unwrap(what string, stored []byte) (Envelope, error) {
 	var e Envelope
-	if err := Decode(stored, &e); err != nil {
+	unknown, err := DecodeKeeping(stored, &e)
+	if err != nil {
 		return e, fmt.Errorf("%s: %w", what, err)
 	}
 	switch {
@@ -61,15 +62,31 @@
 	case len(e.Value) == 0:
 		return e, fmt.Errorf("%s: empty envelope", what)
 	}
-	var err error
-	e.Unknown, err = UnknownFields(stored, e)
-	return e, err
+	e.Unknown = unknown
+	return e, nil
 }
 
 // Stored returns what is to be stored for the envelope, with the fields that
 // this version does not know.
 func (e Envelope) Stored() (any, error) { return WithFields(e, e.Unknown) }
 
+// DecodeKeeping decodes a map into a struct and returns the fields that the
+// struct has no place for; nil when there are none, which costs nothing.
+func DecodeKeeping[T any](body []byte, v *T) (Fields, error) {
+	r := bytes.NewReader(body)
+	dec := msgpack.NewDecoder(r)
+	dec.DisallowUnknownFields(true)
+	if dec.Decode(v) == nil && r.Len() == 0 {
+		return nil, nil
+	}
+	var again T
+	if err := Decode(body, &again); err != nil {
+		return nil, err
+	}
+	*v = again
+	return UnknownFields(body, again)
+}
+
 // UnknownFields returns the fields of an encoded map that the struct v has no
 // place for; nil when there are none.
 func UnknownFields(raw []byte, v any) (Fields, error) {
