--- /dev/null
+++ b/cmd/fawncove/try.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"fawncove/internal/testkit/drill"
+)
+
+func tryCommand() *cobra.Command {
+	p := drill.Plan{Seed: 1}
+	var stay bool
+	cmd := &cobra.Command{
+		Use:   "try [-- COMMAND...]",
+		Short: "Run a small cluster on this machine, with stand-ins for all round it",
+		Long: `Runs three controllers as processes on the loopback interface, with stand-ins
+for state service, cloud, machines and users, submits sample jobs and shows them
+running. Tasks take their time, or run COMMAND with FAWNCOVE_TASK and
+FAWNCOVE_ATTEMPT in its environment. The rules of the protocol are checked all
+along; the exit status tells whether they held and all jobs ended.`,
+		RunE: func(cmd *cobra.Command, args []string) (err error) {
+			ctx, cancel := interrupted(cmd.Context())
+			defer cancel()
+			if p.Back && p.From == "" {
+				return fmt.Errorf("--back needs --upgrade-from")
+			}
+			p.Run, p.Out = args, cmd.OutOrStdout()
+			if p.Binary, err = os.Executable(); err != nil {
+				return fmt.Errorf("try: %w", err)
+			}
+			if p.Dir, err = os.MkdirTemp("", "fawncove-try-"); err != nil {
+				return fmt.Errorf("try: %w", err)
+			}
+			d, err := drill.Start(ctx, p)
+			if err != nil {
+				return err
+			}
+			err = exercise(d, p)
+			if err == nil && stay {
+				fmt.Fprintln(p.Out, "\nthe cluster stays until it is interrupted")
+				<-ctx.Done()
+			}
+			d.Stop()
+			if err != nil {
+				return fmt.Errorf("%w (logs in %s)", err, p.Dir)
+			}
+			fmt.Fprintln(p.Out, "\nall jobs are over, no rule was broken")
+			return os.RemoveAll(p.Dir)
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&p.Jobs, "jobs", 20, "sample jobs to submit")
+	f.DurationVar(&p.Over, "over", 20*time.Second, "time over which they are submitted")
+	f.Uint64Var(&p.Seed, "seed", 1, "seed of the sample jobs")
+	f.BoolVar(&stay, "stay", false, "keep the cluster running until it is interrupted")
+	f.StringVar(&p.From, "upgrade-from", "", "an earlier build to start with, and to roll out this one from")
+	f.BoolVar(&p.Back, "back", false, "roll back to the earlier build before the level is raised")
+	return cmd
+}
+
+// exercise is what a drill consists of.
+func exercise(d *drill.Drill, p drill.Plan) error {
+	if err := d.Ready(); err != nil {
+		return err
+	}
+	fmt.Fprintf(p.Out, "three controllers serve; their settings and logs are in %s\n\ntype next, in another terminal:\n", p.Dir)
+	for _, args := range []string{"upgrade status", "upgrade plan", "check-config"} {
+		fmt.Fprintf(p.Out, "    %s %s --config %s\n", p.Binary, args, d.Settings())
+	}
+	fmt.Fprintf(p.Out, "    tail -f %s/n0.log\n\n", p.Dir)
+	if p.From != "" {
+		if err := d.Rollout(); err != nil {
+			return err
+		}
+	}
+	return d.Finish(3*time.Minute + p.Over)
+}
--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -19,6 +19,33 @@
 	state     string
 	why       string
 	until     time.Duration // when the state ends by itself
+	stop      func()        // ends its command, if it runs one
+}
+
+func (t *simTask) cancel() {
+	if t.stop != nil {
+		t.stop()
+	}
+}
+
+// run starts the command of a task, where the world runs commands. The task ends
+// with it.
+func (k *worker) run(t *simTask) bool {
+	if k.w.edge == nil {
+		return false
+	}
+	t.until = 1<<63 - 1
+	t.stop = k.w.edge.Run(t.name, t.attempt, func(ok bool) {
+		switch {
+		case t.state != wire.TaskRunning:
+		case ok:
+			t.until = 0
+		default:
+			k.set(t, wire.TaskEnded)
+			t.why, k.changed = wire.WhyError, true
+		}
+	})
+	return t.stop != nil
 }
 
 // worker stands in for a machine's worker, after the protocol.
@@ -93,6 +120,9 @@
 			}
 			k.w.started(k, t, u)
 			k.set(t, wire.TaskRunning)
+			if k.run(t) {
+				continue
+			}
 			t.until = k.w.now + time.Duration(1000+k.w.rng.IntN(15000))*time.Millisecond
 			if u.job.Shape == wire.Daemon {
 				t.until = k.w.now + time.Hour
@@ -202,6 +232,7 @@
 			}
 		case wire.OpHalt:
 			if i >= 0 && k.tasks[i].state != wire.TaskEnded {
+				k.tasks[i].cancel()
 				k.set(k.tasks[i], wire.TaskEnded)
 				k.tasks[i].why = wire.WhyStopped
 				k.changed = true
--- a/internal/testkit/simtest/rollout_test.go
+++ b/internal/testkit/simtest/rollout_test.go
@@ -9,7 +9,6 @@
 
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/gate"
-	"fawncove/internal/core/leasevalue"
 	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
@@ -43,21 +42,6 @@
 	}
 }
 
-// plainRecords counts the records of jobs and pages that are in an earlier form.
-func (w *World) plainRecords() (jobs, pages int) {
-	for key, v := range w.store.values {
-		env, err := wire.Unwrap(key, v.data)
-		switch {
-		case err != nil || env.Form > 0:
-		case strings.HasPrefix(key, "fc/j/"):
-			jobs++
-		case strings.HasPrefix(key, "fp/"):
-			pages++
-		}
-	}
-	return jobs, pages
-}
-
 // finish lets things calm down and expects every job to end and every rule to
 // have been kept.
 func (r *rollout) finish(d time.Duration) {
@@ -257,17 +241,6 @@
 	}
 }
 
-// leader names who leads, by the stored value.
-func (w *World) leader() string {
-	var v struct {
-		Leader string `msgpack:"leader"`
-	}
-	if err := wire.Decode(w.store.values[leasevalue.Key].data, &v); err != nil {
-		w.breakRule("lease value: %v", err)
-	}
-	return v.Leader
-}
-
 // alone cuts controller i off from the others.
 func (w *World) alone(i int, d time.Duration) {
 	for _, n := range w.nodes {
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -216,6 +216,9 @@
 				k.cpus, k.memory = t.CPUs, t.MemoryGB
 			}
 		}
+		if c.w.edge != nil {
+			k.endpoint = c.w.edge.Open(k.name)
+		}
 		names = append(names, k.name)
 		c.w.workers[k.name] = k
 		boot := time.Duration(3000+c.w.rng.IntN(6000)) * time.Millisecond
@@ -256,6 +259,9 @@
 	if k := w.workers[name]; k != nil && !k.gone {
 		k.clear()
 		k.gone, k.died = true, w.now
+		if w.edge != nil {
+			w.edge.Close(name)
+		}
 	}
 }
 
@@ -296,3 +302,40 @@
 
 // raiseBlind is for how long a leader may not know that a controller is gone.
 const raiseBlind = cluster.LinkDead + 2*time.Second
+
+// plainRecords counts the records of jobs and pages that are in an earlier form.
+func (w *World) plainRecords() (jobs, pages int) {
+	for key, v := range w.store.values {
+		env, err := wire.Unwrap(key, v.data)
+		switch {
+		case err != nil || env.Form > 0:
+		case strings.HasPrefix(key, "fc/j/"):
+			jobs++
+		case strings.HasPrefix(key, "fp/"):
+			pages++
+		}
+	}
+	return jobs, pages
+}
+
+// leader names who leads, by the stored value.
+func (w *World) leader() string {
+	var v struct {
+		Leader string `msgpack:"leader"`
+	}
+	if err := wire.Decode(w.store.values[leasevalue.Key].data, &v); err != nil {
+		w.breakRule("lease value: %v", err)
+	}
+	return v.Leader
+}
+
+// byName lists the machines in the order of their names.
+func (w *World) byName() []*worker {
+	var out []*worker
+	for i := 1; i <= w.cloud.count; i++ {
+		if k := w.workers[fmt.Sprintf("host-%06d", i)]; k != nil {
+			out = append(out, k)
+		}
+	}
+	return out
+}
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -54,6 +54,7 @@
 	Dones   int
 	moves   int         // of homes between controllers that live
 	level   gate.Level  // of the cluster, as stored
+	edge    Edge        // of a world whose controllers are processes; else nil
 	trace   hash.Hash64 // of all that the cores asked for, if it is kept
 }
 
@@ -217,6 +218,7 @@
 // clear ends all tasks of a worker at once.
 func (k *worker) clear() {
 	for _, t := range k.tasks {
+		t.cancel()
 		k.set(t, wire.TaskEnded)
 	}
 	k.tasks = nil
@@ -392,6 +394,10 @@
 	if !n.up {
 		return
 	}
+	if n.w.edge != nil {
+		n.w.edge.Ask(n.name, build(0), then)
+		return
+	}
 	n.next++
 	n.waits[n.next] = then
 	n.step(build(n.next))
--- a/internal/testkit/simtest/world_test.go
+++ b/internal/testkit/simtest/world_test.go
@@ -81,16 +81,6 @@
 	w.after(10*time.Second, next)
 }
 
-func (w *World) byName() []*worker {
-	var out []*worker
-	for i := 1; i <= w.cloud.count; i++ {
-		if k := w.workers[fmt.Sprintf("host-%06d", i)]; k != nil {
-			out = append(out, k)
-		}
-	}
-	return out
-}
-
 // some does f to about share percent of the workers that are up.
 func (w *World) some(share int, f func(k *worker)) {
 	for _, k := range w.byName() {
