What is unheard is told by each owner; the drill waits for load

A machine that was taken over stays in the value's list of such machines after it has been heard, so the plan waited for ever (seen in a drill with the earlier build). Owners now tell how many of theirs are unheard.

--- a/internal/core/controller/level.go
+++ b/internal/core/controller/level.go
@@ -27,8 +27,8 @@
 	frameForm   = 1
 	renewalForm = 1
 
-	// tellGap spaces the writes of a controller's record, and leftGap those
-	// that only say how far rewriting has come.
+	// tellGap spaces the looks at whether a controller's record has to be
+	// written, and leftGap the writes for counts only.
 	tellGap = 2 * time.Second
 	leftGap = 10 * time.Second
 )
@@ -149,6 +149,17 @@
 	})})
 }
 
+// worthTelling tells whether a record is to be stored in place of another. What
+// an operator waits for is told at once, counts only now and then.
+func worthTelling(rec, old *wire.ControllerRecord, now time.Time) bool {
+	if rec.Incarnation != old.Incarnation || rec.Version != old.Version || rec.Oldest != old.Oldest || rec.Newest != old.Newest ||
+		rec.Seen != old.Seen || rec.Ready != old.Ready || (rec.Unheard == 0) != (old.Unheard == 0) || (rec.Left == 0) != (old.Left == 0) {
+		return true
+	}
+	changed := rec.Unheard != old.Unheard || rec.Left != old.Left || !slices.Equal(rec.Waits, old.Waits)
+	return changed && now.Sub(time.UnixMilli(old.AtMs)) >= leftGap
+}
+
 // tellLevel stores what this process can follow, what it has read and how far
 // it has come, when that has changed. It is written under the version that is
 // known, so that an earlier process's late write cannot replace it.
@@ -163,24 +174,19 @@
 	if c.level.busy || c.loop.Now.Before(c.level.next) || c.view.Version == 0 {
 		return
 	}
+	c.level.next = c.loop.Now.Add(tellGap)
 	stored := c.view.Controllers[c.view.Me]
 	rec := wire.ControllerRecord{Form: wire.ControllerForm, Incarnation: c.hold.Incarnation(), Version: c.view.Par.Version,
 		Oldest: uint32(c.view.Par.Levels.Oldest), Newest: uint32(c.view.Par.Levels.Newest), Seen: c.view.Lease.Level,
-		Ready: c.Healthy(), Left: c.own.Left()}
+		Ready: c.Healthy(), Unheard: c.own.Unheard(), Left: c.own.Left()}
 	if c.lead != nil {
 		rec.Waits = c.lead.Waits()
 	}
-	same := rec
-	same.AtMs, same.Waits, same.Left = stored.Value.AtMs, stored.Value.Waits, stored.Value.Left
-	if same.Incarnation == stored.Value.Incarnation && same.Version == stored.Value.Version && same.Oldest == stored.Value.Oldest &&
-		same.Newest == stored.Value.Newest && same.Seen == stored.Value.Seen && same.Ready == stored.Value.Ready {
-		old := time.UnixMilli(stored.Value.AtMs)
-		if slices.Equal(rec.Waits, stored.Value.Waits) && rec.Left == stored.Value.Left || c.loop.Now.Sub(old) < leftGap {
-			return
-		}
+	if !worthTelling(&rec, &stored.Value, c.loop.Now) {
+		return
 	}
 	rec.AtMs = c.loop.Now.UnixMilli()
-	c.level.busy, c.level.next = true, c.loop.Now.Add(tellGap)
+	c.level.busy = true
 	key := NodePrefix + c.view.Me
 	c.loop.Emit(step.StateTxn{
 		Txn: wire.Txn{If: []wire.Cond{{Key: key, Version: stored.Version}}, Then: []wire.Op{{Put: key, Value: rec}}},
--- a/internal/core/owner/yield.go
+++ b/internal/core/owner/yield.go
@@ -30,7 +30,7 @@
 	var out []string
 	for _, t := range o.view.Cfg.Cluster.Teams {
 		mine, least := o.spread(t.Name)
-		if len(mine) < 2 || least < 0 || o.unknown() {
+		if len(mine) < 2 || least < 0 || o.Unheard() > 0 {
 			continue
 		}
 		for i := len(mine) - 1; i > 0; i-- {
@@ -67,14 +67,15 @@
 	return mine, least
 }
 
-// unknown tells whether some machine may run tasks that are not known here.
-func (o *Owner) unknown() bool {
+// Unheard counts the machines that may run tasks which are not known here.
+func (o *Owner) Unheard() int {
+	n := 0
 	for _, m := range o.machines {
 		if m.unsure() {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // dry tells whether no task of a home is anywhere, and all that is completed of
--- a/internal/testkit/drill/drill.go
+++ b/internal/testkit/drill/drill.go
@@ -307,6 +307,10 @@
 // Rollout rolls from the earlier build to this one, and back, or on to the
 // newest level.
 func (d *Drill) Rollout() error {
+	if err := d.until("tasks run", time.Minute, func() bool { s, _ := d.Summary(); return s.Running > 0 }); err != nil {
+		return err
+	}
+	d.status()
 	if err := d.roll(d.plan.Binary); err != nil {
 		return err
 	}
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -43,7 +43,7 @@
 	Holder   uint64    `json:"holder"`
 	Renewal  uint64    `json:"renewal"`
 	Machines int       `json:"machines"`
-	Unheard  int       `json:"unheard"` // of the machines: taken over and not heard yet
+	Unheard  int       `json:"unheard"` // of the machines: may run tasks that it does not know of
 	Left     int       `json:"left"`    // records to rewrite
 	Told     time.Time `json:"told"`
 }
@@ -96,7 +96,7 @@
 		b, r := rec.Blocks[name], told[name]
 		c := Controller{Name: name, Leads: name == rec.Leader, Version: r.Version, Oldest: r.Oldest, Newest: r.Newest, Seen: r.Seen,
 			Ready: r.Ready, Process: r.Incarnation, Holder: b.Incarnation, Renewal: b.Renewal,
-			Machines: len(b.Machines) + len(b.Old), Unheard: len(b.Old), Left: r.Left}
+			Machines: len(b.Machines) + len(b.Old), Unheard: r.Unheard, Left: r.Left}
 		if r.AtMs > 0 {
 			c.Told = time.UnixMilli(r.AtMs).UTC()
 		}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -118,6 +118,9 @@
 	Newest      uint32 `msgpack:"newest"`
 	Seen        uint32 `msgpack:"seen"`  // level it has read
 	Ready       bool   `msgpack:"ready"` // serves users
+	// Unheard is how many machines of its block may run tasks that it does not
+	// know of.
+	Unheard int `msgpack:"unheard"`
 	// Left is how many records of its homes are still in an earlier form.
 	Left int `msgpack:"left"`
 	// Waits is what keeps the level from being raised, told by who leads.
