--- a/cmd/fawncove/upgrade.go
+++ b/cmd/fawncove/upgrade.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -21,6 +22,9 @@
 // exitNotNow is the status of a command whose answer is "not now".
 const exitNotNow = exitStatus(3)
 
+// develVersion is what builds are called that know nothing of their source.
+const develVersion = "(devel)"
+
 // lookApart is how far apart two looks at the lease value are taken: a leader
 // publishes every 5 s.
 const lookApart = 6 * time.Second
@@ -153,6 +157,9 @@
 			if err != nil {
 				return err
 			}
+			if version == develVersion {
+				return errors.New("this build names no version, so it cannot be told from another: build with -buildvcs=true, or name what is rolled out with --version")
+			}
 			pl, err := makePlan(ctx, store, s, version)
 			if err != nil {
 				return err
--- a/internal/core/controller/level.go
+++ b/internal/core/controller/level.go
@@ -156,8 +156,10 @@
 		rec.Seen != old.Seen || rec.Ready != old.Ready || (rec.Unheard == 0) != (old.Unheard == 0) || (rec.Left == 0) != (old.Left == 0) {
 		return true
 	}
-	changed := rec.Unheard != old.Unheard || rec.Left != old.Left || !slices.Equal(rec.Waits, old.Waits)
-	return changed && now.Sub(time.UnixMilli(old.AtMs)) >= leftGap
+	if !slices.Equal(rec.Waits, old.Waits) {
+		return true
+	}
+	return (rec.Unheard != old.Unheard || rec.Left != old.Left) && now.Sub(time.UnixMilli(old.AtMs)) >= leftGap
 }
 
 // tellLevel stores what this process can follow, what it has read and how far
--- a/internal/core/gate/gate_test.go
+++ b/internal/core/gate/gate_test.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -114,3 +116,24 @@
 		t.Errorf("no gate at level %d", Newest)
 	}
 }
+
+// TestInventoryIsWritten: the operators' page has every form, word for word.
+func TestInventoryIsWritten(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/upgrades.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]bool{"": true}
+	for _, g := range All() {
+		names[g.Info().Name] = true
+	}
+	for _, f := range Inventory() {
+		row := fmt.Sprintf("| `%s` | %d | %s | %s | %s | %s | %s |", f.Name, f.Form, f.Gate, f.Since, f.Writer, f.Readers, f.Older)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/upgrades.md lacks\n%s", row)
+		}
+		if !names[f.Gate] {
+			t.Errorf("%s form %d: no gate %q", f.Name, f.Form, f.Gate)
+		}
+	}
+}
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -278,6 +278,9 @@
 			w.breakRule("%s is stored %d times", key, w.store.puts[key])
 		}
 	}
+	if !slices.ContainsFunc(gate.Inventory(), func(f gate.Form) bool { return strings.HasPrefix(key, f.Name) }) {
+		w.breakRule("%s is not in the inventory of forms", key)
+	}
 	if key != leasevalue.Key {
 		return
 	}
