--- a/cmd/fawncove/try.go
+++ b/cmd/fawncove/try.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -44,6 +46,10 @@
 				<-ctx.Done()
 			}
 			d.Stop()
+			if errors.Is(err, context.Canceled) {
+				fmt.Fprintln(p.Out, "\ninterrupted; the controllers have ended")
+				return os.RemoveAll(p.Dir)
+			}
 			if err != nil {
 				return fmt.Errorf("%w (logs in %s)", err, p.Dir)
 			}
