--- a/internal/core/owner/rewrite.go
+++ b/internal/core/owner/rewrite.go
@@ -58,8 +58,12 @@
 	}
 	limits := o.view.Cfg.Cluster.State
 	rate := rewritePart * limits.WriteRPS / float64(o.view.Cfg.Controllers())
+	// A transaction takes what a second allows, no more: one of twenty changes
+	// waited two seconds for its turn in the write limit, in the way of every
+	// submission behind it, and was then given up.
+	most := max(1, min(limits.TxnOps, int(rate)))
 	if !r.filled.IsZero() {
-		r.room = min(float64(limits.TxnOps), r.room+rate*o.loop.Now.Sub(r.filled).Seconds())
+		r.room = min(float64(most), r.room+rate*o.loop.Now.Sub(r.filled).Seconds())
 	}
 	r.filled = o.loop.Now
 	if len(r.queue) == 0 && !o.loop.Now.Before(r.lookAt) {
@@ -81,10 +85,8 @@
 	if pending > 0 || (!short.IsZero() && o.loop.Now.Sub(short) < rewriteRest) {
 		return
 	}
-	// A few at a time, as far as there are so many: each transaction is a
-	// request too.
-	n := min(int(r.room), limits.TxnOps, len(r.queue))
-	if n < 1 || (n < len(r.queue) && n < limits.TxnOps/2 && r.single == 0) {
+	n := min(most, len(r.queue))
+	if int(r.room) < n {
 		return
 	}
 	if r.single > 0 {
