Operator's commands share one frame; a test follows a rollout by what they read

Four commands each opened settings and store and read the picture for themselves. TestOperatorsPicture plays a rollout and checks order, pace, what keeps the level, and that of two operators who ask at once the second is told.

--- a/cmd/fawncove/upgrade.go
+++ b/cmd/fawncove/upgrade.go
@@ -35,18 +35,57 @@
 	asJSON bool
 }
 
-func (o *operator) flags(cmd *cobra.Command) {
-	configFlag(cmd, &o.config)
+// jsonFlag lets a command print its answer for programs.
+func (o *operator) jsonFlag(cmd *cobra.Command) *cobra.Command {
 	cmd.Flags().BoolVar(&o.asJSON, "json", false, "print one JSON object")
+	return cmd
 }
 
-// open returns the settings and a client of the state service they name.
-func (o *operator) open() (*config.Settings, *statestore.Store, error) {
-	s, err := config.Load(o.config)
-	if err != nil {
-		return nil, nil, err
+// rollout is what a command of a rollout works on.
+type rollout struct {
+	ctx      context.Context
+	out      io.Writer
+	settings *config.Settings
+	store    *statestore.Store
+	now      *upgrade.Picture
+}
+
+// command returns a command that reads the cluster's state and has f answer.
+func (o *operator) command(use, short string, f func(r *rollout) error) *cobra.Command {
+	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := interrupted(cmd.Context())
+			defer cancel()
+			s, err := config.Load(o.config)
+			if err != nil {
+				return err
+			}
+			r := &rollout{ctx: ctx, out: cmd.OutOrStdout(), settings: s,
+				store: statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, s.Controllers())}
+			if err := r.read(); err != nil {
+				return err
+			}
+			return f(r)
+		},
+	}
+	configFlag(cmd, &o.config)
+	return cmd
+}
+
+// read takes a picture of the cluster as it is now.
+func (r *rollout) read() (err error) {
+	r.now, err = upgrade.Read(r.ctx, r.store, r.settings)
+	return err
+}
+
+// sleep waits, unless the command is ended before.
+func (r *rollout) sleep(d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-r.ctx.Done():
+		return r.ctx.Err()
 	}
-	return s, statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, s.Controllers()), nil
 }
 
 func upgradeCommand() *cobra.Command {
@@ -57,34 +96,18 @@
 
 func upgradeStatus() *cobra.Command {
 	var o operator
-	cmd := &cobra.Command{
-		Use:   "status",
-		Short: "Show versions, levels and what is left; ends with 3 while a rollout is under way",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := interrupted(cmd.Context())
-			defer cancel()
-			s, store, err := o.open()
-			if err != nil {
-				return err
-			}
-			p, err := upgrade.Read(ctx, store, s)
-			if err != nil {
-				return err
-			}
+	return o.jsonFlag(o.command("status", "Show versions, levels and what is left; ends with 3 while a rollout is under way",
+		func(r *rollout) (err error) {
 			if o.asJSON {
-				err = json.NewEncoder(cmd.OutOrStdout()).Encode(p)
+				err = json.NewEncoder(r.out).Encode(r.now)
 			} else {
-				err = printPicture(cmd.OutOrStdout(), p)
+				err = printPicture(r.out, r.now)
 			}
-			if err == nil && !p.Settled() {
+			if err == nil && !r.now.Settled() {
 				err = exitNotNow
 			}
 			return err
-		},
-	}
-	o.flags(cmd)
-	return cmd
+		}))
 }
 
 func printPicture(out io.Writer, p *upgrade.Picture) error {
@@ -146,62 +169,36 @@
 func upgradePlan() *cobra.Command {
 	var o operator
 	var version string
-	cmd := &cobra.Command{
-		Use:   "plan",
-		Short: "Show the order of replacement, and whether the next one may go now; ends with 3 if not",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := interrupted(cmd.Context())
-			defer cancel()
-			s, store, err := o.open()
-			if err != nil {
-				return err
-			}
+	cmd := o.jsonFlag(o.command("plan", "Show the order of replacement, and whether the next one may go now; ends with 3 if not",
+		func(r *rollout) error {
 			if version == develVersion {
 				return errors.New("this build names no version, so it cannot be told from another: build with -buildvcs=true, or name what is rolled out with --version")
 			}
-			pl, err := makePlan(ctx, store, s, version)
-			if err != nil {
+			// Two looks, since only a value that changes shows that somebody leads.
+			before := r.now
+			if err := r.sleep(lookApart); err != nil {
+				return err
+			}
+			if err := r.read(); err != nil {
 				return err
 			}
-			out := cmd.OutOrStdout()
+			pl := &plan{Version: version, Steps: r.now.Steps(version), Why: r.now.Busy(before)}
+			pl.Now = len(pl.Why) == 0 && len(pl.Steps) > 0
+			var err error
 			if o.asJSON {
-				err = json.NewEncoder(out).Encode(pl)
+				err = json.NewEncoder(r.out).Encode(pl)
 			} else {
-				err = printPlan(out, pl)
+				err = printPlan(r.out, pl)
 			}
 			if err == nil && !pl.Now && len(pl.Steps) > 0 {
 				err = exitNotNow
 			}
 			return err
-		},
-	}
-	o.flags(cmd)
-	cmd.Flags().StringVar(&version, "version", buildVersion(), "version that is rolled out, as `fawncove version` prints it")
+		}))
+	cmd.Flags().StringVar(&version, "version", buildVersion(), "version that is rolled out, as the command version prints it")
 	return cmd
 }
 
-// makePlan looks at the cluster twice, since only a value that changes shows
-// that somebody leads.
-func makePlan(ctx context.Context, store upgrade.Store, s *config.Settings, version string) (*plan, error) {
-	before, err := upgrade.Read(ctx, store, s)
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case <-time.After(lookApart):
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	now, err := upgrade.Read(ctx, store, s)
-	if err != nil {
-		return nil, err
-	}
-	pl := &plan{Version: version, Steps: now.Steps(version), Why: now.Busy(before)}
-	pl.Now = len(pl.Why) == 0 && len(pl.Steps) > 0
-	return pl, nil
-}
-
 func printPlan(out io.Writer, pl *plan) error {
 	if len(pl.Steps) == 0 {
 		_, err := fmt.Fprintf(out, "all controllers run %s\n", pl.Version)
@@ -220,95 +217,67 @@
 	var o operator
 	var level uint32
 	var wait time.Duration
-	cmd := &cobra.Command{
-		Use:   "raise",
-		Short: "Have the level raised as soon as every controller can follow; there is no way back",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := interrupted(cmd.Context())
-			defer cancel()
-			s, store, err := o.open()
-			if err != nil {
-				return err
-			}
-			p, err := upgrade.Read(ctx, store, s)
-			if err != nil {
-				return err
-			}
+	cmd := o.command("raise", "Have the level raised as soon as every controller can follow; there is no way back",
+		func(r *rollout) error {
 			to := gate.Level(level)
 			if to == 0 {
-				to = p.Newest()
+				to = r.now.Newest()
 			}
-			out := cmd.OutOrStdout()
-			if to <= p.Level {
-				_, err := fmt.Fprintf(out, "the cluster is at level %d already\n", p.Level)
+			if to <= r.now.Level {
+				_, err := fmt.Fprintf(r.out, "the cluster is at level %d already\n", r.now.Level)
 				return err
 			}
-			if lacking := p.CannotFollow(to); len(lacking) > 0 {
-				fmt.Fprintf(out, "not now: %s\n", strings.Join(lacking, "; "))
+			if lacking := r.now.CannotFollow(to); len(lacking) > 0 {
+				fmt.Fprintf(r.out, "not now: %s\n", strings.Join(lacking, "; "))
 				return exitNotNow
 			}
-			if err := p.Ask(ctx, store, gate.Word{Level: to, Hold: p.Hold}, time.Now()); err != nil {
+			if err := r.now.Ask(r.ctx, r.store, gate.Word{Level: to, Hold: r.now.Hold}, time.Now()); err != nil {
 				return err
 			}
-			fmt.Fprintf(out, "level %d is asked for\n", to)
-			for end := time.Now().Add(wait); time.Now().Before(end); {
-				select {
-				case <-time.After(time.Second):
-				case <-ctx.Done():
-					return ctx.Err()
-				}
-				if p, err = upgrade.Read(ctx, store, s); err == nil && p.Confirmed >= to {
-					_, err := fmt.Fprintf(out, "level %d, confirmed by all controllers\n", p.Level)
-					return err
-				}
-			}
-			if err != nil {
-				return err
-			}
-			if wait > 0 {
-				fmt.Fprintf(out, "not yet: level %d; %s\n", p.Level, strings.Join(p.Waits, "; "))
-				return exitNotNow
-			}
-			return nil
-		},
-	}
-	o.flags(cmd)
+			fmt.Fprintf(r.out, "level %d is asked for\n", to)
+			return r.confirmed(to, wait)
+		})
 	cmd.Flags().Uint32Var(&level, "level", 0, "level to raise to (default: the newest that any controller knows)")
 	cmd.Flags().DurationVar(&wait, "wait", 30*time.Second, "how long to wait until all have confirmed; 0: not at all")
 	return cmd
 }
 
+// confirmed waits until all controllers have confirmed a level.
+func (r *rollout) confirmed(to gate.Level, wait time.Duration) error {
+	if wait <= 0 {
+		return nil
+	}
+	var err error
+	for end := time.Now().Add(wait); time.Now().Before(end); {
+		if err := r.sleep(time.Second); err != nil {
+			return err
+		}
+		if err = r.read(); err == nil && r.now.Confirmed >= to {
+			_, err := fmt.Fprintf(r.out, "level %d, confirmed by all controllers\n", r.now.Level)
+			return err
+		}
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(r.out, "not yet: level %d; %s\n", r.now.Level, strings.Join(r.now.Waits, "; "))
+	return exitNotNow
+}
+
 func upgradeHold() *cobra.Command {
 	var o operator
 	var off bool
-	cmd := &cobra.Command{
-		Use:   "hold",
-		Short: "Keep the level from being raised by itself",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := interrupted(cmd.Context())
-			defer cancel()
-			s, store, err := o.open()
-			if err != nil {
-				return err
-			}
-			p, err := upgrade.Read(ctx, store, s)
-			if err != nil {
-				return err
-			}
-			if err := p.Ask(ctx, store, gate.Word{Hold: !off}, time.Now()); err != nil {
-				return err
-			}
-			said := "held: nothing is raised until it is asked for"
-			if off {
-				said = "no longer held"
-			}
-			_, err = fmt.Fprintln(cmd.OutOrStdout(), said)
+	cmd := o.command("hold", "Keep the level from being raised by itself", func(r *rollout) error {
+		if err := r.now.Ask(r.ctx, r.store, gate.Word{Hold: !off}, time.Now()); err != nil {
 			return err
-		},
-	}
-	o.flags(cmd)
+		}
+		said := "held: nothing is raised until it is asked for"
+		if off {
+			said = "no longer held"
+		}
+		_, err := fmt.Fprintln(r.out, said)
+		return err
+	})
 	cmd.Flags().BoolVar(&off, "off", false, "let it be raised by itself again")
 	return cmd
 }
--- a/internal/testkit/simtest/drive.go
+++ b/internal/testkit/simtest/drive.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"fawncove/internal/config"
@@ -36,17 +35,8 @@
 // NewDriven returns a small world of these controllers. Nothing happens before
 // it is driven.
 func NewDriven(seed uint64, names []string, cfg config.Cluster, machines int, edge Edge) *Driven {
-	w := &World{
-		rng:     rand.New(rand.NewPCG(seed, 7)),
-		workers: map[string]*worker{},
-		users:   map[string]*user{},
-		cuts:    map[[2]string]time.Duration{},
-		where:   map[string]*worker{},
-		used:    map[string]float64{},
-		cfg:     cfg, most: machines, edge: edge,
-	}
-	w.store = &store{w: w, values: map[string]stored{}}
-	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
+	w := newWorld(seed, machines, cfg)
+	w.edge = edge
 	for i, name := range names {
 		w.nodes = append(w.nodes, &simNode{w: w, name: name, zone: cfg.Zones[i%len(cfg.Zones)], rate: 1, up: true})
 	}
--- a/internal/testkit/simtest/rollout_test.go
+++ b/internal/testkit/simtest/rollout_test.go
@@ -1,15 +1,19 @@
 package simtest
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"fawncove/internal/config"
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/gate"
 	"fawncove/internal/core/step"
+	"fawncove/internal/upgrade"
 	"fawncove/internal/wire"
 )
 
@@ -338,3 +342,83 @@
 		})
 	}
 }
+
+// reader lets package upgrade read the state service of a world.
+type reader struct{ w *World }
+
+func (r reader) Get(_ context.Context, key string) (int, wire.Pair, error) {
+	d := r.w.store.get(key)
+	return d.Status, d.Pair, nil
+}
+
+func (r reader) Range(_ context.Context, prefix, after string, _ int) (int, wire.Page, error) {
+	d := r.w.store.page(prefix, after)
+	return d.Status, d.Page, nil
+}
+
+func (r reader) Txn(_ context.Context, t wire.Txn, _ bool) (int, wire.TxnAnswer, error) {
+	d := r.w.store.txn(t)
+	return d.Status, d.Txn, nil
+}
+
+// TestOperatorsPicture follows a rollout by what the operator's commands read:
+// the order, when the next one may go, why the level cannot be raised, and two
+// operators who ask at the same time.
+func TestOperatorsPicture(t *testing.T) {
+	w, _ := rolloutWorld(2)
+	r := newRollout(t, w, before, 0)
+	ctx, version := t.Context(), fmt.Sprintf("up to level %d", newest.Newest)
+	s := &config.Settings{HostName: "n0", Peers: []config.Peer{{HostName: "n1"}, {HostName: "n2"}}}
+	look := func() *upgrade.Picture {
+		t.Helper()
+		p, err := upgrade.Read(ctx, reader{w}, s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	if _, err := upgrade.Read(ctx, reader{w}, s); !errors.Is(err, upgrade.ErrEmpty) {
+		t.Errorf("before the first value: %v", err)
+	}
+	w.Run(20 * time.Second)
+	for range 3 {
+		before := look()
+		w.Run(6 * time.Second)
+		steps := look().Steps(version)
+		if busy := look().Busy(before); len(busy) > 0 {
+			t.Fatalf("to go: %v, not now: %v", steps, busy)
+		}
+		if led := w.leader(); len(steps) > 1 && slices.Index(steps, led) != len(steps)-1 && slices.Contains(steps, led) {
+			t.Errorf("%s leads and is not the last of %v", led, steps)
+		}
+		if lacking := look().CannotFollow(gate.Newest); len(lacking) == 0 {
+			t.Error("all can follow, with earlier versions there")
+		}
+		i := slices.IndexFunc(w.nodes, func(n *simNode) bool { return n.name == steps[0] })
+		w.Install(i, newest, 3*time.Second)
+		at := look()
+		w.Run(2 * time.Second)
+		if busy := look().Busy(at); len(busy) == 0 {
+			t.Errorf("another one may go while %s is away", steps[0])
+		}
+		w.Run(30 * time.Second)
+	}
+	p, q := look(), look()
+	if steps := p.Steps(version); len(steps) > 0 || len(p.Versions()) != 1 || p.Settled() {
+		t.Errorf("to go %v, versions %v, settled %v", steps, p.Versions(), p.Settled())
+	}
+	if lacking := p.CannotFollow(gate.Newest); len(lacking) > 0 {
+		t.Fatal(lacking)
+	}
+	if err := p.Ask(ctx, reader{w}, gate.Word{Level: gate.Newest}, epoch); err != nil {
+		t.Fatal(err)
+	}
+	if err := q.Ask(ctx, reader{w}, gate.Word{Hold: true}, epoch); !errors.Is(err, upgrade.ErrChanged) {
+		t.Errorf("the second of two operators: %v", err)
+	}
+	w.Run(60 * time.Second)
+	if p := look(); !p.Settled() {
+		t.Errorf("not settled: %s, %v", p.Summary(), p.Waits)
+	}
+	r.finish(400 * time.Second)
+}
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -147,7 +147,8 @@
 	})
 }
 
-func build(seed uint64, nodes, most int, par cluster.Params, cfg config.Cluster) *World {
+// newWorld returns a world without controllers.
+func newWorld(seed uint64, most int, cfg config.Cluster) *World {
 	w := &World{
 		rng:     rand.New(rand.NewPCG(seed, 7)),
 		workers: map[string]*worker{},
@@ -155,10 +156,16 @@
 		cuts:    map[[2]string]time.Duration{},
 		where:   map[string]*worker{},
 		used:    map[string]float64{},
-		par:     par, cfg: cfg, most: most,
+		cfg:     cfg, most: most,
 	}
 	w.store = &store{w: w, values: map[string]stored{}}
 	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
+	return w
+}
+
+func build(seed uint64, nodes, most int, par cluster.Params, cfg config.Cluster) *World {
+	w := newWorld(seed, most, cfg)
+	w.par = par
 	for i := range nodes {
 		n := &simNode{w: w, name: fmt.Sprintf("n%d", i), zone: w.cfg.Zones[i%2],
 			rate: 1 + (w.rng.Float64()-0.5)*0.0005*2, rolls: par.Levels}
