A raise counts only what all have told for five seconds without a break

Consent now has to last longer than a frame counts, whoever asks, and begins anew when the leader has not decided for 8 s.

--- a/internal/core/gate/raise.go
+++ b/internal/core/gate/raise.go
@@ -62,15 +62,30 @@
 	// is raised without the operator's word; 0: never.
 	After time.Duration
 
-	since map[Level]time.Time // all able, without a break
+	last      time.Time           // decision
+	since     map[Level]time.Time // all able, without a break
+	confirmed time.Time           // since when all tell that they have read the level; zero: not all
 }
 
+// Steady is for how long all must have been able to follow, or have told that
+// they read a level, before that counts, whoever asks. A cut holds frames back
+// and delivers them when it ends: a controller that died meanwhile then passes
+// for heard once more, for as long as a frame counts. Steady is longer.
+const Steady = 5 * time.Second
+
+// unbroken is the longest time between two decisions that says nothing: a leader
+// decides with every value that it publishes, every 5 s. One that stood still
+// for longer has missed whatever went in between, and the frames that wait for it
+// when it wakes are old.
+const unbroken = 8 * time.Second
+
 // Decide returns what the level should be now, of a leader that can follow
 // levels, and what keeps the cluster from the newest of them.
 func (r *Raise) Decide(now time.Time, st State, own Range, members []Member, word Word) (State, []string) {
-	if r.since == nil {
-		r.since = map[Level]time.Time{}
+	if r.since == nil || now.Sub(r.last) > unbroken {
+		r.since, r.confirmed = map[Level]time.Time{}, time.Time{}
 	}
+	r.last = now
 	next := st
 	var waits []string
 	for l := st.Level + 1; l <= own.Newest; l++ {
@@ -85,8 +100,9 @@
 		if _, ok := r.since[l]; !ok {
 			r.since[l] = now
 		}
-		byItself := r.After > 0 && !word.Hold && now.Sub(r.since[l]) >= r.After
-		if (word.Level >= l || byItself) && next.Level == l-1 {
+		able := now.Sub(r.since[l])
+		byItself := r.After > 0 && !word.Hold && able >= r.After
+		if (word.Level >= l || byItself) && able >= Steady && next.Level == l-1 {
 			next.Level = l
 		} else if len(waits) == 0 {
 			waits = []string{fmt.Sprintf("level %d: all can follow; waits for %s", l, awaits(r, word, l))}
@@ -94,7 +110,9 @@
 	}
 	// Confirmed is a fact, and stands in the value so that whoever leads next
 	// knows it: all have read the level that the value had before this write.
-	if st.Confirmed < st.Level {
+	if st.Confirmed >= st.Level {
+		r.confirmed = time.Time{}
+	} else {
 		var unseen []string
 		for _, m := range members {
 			if why := m.Lacks(st.Level); why != "" {
@@ -103,10 +121,14 @@
 				unseen = append(unseen, fmt.Sprintf("%s has not read level %d yet", m.Name, st.Level))
 			}
 		}
-		if len(unseen) == 0 {
-			next.Confirmed = st.Level
-		} else {
+		switch {
+		case len(unseen) > 0:
+			r.confirmed = time.Time{}
 			waits = append(waits, unseen...)
+		case r.confirmed.IsZero():
+			r.confirmed = now
+		case now.Sub(r.confirmed) >= Steady:
+			next.Confirmed = st.Level
 		}
 	}
 	return next, waits
