--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -58,6 +58,7 @@
 	facts     map[string][]byte // what the pages say, by entry
 	pageReads uint64            // readings of all pages begun
 	pagesBusy bool
+	pagesRead bool // all of them, at least once
 	pagesNext time.Time
 	rewriting rewriting
 
--- a/internal/core/owner/pages.go
+++ b/internal/core/owner/pages.go
@@ -248,7 +248,7 @@
 		return
 	}
 	// An earlier process's pages are known only once they have been read.
-	waiting := o.pageReads == 0 && o.view.Open(gate.Envelope)
+	waiting := !o.pagesRead && o.view.Open(gate.Envelope)
 	for _, j := range o.jobs {
 		waiting = waiting || (j.reading && !j.Over)
 	}
@@ -275,7 +275,7 @@
 				next(after)
 				return
 			}
-			o.pagesBusy = false
+			o.pagesBusy, o.pagesRead = false, true
 			for _, id := range cluster.SortedKeys(o.jobs) {
 				// Only a read that began after the job became this
 				// controller's shows all that earlier owners stored.
