--- a/cmd/fawncove/upgrade.go
+++ b/cmd/fawncove/upgrade.go
@@ -25,9 +25,13 @@
 // develVersion is what builds are called that know nothing of their source.
 const develVersion = "(devel)"
 
-// lookApart is how far apart two looks at the lease value are taken: a leader
-// publishes every 5 s.
-const lookApart = 6 * time.Second
+// A plan takes three looks at the lease value, lookApart from each other. A leader
+// publishes every 5 s, so a value that does not change has none; and it honours
+// the last renewal of a controller that is gone once more, but not twice.
+const (
+	lookApart = 6 * time.Second
+	looks     = 3
+)
 
 // operator is what the commands of a rollout share.
 type operator struct {
@@ -174,15 +178,18 @@
 			if version == develVersion {
 				return errors.New("this build names no version, so it cannot be told from another: build with -buildvcs=true, or name what is rolled out with --version")
 			}
-			// Two looks, since only a value that changes shows that somebody leads.
-			before := r.now
-			if err := r.sleep(lookApart); err != nil {
-				return err
-			}
-			if err := r.read(); err != nil {
-				return err
+			pl := &plan{Version: version}
+			for look := 1; look < looks && len(pl.Why) == 0; look++ {
+				before := r.now
+				if err := r.sleep(lookApart); err != nil {
+					return err
+				}
+				if err := r.read(); err != nil {
+					return err
+				}
+				pl.Why = r.now.Busy(before)
 			}
-			pl := &plan{Version: version, Steps: r.now.Steps(version), Why: r.now.Busy(before)}
+			pl.Steps = r.now.Steps(version)
 			pl.Now = len(pl.Why) == 0 && len(pl.Steps) > 0
 			var err error
 			if o.asJSON {
--- a/internal/testkit/simtest/drive.go
+++ b/internal/testkit/simtest/drive.go
@@ -36,7 +36,7 @@
 // it is driven.
 func NewDriven(seed uint64, names []string, cfg config.Cluster, machines int, edge Edge) *Driven {
 	w := newWorld(seed, machines, cfg)
-	w.edge = edge
+	w.edge, w.writes = edge, cfg.State.WriteRPS
 	for i, name := range names {
 		w.nodes = append(w.nodes, &simNode{w: w, name: name, zone: cfg.Zones[i%len(cfg.Zones)], rate: 1, up: true})
 	}
--- a/internal/upgrade/plan.go
+++ b/internal/upgrade/plan.go
@@ -47,7 +47,8 @@
 
 // Busy tells why no controller should be replaced at this moment; nothing when
 // one may be. earlier is a picture from a few seconds before: a value that does
-// not change has no leader.
+// not change has no leader, and who has not renewed is gone. A controller that has
+// just gone may pass once more, by a renewal that it sent before.
 func (p *Picture) Busy(earlier *Picture) []string {
 	var out []string
 	if earlier == nil || (earlier.Term == p.Term && earlier.Beat == p.Beat) {
