Controllers tell of themselves less often when users need the writes

Only what a raise depends on is told at once now; the rest every 10 s, and not while submissions wait.

--- a/internal/core/controller/level.go
+++ b/internal/core/controller/level.go
@@ -28,7 +28,7 @@
 	renewalForm = 1
 
 	// tellGap spaces the looks at whether a controller's record has to be
-	// written, and leftGap the writes for counts only.
+	// written, and leftGap the writes of what the raise does not depend on.
 	tellGap = 2 * time.Second
 	leftGap = 10 * time.Second
 )
@@ -150,16 +150,15 @@
 }
 
 // worthTelling tells whether a record is to be stored in place of another. What
-// an operator waits for is told at once, counts only now and then.
+// the raise depends on is told at once, the rest now and then: in a troubled
+// minute it changes all the time, and every write is one less for users.
 func worthTelling(rec, old *wire.ControllerRecord, now time.Time) bool {
 	if rec.Incarnation != old.Incarnation || rec.Version != old.Version || rec.Oldest != old.Oldest || rec.Newest != old.Newest ||
-		rec.Seen != old.Seen || rec.Ready != old.Ready || (rec.Unheard == 0) != (old.Unheard == 0) || (rec.Left == 0) != (old.Left == 0) {
+		rec.Seen != old.Seen {
 		return true
 	}
-	if !slices.Equal(rec.Waits, old.Waits) {
-		return true
-	}
-	return (rec.Unheard != old.Unheard || rec.Left != old.Left) && now.Sub(time.UnixMilli(old.AtMs)) >= leftGap
+	changed := rec.Ready != old.Ready || rec.Unheard != old.Unheard || rec.Left != old.Left || !slices.Equal(rec.Waits, old.Waits)
+	return changed && now.Sub(time.UnixMilli(old.AtMs)) >= leftGap
 }
 
 // tellLevel stores what this process can follow, what it has read and how far
@@ -187,6 +186,9 @@
 	if !worthTelling(&rec, &stored.Value, c.loop.Now) {
 		return
 	}
+	if rec.Seen == stored.Value.Seen && rec.Incarnation == stored.Value.Incarnation && (c.userWrites > 0 || c.loop.Now.Sub(c.usersShort) < leftGap) {
+		return // users first
+	}
 	rec.AtMs = c.loop.Now.UnixMilli()
 	c.level.busy = true
 	key := NodePrefix + c.view.Me
