One piece for opening envelopes, for what is worth telling, for replacing a process

Read again as a whole: job records and pages each asked for themselves whether their version knows envelopes; that users go first was decided beside the function that decides when a record is stored; two fields were never read; the drill replaced a process in three places.

--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -159,6 +159,15 @@
 // Open tells whether a gate is open here.
 func (v *View) Open(g gate.Gate) bool { return v.Levels().Open(g) }
 
+// Unwrap takes a stored value out of its envelope. A version from before levels
+// knows of none.
+func (v *View) Unwrap(key string, value []byte) (wire.Envelope, error) {
+	if !v.Par.Levels.Gated() {
+		return wire.Envelope{Value: value}, nil
+	}
+	return wire.Unwrap(key, value)
+}
+
 // Members is what is known of all controllers of the settings, this one
 // included, in the order of their names.
 func (v *View) Members(process uint64, now time.Time) []gate.Member {
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -179,11 +179,8 @@
 
 // openJob reads a job's record, in its envelope or as earlier versions store it.
 func (c *Core) openJob(key string, value []byte) (env wire.Envelope, rec wire.JobRecord, err error) {
-	env = wire.Envelope{Value: value}
-	if c.view.Par.Levels.Gated() {
-		if env, err = wire.Unwrap(key, value); err != nil {
-			return env, rec, err
-		}
+	if env, err = c.view.Unwrap(key, value); err != nil {
+		return env, rec, err
 	}
 	unknown, err := wire.DecodeKeeping(env.Value, &rec)
 	if err != nil {
--- a/internal/core/controller/level.go
+++ b/internal/core/controller/level.go
@@ -39,8 +39,6 @@
 	reading bool
 	busy    bool // own record is being written
 	next    time.Time
-	told    wire.ControllerRecord
-	refused uint64 // the lease value that was refused last
 }
 
 // serves tells whether users and workers can be served at all.
@@ -150,15 +148,17 @@
 }
 
 // worthTelling tells whether a record is to be stored in place of another. What
-// the raise depends on is told at once, the rest now and then: in a troubled
-// minute it changes all the time, and every write is one less for users.
-func worthTelling(rec, old *wire.ControllerRecord, now time.Time) bool {
+// the raise depends on is told at once, the rest now and then, and not while
+// users are short: in a troubled minute it changes all the time, and every write
+// is one less for them.
+func (c *Core) worthTelling(rec, old *wire.ControllerRecord) bool {
 	if rec.Incarnation != old.Incarnation || rec.Version != old.Version || rec.Oldest != old.Oldest || rec.Newest != old.Newest ||
 		rec.Seen != old.Seen {
 		return true
 	}
 	changed := rec.Ready != old.Ready || rec.Unheard != old.Unheard || rec.Left != old.Left || !slices.Equal(rec.Waits, old.Waits)
-	return changed && now.Sub(time.UnixMilli(old.AtMs)) >= leftGap
+	return changed && c.loop.Now.Sub(time.UnixMilli(old.AtMs)) >= leftGap &&
+		c.userWrites == 0 && c.loop.Now.Sub(c.usersShort) >= leftGap
 }
 
 // tellLevel stores what this process can follow, what it has read and how far
@@ -183,12 +183,9 @@
 	if c.lead != nil {
 		rec.Waits = c.lead.Waits()
 	}
-	if !worthTelling(&rec, &stored.Value, c.loop.Now) {
+	if !c.worthTelling(&rec, &stored.Value) {
 		return
 	}
-	if rec.Seen == stored.Value.Seen && rec.Incarnation == stored.Value.Incarnation && (c.userWrites > 0 || c.loop.Now.Sub(c.usersShort) < leftGap) {
-		return // users first
-	}
 	rec.AtMs = c.loop.Now.UnixMilli()
 	c.level.busy = true
 	key := NodePrefix + c.view.Me
--- a/internal/core/owner/rewrite.go
+++ b/internal/core/owner/rewrite.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -183,7 +182,7 @@
 		o.log.Error("page of completed tasks", "err", err)
 		return entries, 0
 	}
-	env.Unknown = maps.Clone(p.unknown)
+	env.Unknown = p.unknown
 	value, err := env.Stored()
 	if err != nil {
 		o.log.Error("page of completed tasks", "err", err)
@@ -194,11 +193,8 @@
 
 // openPage takes a page's entries out of their envelope.
 func (o *Owner) openPage(key string, value []byte) (env wire.Envelope, entries map[string]string, err error) {
-	env = wire.Envelope{Value: value}
-	if o.view.Par.Levels.Gated() {
-		if env, err = wire.Unwrap(key, value); err != nil {
-			return env, nil, err
-		}
+	if env, err = o.view.Unwrap(key, value); err != nil {
+		return env, nil, err
 	}
 	return env, entries, wire.Decode(env.Value, &entries)
 }
--- a/internal/testkit/drill/drill.go
+++ b/internal/testkit/drill/drill.go
@@ -200,6 +200,13 @@
 	}
 }
 
+// replace starts another binary in the place of a process that was told to end.
+func (p *process) replace(binary string) error {
+	p.wait(15 * time.Second)
+	p.binary = binary
+	return p.start()
+}
+
 // healthy tells whether the controller takes users.
 func (p *process) healthy(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -343,9 +350,7 @@
 		} else {
 			p.signal(syscall.SIGTERM)
 		}
-		p.wait(15 * time.Second)
-		p.binary = binary
-		if err := p.start(); err != nil {
+		if err := p.replace(binary); err != nil {
 			return err
 		}
 		began := time.Now()
@@ -433,9 +438,7 @@
 	d.say("all records are in their newest form")
 	p := d.procs[1]
 	p.signal(syscall.SIGTERM)
-	p.wait(15 * time.Second)
-	p.binary = d.plan.From
-	if err := p.start(); err != nil {
+	if err := p.replace(d.plan.From); err != nil {
 		return err
 	}
 	for range 20 {
@@ -448,9 +451,7 @@
 	}
 	d.say("%s came back in the earlier build and takes no users", p.name)
 	p.signal(syscall.SIGKILL)
-	p.wait(time.Second)
-	p.binary = d.plan.Binary
-	if err := p.start(); err != nil {
+	if err := p.replace(d.plan.Binary); err != nil {
 		return err
 	}
 	return d.until(p.name+" takes users", 40*time.Second, func() bool { return p.healthy(d.ctx) })
