Silence counts from proof of hearing; takeovers count from when the value was seen

Need: a machine whose reports come while answers and commands do not reach it counted as alive for ever, the guests' word of it vetoed its return; a late copy of a report renewed life at a controller that knew no newer one; a controller that lost its workers alone kept its block; workers behind a silent cut were sent back to their owner again and again until their lease ended (5 s between attempts, 5 s for an attempt); a new leader counted leases from its election.

Change: a report below the holder's first token says nothing; after a command without an answer, or a session that ended although it was answered, the worker must show a raised token before it counts as alive; guests count when they stay where they are answered. A controller whose workers have all turned to others resigns for 30 s. A process whose clock stood lower than its predecessor's outgrows it. A controller cut off from state and peers is not healthy.

--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -104,6 +104,10 @@
 	Form    uint32    // the newest form of the lease value that it reads
 	Teams   map[string]*peerpb.TeamUse
 	Room    Room
+	// NoReports says that none of its machines has reported to it of late, and
+	// Guests how many machines of this controller's block report there instead.
+	NoReports bool
+	Guests    int
 }
 
 // Room is what is free on a controller's machines at a moment, in processors.
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -49,7 +49,9 @@
 	typesBusy bool
 
 	// The lease value.
-	leaseSeen    time.Time
+	leaseSeen    time.Time // the election's patience counts from here
+	valueSeen    time.Time // when the value in view was first seen
+	baseSeen     time.Time // and the one before it
 	leaseBusy    bool
 	book         leasevalue.Book // the pages beside the lease value
 	unread       *wire.Pair      // a lease value whose pages are not all known
@@ -57,15 +59,17 @@
 	leaseReading bool
 	renewAt      time.Time
 	tradedAt     time.Time
-	unreadable   uint64 // version of a lease value that could not be read
-	leaving      bool   // this process is about to end
-	refused      error  // why this version cannot serve this cluster
+	unreadable   uint64    // version of a lease value that could not be read
+	leaving      bool      // this process is about to end
+	refused      error     // why this version cannot serve this cluster
+	awayUntil    time.Time // no block is asked for before then, see resign
 	level        level
 
 	// What was last told to the peers.
-	pingAt time.Time
-	spare  float64      // processors free here beyond what waits
-	room   cluster.Room // free here
+	pingAt   time.Time
+	tickedAt time.Time
+	spare    float64      // processors free here beyond what waits
+	room     cluster.Room // free here
 }
 
 // New returns the core of the controller described by cfg. incarnation must
@@ -120,12 +124,17 @@
 	if c.loop.Now.Sub(c.stateOK) < 4*time.Second {
 		return true
 	}
-	for _, p := range c.view.Peers {
-		if c.loop.Now.Sub(p.Heard) < cluster.LinkDead && p.StateOK {
+	// One that hears no other controller either is itself cut off: nobody is
+	// served here, while elsewhere somebody may be.
+	heard := len(c.view.Peers) == 0
+	for name, p := range c.view.Peers {
+		up := c.view.LinkUp(name, c.loop.Now)
+		if up && p.StateOK {
 			return false
 		}
+		heard = heard || up
 	}
-	return true
+	return heard
 }
 
 // Levels is what the lease value, as last read, says of levels.
@@ -146,6 +155,10 @@
 
 // tick does what time alone brings about.
 func (c *Core) tick() {
+	if c.loop.Now.Sub(c.tickedAt) > stoodStill {
+		c.own.Woke()
+	}
+	c.tickedAt = c.loop.Now
 	c.loadTypes()
 	if !c.loaded {
 		c.load()
@@ -168,6 +181,10 @@
 	c.leadTick()
 }
 
+// stoodStill is a gap between ticks, which are a fraction of a second apart,
+// that says that the process did not run.
+const stoodStill = time.Second
+
 // loadTypes reads the machine types, which validation needs, and refreshes
 // the leader's prices now and then.
 func (c *Core) loadTypes() {
@@ -209,6 +226,8 @@
 	c.room.Size = size
 	f.FreeCpus, f.ImageCpus, f.SizeCpus = c.room.Free, c.room.Images, size
 	f.Progress = c.own.News()
+	f.NoReports = c.own.Unreported()
+	f.Guests = c.own.GuestsOf()
 	for _, name := range cluster.SortedKeys(c.view.Peers) {
 		c.loop.Emit(step.PeerSend{To: name, Frame: f})
 	}
@@ -245,6 +264,9 @@
 	if f.GetImageCpus() != nil {
 		p.Room = cluster.Room{Free: f.GetFreeCpus(), Size: f.GetSizeCpus(), Images: f.GetImageCpus()}
 	}
+	if f.GetRenewal() == nil {
+		p.NoReports, p.Guests = f.GetNoReports(), int(f.GetGuests()[c.view.Me])
+	}
 	p.Tell(f.GetTeams())
 	for _, g := range f.GetProgress() {
 		if j := c.own.Job(g.GetId()); j != nil {
--- a/internal/core/controller/lead.go
+++ b/internal/core/controller/lead.go
@@ -26,7 +26,7 @@
 func (c *Core) startLeading(term uint64) {
 	c.log.Info("leading", "term", term)
 	c.stopLeading()
-	c.lead = leader.New(&c.loop, c.view, &c.book, local{c.own, c}, c.log, c.hold.Incarnation(), term)
+	c.lead = leader.New(&c.loop, c.view, &c.book, local{c.own, c}, c.log, c.hold.Incarnation(), term, c.baseSeen)
 	c.view.Leading = true
 }
 
--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -127,6 +127,7 @@
 	}
 	c.view.Take(rec, version)
 	c.leaseSeen = c.loop.Now
+	c.baseSeen, c.valueSeen = c.valueSeen, c.loop.Now
 	if rec.Leader == c.view.Me && rec.Incarnation == c.hold.Incarnation() {
 		if c.lead == nil || c.lead.Term() != rec.Term {
 			c.startLeading(rec.Term)
@@ -141,6 +142,11 @@
 			c.log.Info("block lost", "machines", c.own.Holds())
 			c.loseBlock()
 		}
+		if ok && !c.leaving {
+			// A process that is back within a moment may have begun by a clock
+			// that stood lower than its predecessor's. Nobody would hear it then.
+			c.hold.Outgrow(b.Incarnation)
+		}
 		c.hold.Hurry()
 		return
 	}
@@ -193,14 +199,50 @@
 // saying so it spares its jobs the time until its lease has lapsed. From here
 // on it is a new process to everybody, its own included: machines it gets back
 // are machines it knows nothing of.
+//
+// The same goes for one that loses its workers alone: they report to others,
+// which keep their tasks alive for a while but may start none. A successor goes
+// on with them where they are.
 func (c *Core) resign() {
-	if c.leaving || !c.loaded || (!c.hold.Held() && c.lead == nil) || !c.refusedAlone() {
+	if c.leaving || !c.loaded || (!c.hold.Held() && c.lead == nil) {
+		return
+	}
+	switch {
+	case c.refusedAlone():
+		c.log.Info("resigned, the state service refuses this controller alone", "machines", c.own.Holds(), "led", c.lead != nil)
+	case c.workersElsewhere():
+		c.log.Info("resigned, the workers reach others but not this controller", "machines", c.own.Holds(), "led", c.lead != nil)
+		c.awayUntil = c.loop.Now.Add(awayFor)
+	default:
 		return
 	}
-	c.log.Info("resigned, the state service refuses this controller alone", "machines", c.own.Holds(), "led", c.lead != nil)
 	c.giveUp()
 }
 
+// awayFor is for how long a controller that has lost its workers asks for no
+// block. What it then gets it would lose again, should they still not reach it.
+const awayFor = 30 * time.Second
+
+// workersElsewhere tells whether no machine of the block reports here any more
+// while at least half of them report to other controllers.
+func (c *Core) workersElsewhere() bool {
+	if !c.own.Deserted() {
+		return false
+	}
+	guests := 0
+	for name, p := range c.view.Peers {
+		if c.view.LinkUp(name, c.loop.Now) {
+			guests += p.Guests
+		}
+	}
+	return 2*guests >= c.own.Holds()
+}
+
+// away tells whether this controller wants no block for now.
+func (c *Core) away() bool {
+	return c.leaving || c.refusedAlone() || c.loop.Now.Before(c.awayUntil)
+}
+
 // giveUp ends every right that this process has; renew tells the others.
 func (c *Core) giveUp() {
 	c.hold.Outgrow(c.hold.Incarnation())
@@ -248,7 +290,7 @@
 	c.hold.Calm()
 	c.renewAt = c.loop.Now.Add(c.view.Par.Publish)
 	r := c.Renewal()
-	r.Resigned = !c.hold.Held() && (c.leaving || c.refusedAlone())
+	r.Resigned = !c.hold.Held() && c.away()
 	c.own.Promise(r)
 	c.hold.Sent(c.loop.Now)
 	to := []string{c.view.Lease.Leader}
@@ -326,7 +368,7 @@
 // elect takes the lead when there is no leader, when this controller led
 // before its restart, or when the lease value has not changed for long.
 func (c *Core) elect() {
-	if c.lead != nil || c.leaseBusy || c.leaving {
+	if c.lead != nil || c.leaseBusy || c.leaving || c.loop.Now.Before(c.awayUntil) {
 		return
 	}
 	mine := c.view.Lease.Leader == c.view.Me
--- a/internal/core/leader/fleet.go
+++ b/internal/core/leader/fleet.go
@@ -105,7 +105,7 @@
 	l.release()
 	// The picture is rebuilt first: the machine list, and a renewal of every
 	// controller or the time that one takes.
-	if !l.fleet.listed || (len(l.renewals) < l.view.Cfg.Controllers() && l.loop.Now.Sub(l.since) < l.view.Par.Publish+time.Second) {
+	if !l.fleet.listed || (len(l.renewals) < l.view.Cfg.Controllers() && l.loop.Now.Sub(l.since) < l.rebuild()) {
 		return
 	}
 	if l.loop.Now.Sub(l.fleet.planAt) >= planEvery {
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -76,9 +76,11 @@
 	waits     []string  // what keeps the level from being raised
 }
 
-// New returns the leader of a term. All leases of the value in view count as
-// renewed at this moment, since nobody knows better.
-func New(loop *step.Loop, view *cluster.View, book *leasevalue.Book, local Local, log *slog.Logger, incarnation, term uint64) *Leader {
+// New returns the leader of a term. seen is when the value that it replaces was
+// first seen here: all renewals which that one honours were sent before, so
+// leases count as renewed then, however long the election took. Whoever lives
+// is given the time to renew with the new leader all the same.
+func New(loop *step.Loop, view *cluster.View, book *leasevalue.Book, local Local, log *slog.Logger, incarnation, term uint64, seen time.Time) *Leader {
 	l := &Leader{loop: loop, view: view, book: book, local: local, log: log, inc: incarnation,
 		term: term, since: loop.Now, dirty: true,
 		renewals: map[string]*peerpb.Renewal{}, heardAt: map[string]time.Time{},
@@ -90,12 +92,19 @@
 	}
 	l.fleet.init()
 	l.raise.After = view.Par.RaiseAfter
+	if least := loop.Now.Add(l.rebuild() - cluster.Stretch(view.Par.Lease)); seen.Before(least) {
+		seen = least
+	}
 	for node := range view.Lease.Blocks {
-		l.renewedAt[node] = loop.Now
+		l.renewedAt[node] = seen
 	}
 	return l
 }
 
+// rebuild is how long a new leader waits for renewals of all controllers before
+// it acts on the lack of one.
+func (l *Leader) rebuild() time.Duration { return l.view.Par.Publish + time.Second }
+
 // Term is the term that it leads.
 func (l *Leader) Term() uint64 { return l.term }
 
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -63,6 +63,7 @@
 	rewriting rewriting
 
 	machines  map[string]*machine
+	reported  time.Time  // when a machine of the block last reported
 	order     []*machine // the block by name, see machineOrder
 	orderDue  bool
 	guests    map[string]*guest
@@ -210,6 +211,9 @@
 	}
 	m := &machine{name: name, runs: map[runKey]*run{}, heard: o.loop.Now, idle: o.loop.Now,
 		dirty: dirty, fence: o.hold.Token(0)}
+	if len(o.machines) == 0 {
+		o.reported = o.loop.Now // from now on there is something to hear
+	}
 	o.machines[name] = m
 	o.orderDue = true
 	if dirty {
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -112,7 +112,7 @@
 // usable tells whether new tasks may be placed on a machine.
 func (o *Owner) usable(m *machine) bool {
 	silence := config.Seconds(1.3*o.view.Cfg.Cluster.Workers.ReportS) + 700*time.Millisecond
-	return !m.gave && !m.recall && !m.bad && !m.lost && !m.unsure() && m.gone.IsZero() &&
+	return !m.gave && !m.recall && !m.bad && !m.lost && !m.unsure() && m.hears() && m.gone.IsZero() &&
 		m.session != 0 && m.size.CPUs > 0 && !o.loop.Now.Before(m.pauseTo) && o.loop.Now.Sub(m.heard) < silence
 }
 
--- a/internal/core/owner/tell.go
+++ b/internal/core/owner/tell.go
@@ -53,7 +53,7 @@
 	}
 	for _, name := range cluster.SortedKeys(o.guests) {
 		g := o.guests[name]
-		if o.loop.Now.Sub(g.heard) > o.guestFresh() {
+		if !o.counts(g) {
 			continue
 		}
 		if o.view.OwnerOf(name) == "" {
@@ -189,7 +189,7 @@
 func (o *Owner) Guests() []string {
 	var out []string
 	for n, g := range o.guests {
-		if o.loop.Now.Sub(g.heard) < o.guestFresh() {
+		if o.counts(g) {
 			out = append(out, n)
 		}
 	}
--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -62,9 +62,15 @@
 	seq      uint64
 	token    uint64 // highest the worker has reported
 	bump     uint64 // raises this machine's token above earlier starts
-	fence    uint64 // dirty until the worker has seen this token
-	dirty    bool   // may run tasks this controller knows nothing of
-	orphans  int    // tasks there that belong to no job known here
+	// fence is the first token of this holder. A report below it may be a copy
+	// of any age, from before this controller had the machine: it says nothing.
+	fence uint64
+	// doubt is the token that the worker has to show before it counts as one
+	// that hears: see hears.
+	doubt    uint64
+	answered time.Time // when a report of this session was last answered here
+	dirty    bool      // may run tasks this controller knows nothing of
+	orphans  int       // tasks there that belong to no job known here
 	heard    time.Time
 	gone     time.Time // when the cloud takes it; zero without notice
 	recall   bool      // the leader wants it back
@@ -93,6 +99,20 @@
 	there bool // a task has run from it
 }
 
+// hears tells whether what this controller sends reaches the worker, as far as
+// the tokens in its reports prove. That reports come proves nothing: a worker
+// that hears nothing goes round all controllers with them until its lease ends.
+// After a command without an answer, and after a session that ended although it
+// was answered, the token is raised, and only a worker that shows it is alive
+// and has room.
+func (m *machine) hears() bool { return m.token >= m.fence && m.token >= m.doubt }
+
+// suspect raises the token that the worker has to show next.
+func (o *Owner) suspect(m *machine) {
+	m.bump++
+	m.doubt = o.tokenFor(m)
+}
+
 // unsure tells whether the machine may run tasks that are not known here.
 func (m *machine) unsure() bool { return m.dirty || m.orphans > 0 }
 
@@ -113,8 +133,23 @@
 	since   time.Time // of the session, here
 	sent    time.Time // last redirected
 	pending []uint64
+	first   time.Time // when it turned up here
+	kept    uint64    // the report that was last answered with 200
+	stayed  time.Time // when the report after that came here as well
+}
+
+// counts tells whether the guest's reports say that its machine lives. Only one
+// that stays where it was answered hears answers; at first it had no chance to.
+func (o *Owner) counts(g *guest) bool {
+	trial := 2*answerTimeout + config.Seconds(1.5*o.view.Cfg.Cluster.Workers.ReportS)
+	return o.loop.Now.Sub(g.heard) < o.guestFresh() &&
+		(o.loop.Now.Sub(g.first) < trial || o.loop.Now.Sub(g.stayed) < o.guestFresh())
 }
 
+// answerTimeout is how long a worker without an answer is away before it turns
+// to the next controller.
+const answerTimeout = 5 * time.Second
+
 // classStats learns how long a class's tasks really run.
 type classStats struct {
 	startedAt time.Time // of its latest task
@@ -155,7 +190,15 @@
 		return
 	}
 	delete(o.guests, r.Machine)
-	o.observe(m, r, true)
+	if !o.observe(m, r, true) {
+		// Overtaken by a newer report, or from before this controller had the
+		// machine; it may be a copy, whose answer nobody reads. A worker that
+		// waits for it has its lease renewed and learns the token.
+		o.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: o.answerUntil(),
+			Body: wire.ReportAnswer{Token: o.tokenFor(m), Commands: []wire.Command{}}})
+		return
+	}
+	m.answered = o.loop.Now
 	m.asking = true
 	o.placeSoon()
 	m.asking = false
@@ -246,15 +289,32 @@
 
 // observe takes a report into the picture. full is true for a real report,
 // false for the report in the answer of a direct command: only a real one
-// proves that the answer to the report before it was executed or dropped.
-func (o *Owner) observe(m *machine, r *wire.Report, full bool) {
+// proves that the answer to the report before it was executed or dropped. It
+// returns false for a report that says nothing: one that is older than the
+// newest known, or below this holder's first token. Copies of reports come late,
+// by more than a lease, and a controller that has just taken a machine over
+// knows no newer one: from such a report it learns only where to ask.
+func (o *Owner) observe(m *machine, r *wire.Report, full bool) bool {
 	if r.Session < m.session || (r.Session == m.session && r.Seq <= m.seq) {
-		return // late
+		return false
+	}
+	if r.Token < m.fence {
+		o.introduce(m, &peerpb.Seen{Endpoint: r.Endpoint, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Session: r.Session})
+		m.guess = max(m.guess, r.Session)
+		o.strangers[m.name] = true
+		return false
 	}
 	renewed := r.Session > m.session && m.session != 0
+	if renewed && o.loop.Now.Sub(m.answered) < config.Seconds(o.view.Cfg.Cluster.Workers.LeaseS) {
+		o.suspect(m) // its lease ended although it was answered
+	}
 	m.session, m.seq, m.token = r.Session, r.Seq, max(m.token, r.Token)
 	m.endpoint, m.zone, m.spot = r.Endpoint, r.Zone, r.Spot
-	if full {
+	if m.hears() {
+		m.unanswered = 0
+	}
+	if full && m.hears() {
+		o.reported = o.loop.Now
 		m.heard = o.loop.Now
 		// A machine that was given up and reports after all, say after a cut,
 		// is as good as before, unless it is being returned already.
@@ -280,16 +340,12 @@
 			}
 		}
 	}
-	if m.dirty && r.Token >= m.fence {
+	if m.dirty {
 		// The worker has seen this controller's token: no command of an
 		// earlier holder is executed any more and the list is complete.
 		m.dirty = false
 		o.placeDue = true
-	} else if m.dirty {
-		// Its next report may be seconds away: it is asked at once.
-		o.strangers[m.name] = true
 	}
-	m.unanswered = 0
 	listed := make(map[runKey]bool, len(r.Tasks))
 	m.orphans = 0
 	for k := range r.Tasks {
@@ -339,6 +395,7 @@
 		o.dropRun(a)
 	}
 	o.touchIdle(m)
+	return true
 }
 
 // adoptRun takes up an attempt that an earlier owner started, or one that
@@ -511,12 +568,29 @@
 func (o *Owner) guestReport(e step.ReportIn) {
 	r := &e.Report
 	g := o.guests[r.Machine]
+	if g != nil && (r.Session < g.rep.Session || (r.Session == g.rep.Session && r.Seq <= g.rep.Seq)) {
+		o.loop.Unavailable(e.Req) // a late copy
+		return
+	}
 	if g == nil || r.Session > g.rep.Session || o.loop.Now.Sub(g.heard) > config.Seconds(o.view.Cfg.Cluster.Workers.LeaseS) {
-		g = &guest{since: o.loop.Now}
+		first := o.loop.Now
+		if g != nil {
+			first = g.first // a machine that hears nobody stays one
+		}
+		g = &guest{since: o.loop.Now, first: first}
 		o.guests[r.Machine] = g
 		o.hold.Hurry() // its owner may take it for lost
 	}
-	g.rep, g.heard = *r, o.loop.Now
+	if g.kept != 0 && r.Seq == g.kept+1 {
+		g.stayed = o.loop.Now
+	}
+	g.rep, g.heard, g.kept = *r, o.loop.Now, 0
+	o.answerGuest(e, g)
+}
+
+// answerGuest answers a guest's newest report.
+func (o *Owner) answerGuest(e step.ReportIn, g *guest) {
+	r := &e.Report
 	owner := o.view.OwnerOf(r.Machine)
 	if owner == "" {
 		o.hold.Hurry() // the leader has to hear of it
@@ -529,7 +603,9 @@
 			g.pending = append(g.pending, e.Req)
 			return
 		}
-	} else if owner != o.view.Me && o.view.LinkUp(owner, o.loop.Now) && o.loop.Now.Sub(g.sent) > 5*time.Second {
+	} else if owner != o.view.Me && o.view.LinkUp(owner, o.loop.Now) && g.sent.IsZero() && o.view.Peers[owner].NoReports {
+		g.sent = o.loop.Now // it would not get there; later it is to try all the same
+	} else if owner != o.view.Me && o.view.LinkUp(owner, o.loop.Now) && o.loop.Now.Sub(g.sent) > redirectEvery {
 		g.sent = o.loop.Now
 		o.loop.Answer(e.Req, 421, wire.Redirect{ReportTo: owner})
 		return
@@ -562,10 +638,59 @@
 		zero := 0.0
 		cmds = append(cmds, wire.Command{Op: wire.OpHalt, Task: t.Task, Attempt: t.Attempt, GraceS: &zero})
 	}
+	g.kept = r.Seq
 	o.loop.Emit(step.Reply{Req: e.Req, Status: 200, Until: o.answerUntil(),
 		Body: wire.ReportAnswer{Token: r.Token, Commands: cmds}})
 }
 
+// redirectEvery spaces the attempts to send a worker back to its owner. One that
+// does not reach it is back after answerTimeout and must then be kept: sent away
+// again it would never be answered, and lose its tasks with its lease.
+const redirectEvery = 8 * time.Second
+
+// unreportedAfter is how long no machine of the block may have reported before
+// this controller takes itself for cut off from the workers: of many, some
+// report all the time.
+func (o *Owner) unreportedAfter() time.Duration {
+	every := config.Seconds(o.view.Cfg.Cluster.Workers.ReportS)
+	if len(o.machines) >= 8 {
+		return 2*time.Second + every/2
+	}
+	return answerTimeout + every
+}
+
+// Unreported tells whether the block has machines and none of them reports.
+func (o *Owner) Unreported() bool {
+	return len(o.machines) > 0 && o.loop.Now.Sub(o.reported) > o.unreportedAfter()
+}
+
+// Deserted tells whether none of them has reported for so long that those who
+// turned to others must have been sent back here meanwhile.
+func (o *Owner) Deserted() bool {
+	return len(o.machines) > 0 && o.loop.Now.Sub(o.reported) > o.unreportedAfter()+redirectEvery+2*time.Second
+}
+
+// Woke notes that this controller has stood still: what it did not hear
+// meanwhile says nothing.
+func (o *Owner) Woke() { o.reported = o.loop.Now }
+
+// GuestsOf counts the machines of each other controller's block that report
+// here and stay.
+func (o *Owner) GuestsOf() map[string]int32 {
+	var out map[string]int32
+	for name, g := range o.guests {
+		owner := o.view.OwnerOf(name)
+		if owner == "" || owner == o.view.Me || o.loop.Now.Sub(g.stayed) > o.guestFresh() {
+			continue
+		}
+		if out == nil {
+			out = map[string]int32{}
+		}
+		out[owner]++
+	}
+	return out
+}
+
 // guestFresh is for how long a guest's report says that its machine lives. One
 // that has died since would otherwise not be released, and all that may have
 // run on it would wait.
@@ -597,7 +722,11 @@
 			o.loop.Unavailable(last)
 			continue
 		}
-		o.Report(step.ReportIn{Req: last, Report: g.rep})
+		if e := (step.ReportIn{Req: last, Report: g.rep}); o.machines[name] != nil {
+			o.Report(e)
+		} else {
+			o.answerGuest(e, g)
+		}
 	}
 }
 
@@ -664,9 +793,7 @@
 	default:
 		// No answer: perhaps executed, perhaps later. A higher token in the
 		// next answer to the worker's report settles that.
-		if len(sent) > 0 {
-			m.bump++
-		}
+		o.suspect(m)
 		m.unanswered++
 		m.noDirect = o.loop.Now.Add(config.Seconds(2 * o.view.Cfg.Cluster.Workers.ReportS))
 	}
--- a/internal/testkit/simtest/world_test.go
+++ b/internal/testkit/simtest/world_test.go
@@ -377,6 +377,7 @@
 	w.Run(time.Second) // soon enough for the machine still to be in a block
 	kept := 0
 	for range 3 { // the first time the worker is sent back to its owner
+		report.Seq++
 		w.nodes[other].ask(func(req uint64) step.Event { return step.ReportIn{Req: req, Report: report} },
 			func(r step.Reply) {
 				a, ok := r.Body.(wire.ReportAnswer)
