Nothing starves: overdue jobs begin; mistaken jobs retry few at once; bad nights played

A job that fails everywhere sent a hundred tasks at once after each pause, counted whole as waiting work, and left machines set aside for it.

Change: a job of which nothing has begun for the lease of a block and 2.5 boot times (150 s at most) has its first task placed before all else, or room kept for it on a machine, and says so in the log.

--- a/internal/core/owner/job.go
+++ b/internal/core/owner/job.go
@@ -40,9 +40,11 @@
 	readFrom  uint64    // the first reading of the pages that will do
 	notBefore time.Time // back-off after errors
 	failures  int
-	failedOn  map[string]bool
+	failedOn  map[string]bool // since one of its tasks last completed
 	waitSince time.Time
 	spared    time.Time // not stopped for others before then
+	keeps     string    // machine on which room is kept for it
+	passedAt  time.Time // when it was last said to be overdue
 }
 
 // Counts are the tasks that are completed and those that run, as far as the
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -124,6 +124,7 @@
 	dear    float64
 	running []*run // what could be stopped there, listed when first asked for
 	listed  bool
+	kept    bool // for an overdue job, see keepRoom
 }
 
 // choice is a spot where a job's next task fits, with its cost.
@@ -197,17 +198,18 @@
 			spots = append(spots, s)
 		}
 	}
+	for _, j := range jobs {
+		if o.overdue(j) && !o.waitsForUnknown(j, unknown) {
+			o.begin(j, spots, hidden)
+		}
+	}
 	roomiest := mostFree(spots)
 	preempt := o.loop.Now.Sub(o.preemptAt) >= preemptGap
 	if preempt {
 		o.preemptAt = o.loop.Now
 	}
 	for _, j := range jobs {
-		// A job's tasks can only be where its constraints let earlier owners
-		// start them.
-		if j.first <= o.homes[j.home()] && slices.ContainsFunc(unknown, func(m *machine) bool {
-			return m.kind == "" || j.mayUse(m)
-		}) {
+		if o.waitsForUnknown(j, unknown) {
 			continue
 		}
 		if j.Rec.Shape == wire.Group {
@@ -223,6 +225,14 @@
 	}
 }
 
+// waitsForUnknown tells whether tasks of the job may be on machines that are not
+// known yet. They can only be where its constraints let earlier owners start them.
+func (o *Owner) waitsForUnknown(j *Job, unknown []*machine) bool {
+	return j.first <= o.homes[j.home()] && slices.ContainsFunc(unknown, func(m *machine) bool {
+		return m.kind == "" || j.mayUse(m)
+	})
+}
+
 // mostFree is the most that any spot has free of each resource. A task that
 // needs more fits nowhere, which on a full fleet spares a look at every machine
 // for every job.
@@ -247,12 +257,12 @@
 	need, limit := j.need(), o.ceilingOf(j.Rec.Team)
 	o.choices = o.choices[:0]
 	for _, s := range spots {
-		if need.Fits(s.free) && o.allowed(j, s.m) {
+		if !s.kept && need.Fits(s.free) && o.allowed(j, s.m) {
 			o.choices = append(o.choices, choice{s, o.costOf(j, s)})
 		}
 	}
 	found := len(o.choices) > 0
-	for len(j.queue) > 0 && len(o.choices) > 0 && limit.Allows(o.used[j.Rec.Team].Add(hidden, 1), need) {
+	for len(j.queue) > 0 && j.mayTry() && len(o.choices) > 0 && limit.Allows(o.used[j.Rec.Team].Add(hidden, 1), need) {
 		best := 0
 		for i := range o.choices {
 			if o.choices[i].cost < o.choices[best].cost {
@@ -331,7 +341,7 @@
 	var runs []*run
 	var victims []sched.Victim
 	for _, s := range spots {
-		if !o.allowed(j, s.m) {
+		if (s.kept && s.m.name != j.keeps) || !o.allowed(j, s.m) {
 			continue
 		}
 		// Room that is being made already serves first.
@@ -437,13 +447,13 @@
 // have room for it.
 func (o *Owner) placeOne(j *Job, spots []*spot, hidden sched.Amount) *run {
 	need := j.need()
-	if !o.ceilingOf(j.Rec.Team).Allows(o.used[j.Rec.Team].Add(hidden, 1), need) {
+	if !j.mayTry() || !o.ceilingOf(j.Rec.Team).Allows(o.used[j.Rec.Team].Add(hidden, 1), need) {
 		return nil
 	}
 	var best *spot
 	bestCost := 0.0
 	for _, s := range spots {
-		if !need.Fits(s.free) || !o.allowed(j, s.m) {
+		if s.kept || !need.Fits(s.free) || !o.allowed(j, s.m) {
 			continue
 		}
 		cost := o.costOf(j, s)
@@ -537,7 +547,7 @@
 	}
 	// A machine on which the job failed is no place for another try, unless
 	// it has failed everywhere.
-	if j.failedOn[m.name] && len(j.failedOn) < 3 {
+	if j.failedOn[m.name] && !j.doubtful() {
 		return false
 	}
 	if rec.SamePlace || rec.Scatter {
--- a/internal/core/owner/tell.go
+++ b/internal/core/owner/tell.go
@@ -72,7 +72,7 @@
 		for kind, t := range o.view.Types {
 			if len(j.Rec.Types) == 0 || slices.Contains(j.Rec.Types, kind) {
 				if j.need().Fits(cluster.SizeOf(t)) {
-					r.Waiting[kind] += int32(len(j.queue))
+					r.Waiting[kind] += int32(j.tries())
 				}
 			}
 		}
@@ -89,13 +89,14 @@
 func (o *Owner) demand() []*peerpb.Demand {
 	var list []sched.Demand
 	for _, j := range o.readyJobs() {
-		n := o.allowance(j, len(j.queue))
+		n := o.allowance(j, j.tries())
 		if n == 0 {
 			continue
 		}
 		// Where others of its class are started it only waits for its turn:
 		// machines rented for all of it would come when the backlog is gone.
-		long := o.loop.Now.Sub(j.waitSince) > starved && o.loop.Now.Sub(o.class(j.Rec.Class).startedAt) > stuck
+		long := o.loop.Now.Sub(j.waitSince) > starved && o.loop.Now.Sub(o.class(j.Rec.Class).startedAt) > stuck ||
+			o.overdue(j)
 		list = append(list, sched.Demand{Rank: j.Rec.Rank(), Need: o.coarse(j), Types: j.Rec.Types,
 			Zone: j.Rec.Zone, Spot: j.Rec.Spot, Count: n, RunS: o.runSeconds(&j.Rec),
 			Whole: j.Rec.Shape != wire.Array || long, Starved: long,
@@ -164,7 +165,7 @@
 	}
 	for _, j := range o.jobs {
 		if o.Owns(j) && !j.Over {
-			n := float64(len(j.runs)+len(j.queue)) * j.Rec.CPUs
+			n := float64(len(j.runs)+j.tries()) * j.Rec.CPUs
 			busy += n
 			if j.Rec.Spot {
 				spot += n
--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -480,7 +480,7 @@
 		}
 		m.oks++
 		clear(m.errors)
-		j.failures = 0
+		j.failures, j.failedOn = 0, nil
 	case wire.WhyError:
 		o.failed(r)
 	case wire.WhyNoRoom, wire.WhyInUse:
@@ -494,9 +494,36 @@
 	}
 }
 
-// failed judges an error: machines that fail several tasks are set aside,
-// jobs that fail on several machines back off. A job that has failed on other
-// machines is no evidence against this one.
+const (
+	// doubtfulOn is on how many machines a job has to fail, without any of its
+	// tasks completing there or elsewhere, to be taken for the faulty one.
+	doubtfulOn = 3
+	// doubtfulAtOnce bounds the attempts of such a job under way: its user may
+	// yet mend what is wrong, but a hundred tasks that fail at once are room,
+	// images and messages for nothing.
+	doubtfulAtOnce = 2
+	// badAfter is how many errors, each of another task or doubtful job, set a
+	// machine aside.
+	badAfter = 2
+)
+
+// doubtful tells whether the job, rather than the machines, seems to be faulty.
+func (j *Job) doubtful() bool { return len(j.failedOn) >= doubtfulOn }
+
+// mayTry tells whether another attempt at the job may be made now.
+func (j *Job) mayTry() bool { return !j.doubtful() || len(j.runs) < doubtfulAtOnce }
+
+// tries is how many of the job's waiting tasks count as waiting work.
+func (j *Job) tries() int {
+	if j.doubtful() {
+		return min(len(j.queue), max(0, doubtfulAtOnce-len(j.runs)))
+	}
+	return len(j.queue)
+}
+
+// failed judges an error by who else failed: a job that has completed nothing and
+// failed on several machines backs off, and is no evidence against any of them;
+// otherwise the machine is set aside after a few.
 func (o *Owner) failed(r *run) {
 	j, m := r.j, r.m
 	if j.failedOn == nil {
@@ -504,8 +531,14 @@
 	}
 	j.failedOn[m.name] = true
 	j.failures++
-	if len(j.failedOn) >= 3 {
+	if j.doubtful() && j.doneCount == 0 {
 		j.notBefore = o.loop.Now.Add(min(time.Minute, time.Second<<min(j.failures, 6)))
+		for name := range j.failedOn {
+			if x := o.machines[name]; x != nil {
+				delete(x.errors, j.Rec.ID)
+				x.bad = x.bad && len(x.errors) >= badAfter
+			}
+		}
 		return
 	}
 	if m.errors == nil {
@@ -518,7 +551,7 @@
 	} else {
 		m.errors[j.Rec.ID] = true
 	}
-	if len(m.errors) >= 2 {
+	if len(m.errors) >= badAfter && !m.bad {
 		m.bad = true
 		o.hold.Hurry()
 		o.log.Info("machine set aside", "machine", m.name, "errors", len(m.errors))
--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -68,6 +68,7 @@
 	lastSent       time.Duration
 	changed        bool
 	hang           time.Duration // does nothing until then
+	deaf           time.Duration // nothing reaches it until then
 	sleeping       []func()
 	sick           bool
 	known          map[string]bool
@@ -182,8 +183,8 @@
 	n := w.nodes[k.node]
 	r := k.body()
 	finish := func(reply step.Reply) {
-		if k.gone || !k.busy || k.flight != flight || w.now < k.hang {
-			return // dropped: too late, or the machine hangs
+		if k.gone || !k.busy || k.flight != flight || w.now < k.hang || (reply.Status != 0 && w.now < k.deaf) {
+			return // dropped: too late, or the machine hangs, or hears nothing
 		}
 		k.busy = false
 		switch {
@@ -208,6 +209,7 @@
 		}
 	}
 	w.after(4*time.Second, func() { finish(step.Reply{}) })
+	w.copyLate(r)
 	if !n.up {
 		w.after(time.Millisecond, func() { finish(step.Reply{}) })
 		return
@@ -293,6 +295,9 @@
 // started checks what only the moment of a start shows.
 func (w *World) started(k *worker, t *simTask, u *user) {
 	w.Starts++
+	if u.begunAt == 0 {
+		u.begunAt = w.now
+	}
 	j := &u.job
 	here, elsewhere := 0, 0
 	for _, o := range w.workers {
@@ -335,6 +340,10 @@
 	doneAt      time.Duration
 	doneTasks   map[string]bool
 	running     int // tasks on a machine
+
+	acceptedAt time.Duration
+	begunAt    time.Duration // its first task
+	answeredAt time.Duration // when a question about it was last answered
 }
 
 // Submit lets a user submit job number i in d.
@@ -427,6 +436,10 @@
 		case 200, 201:
 			first := !u.accepted
 			u.accepted = true
+			u.answeredAt = u.w.now
+			if first {
+				u.acceptedAt = u.w.now
+			}
 			u.hear(r.Body.(wire.JobAnswer).State)
 			if first {
 				u.w.after(time.Second, u.poll)
@@ -444,16 +457,18 @@
 
 func (u *user) poll() {
 	accepted := u.accepted
+	u.w.askedLong(u)
 	u.anyNode(func(req uint64) step.Event { return step.PollIn{Req: req, ID: u.job.ID} }, func(r step.Reply) {
 		switch r.Status {
 		case 200:
+			u.answeredAt = u.w.now
 			u.hear(r.Body.(wire.JobAnswer).State)
 		case 404:
 			if accepted {
 				u.w.breakRule("forgotten: %s gets 404", u.job.ID)
 			}
 		}
-		u.w.after(2*time.Second, u.poll)
+		u.w.after(u.w.night.pollEvery, u.poll)
 	})
 }
 
--- /dev/null
+++ b/internal/testkit/simtest/night.go
@@ -0,0 +1,161 @@
+package simtest
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/step"
+	"fawncove/internal/wire"
+)
+
+// Bad nights: what befell the service in operation, and what its users then hold
+// against it.
+
+const never = time.Duration(1<<63 - 1)
+
+// night is what a bad night changes in a world, and when it is over.
+type night struct {
+	copies    int           // of a hundred reports so many come once more, late
+	pollEvery time.Duration // users' patience
+	boot      func(usual time.Duration) time.Duration
+	calmAt    time.Duration // from when on every job has to be known
+}
+
+const (
+	// forgottenAfter is how long no question about a job may go without an answer
+	// once the troubles are over.
+	forgottenAfter = 75 * time.Second
+	// beginWithin is when the largest jobs of a class have to begin.
+	beginWithin = 4 * time.Minute
+)
+
+// NewNight builds a world of three, five or nine controllers and up to 150
+// machines, with homes in one place or spread, and limits whole or parted.
+func NewNight(seed uint64) *World {
+	nodes := []int{3, 5, 9}[seed%3]
+	par := cluster.Defaults()
+	if seed%2 == 0 {
+		par.Pack = 0
+	}
+	if seed%4 == 2 {
+		par.Home = 0
+	}
+	return build(seed, nodes, 150, par, config.Cluster{
+		InitialSize: nodes, Zones: []string{"x", "y"}, ClockErrorMs: 100,
+		Teams:   []config.Team{{Name: "red", CPUs: 40, CPUsMax: 160}, {Name: "blue", CPUs: 60, CPUsMax: 300}, {Name: "free"}},
+		Workers: config.Workers{ReportS: 2.5, LeaseS: 14, CancelS: 39},
+		State:   config.State{RPS: 150, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+		Cloud:   config.Cloud{RPS: 5, ListLagS: 6},
+	})
+}
+
+func isMachine(host string) bool { return strings.HasPrefix(host, "host-") }
+
+// Desert parts controller i from all workers, and from nobody else.
+func (w *World) Desert(i int, d time.Duration) { w.deserted[w.nodes[i].name] = w.now + d }
+
+// Isolate parts controller i from the state service and the other controllers,
+// but not from the workers.
+func (w *World) Isolate(i int, d time.Duration) {
+	if w.store.lost == nil {
+		w.store.lost = map[string]time.Duration{}
+	}
+	w.store.lost[w.nodes[i].name] = w.now + d
+	for k, n := range w.nodes {
+		if k != i {
+			w.Cut(w.nodes[i].name, n.name, d)
+		}
+	}
+}
+
+// copyLate has some controller get a report once more, from a moment to three
+// leases late. Nobody reads the answer.
+func (w *World) copyLate(r wire.Report) {
+	if w.night.copies == 0 || w.rng.IntN(100) >= w.night.copies {
+		return
+	}
+	late := time.Duration(w.rng.Float64() * 3 * float64(config.Seconds(w.cfg.Workers.LeaseS)))
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	w.after(late, func() {
+		n.ask(func(req uint64) step.Event { return step.ReportIn{Req: req, Report: r} }, func(step.Reply) {})
+	})
+}
+
+// askedLong breaks a rule when a user has had no answer for too long.
+func (w *World) askedLong(u *user) {
+	if since := w.now - max(w.night.calmAt, u.answeredAt); u.accepted && w.night.calmAt != never && since > forgottenAfter {
+		w.breakRule("forgotten: nobody has answered for %s in %v", u.job.ID, since)
+	}
+}
+
+// Unserved tells what was not served: a team, a class, or a class's largest jobs
+// of which less than half began, and the largest that began too late. Those that
+// their users cancelled say nothing.
+func (w *World) Unserved() []string {
+	groups := map[string][]*user{}
+	for _, u := range w.users {
+		if u.accepted && !u.wantsCancel {
+			groups["team "+u.job.Team] = append(groups["team "+u.job.Team], u)
+			groups["class "+u.job.Class] = append(groups["class "+u.job.Class], u)
+		}
+	}
+	var out []string
+	for _, name := range cluster.SortedKeys(groups) {
+		all := groups[name]
+		slices.SortFunc(all, func(a, b *user) int {
+			return cmp.Or(b.job.Tasks-a.job.Tasks, strings.Compare(a.job.ID, b.job.ID))
+		})
+		largest := all[:(len(all)+9)/10]
+		for part, users := range map[string][]*user{name: all, name + ", largest": largest} {
+			begun := 0
+			for _, u := range users {
+				if u.begunAt > 0 {
+					begun++
+				}
+			}
+			if 2*begun < len(users) {
+				out = append(out, fmt.Sprintf("%s: %d of %d began", part, begun, len(users)))
+			}
+		}
+		for _, u := range largest {
+			if u.begunAt == 0 || u.begunAt-u.acceptedAt > beginWithin {
+				out = append(out, fmt.Sprintf("%s: %s with %d tasks began %v after it was accepted", name, u.job.ID, u.job.Tasks, u.begunAt-u.acceptedAt))
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// SubmitNight lets a user submit one of a night's jobs in d: urgent, standard or
+// idle arrays, a few of them as large as many machines.
+func (w *World) SubmitNight(i int, d time.Duration) *user {
+	r := w.rng
+	class := []string{"urgent", "standard", "idle"}[i%3]
+	u := &user{w: w, doneTasks: map[string]bool{}}
+	u.job = wire.Job{ID: fmt.Sprintf("wk-%06d", i), Class: class, Team: []string{"red", "blue", "free"}[r.IntN(3)],
+		Shape: wire.Array, Priority: class, Tasks: 1 + r.IntN(20), CPUs: float64(1 + r.IntN(4)), MemoryGB: 2,
+		Image: fmt.Sprintf("img-%d", r.IntN(6)), ImageGB: 1, Spot: r.IntN(4) > 0, EstimateS: 8}
+	if r.IntN(8) == 0 {
+		u.job.Tasks = 60 + r.IntN(60)
+	}
+	w.users[u.job.ID] = u
+	w.after(d, u.submit)
+	if r.IntN(10) == 0 {
+		w.after(d+time.Duration(3+r.IntN(30))*time.Second, func() { u.wantsCancel = true; u.cancel() })
+	}
+	return u
+}
+
+// Mistake lets a user submit in d a job that fails on every machine, and cancel
+// it after a minute.
+func (w *World) Mistake(i int, d time.Duration) {
+	u := w.SubmitNight(i, d)
+	u.faulty, u.job.Tasks = true, 40
+	w.after(d+time.Minute, func() { u.wantsCancel = true; u.cancel() })
+}
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -44,6 +44,7 @@
 	waiters []*waiter
 	outage  time.Duration            // for all, until then
 	alone   map[string]time.Duration // for one controller
+	lost    map[string]time.Duration // the same, but it gets no answer at all
 }
 
 // down tells whether the service refuses a controller.
@@ -225,6 +226,9 @@
 		if c.w.rng.IntN(25) == 0 {
 			boot = time.Hour // never comes up
 		}
+		if c.w.night.boot != nil {
+			boot = c.w.night.boot(boot)
+		}
 		c.w.after(boot, k.begin)
 	}
 	c.answers[r.Request] = names
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -30,32 +30,34 @@
 
 // World is one deployment.
 type World struct {
-	rng     *rand.Rand
-	now     time.Duration
-	queue   events
-	order   uint64
-	cfg     config.Cluster
-	par     cluster.Params
-	nodes   []*simNode
-	store   *store
-	cloud   *simCloud
-	workers map[string]*worker
-	users   map[string]*user
-	cuts    map[[2]string]time.Duration // until when two hosts are apart
-	heldUp  bool                        // cuts hold messages back instead of losing them
-	broken  []string
-	most    int                // machines that the cloud has
-	writes  float64            // changes the state service still takes this second
-	filled  time.Duration      // when writes was last filled up
-	where   map[string]*worker // where each task runs
-	used    map[string]float64 // by team
-	doomed  []*user            // cancelled, and perhaps still running somewhere
-	Starts  int
-	Dones   int
-	moves   int         // of homes between controllers that live
-	level   gate.Level  // of the cluster, as stored
-	edge    Edge        // of a world whose controllers are processes; else nil
-	trace   hash.Hash64 // of all that the cores asked for, if it is kept
+	rng      *rand.Rand
+	now      time.Duration
+	queue    events
+	order    uint64
+	cfg      config.Cluster
+	par      cluster.Params
+	nodes    []*simNode
+	store    *store
+	cloud    *simCloud
+	workers  map[string]*worker
+	users    map[string]*user
+	cuts     map[[2]string]time.Duration // until when two hosts are apart
+	heldUp   bool                        // cuts hold messages back instead of losing them
+	deserted map[string]time.Duration    // until when a controller reaches no worker
+	night    night
+	broken   []string
+	most     int                // machines that the cloud has
+	writes   float64            // changes the state service still takes this second
+	filled   time.Duration      // when writes was last filled up
+	where    map[string]*worker // where each task runs
+	used     map[string]float64 // by team
+	doomed   []*user            // cancelled, and perhaps still running somewhere
+	Starts   int
+	Dones    int
+	moves    int         // of homes between controllers that live
+	level    gate.Level  // of the cluster, as stored
+	edge     Edge        // of a world whose controllers are processes; else nil
+	trace    hash.Hash64 // of all that the cores asked for, if it is kept
 }
 
 // epoch is the time of day at which every world begins.
@@ -150,13 +152,15 @@
 // newWorld returns a world without controllers.
 func newWorld(seed uint64, most int, cfg config.Cluster) *World {
 	w := &World{
-		rng:     rand.New(rand.NewPCG(seed, 7)),
-		workers: map[string]*worker{},
-		users:   map[string]*user{},
-		cuts:    map[[2]string]time.Duration{},
-		where:   map[string]*worker{},
-		used:    map[string]float64{},
-		cfg:     cfg, most: most,
+		rng:      rand.New(rand.NewPCG(seed, 7)),
+		workers:  map[string]*worker{},
+		users:    map[string]*user{},
+		cuts:     map[[2]string]time.Duration{},
+		where:    map[string]*worker{},
+		deserted: map[string]time.Duration{},
+		night:    night{calmAt: never, pollEvery: 2 * time.Second},
+		used:     map[string]float64{},
+		cfg:      cfg, most: most,
 	}
 	w.store = &store{w: w, values: map[string]stored{}}
 	w.cloud = &simCloud{w: w, answers: map[string][]string{}}
@@ -256,6 +260,9 @@
 	if w.rng.IntN(200) == 0 {
 		d += time.Duration(w.rng.IntN(400)) * time.Millisecond
 	}
+	if (w.now < w.deserted[a] && isMachine(b)) || (w.now < w.deserted[b] && isMachine(a)) {
+		return
+	}
 	if until := w.cuts[pair(a, b)]; until > w.now {
 		if !w.heldUp {
 			return
@@ -424,6 +431,9 @@
 			}
 		}
 		w.after(timeout, func() { finish(step.Completed{}) })
+		if state && w.now < w.store.lost[n.name] {
+			return
+		}
 		w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, func() {
 			serve(func(c step.Completed) {
 				if w.rng.IntN(400) == 0 {
@@ -520,7 +530,7 @@
 		}
 		w.send(n.name, name, func() {
 			k := w.workers[name]
-			if k == nil || k.gone {
+			if k == nil || k.gone || w.now < k.deaf {
 				return
 			}
 			k.whenAwake(func() {
