A leader that is cut off or stood still returns nothing; who was served is logged

Need: a leader without the state service and the other controllers went on to return machines that its successor had taken over: to it they were silent. All services of a test were lost that way 40 s after the cut. One that stood still found its whole block silent in its first tick. Users were left waiting by a controller that could not answer them, and whether each team and class was served was logged nowhere.

Change: the leader rents and returns only until a block lease after its last stored write was sent; time stood still does not count as silence. Questions are refused at once when the state service is out of reach, or when more of their kind wait than can be answered before the user gives up; submissions and cancellations go first, polls for unknown ids last. A body that is too large is malformed (400).

--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -66,10 +66,12 @@
 	level        level
 
 	// What was last told to the peers.
-	pingAt   time.Time
-	tickedAt time.Time
-	spare    float64      // processors free here beyond what waits
-	room     cluster.Room // free here
+	pingAt time.Time
+
+	steppedAt time.Time    // when the last event was handled
+	writeSent time.Time    // when the last write of the lease value went out
+	spare     float64      // processors free here beyond what waits
+	room      cluster.Room // free here
 }
 
 // New returns the core of the controller described by cfg. incarnation must
@@ -85,6 +87,11 @@
 // Step handles one event and returns what is to be done.
 func (c *Core) Step(now time.Time, ev step.Event) []step.Effect {
 	c.loop.Begin(now)
+	if gap := now.Sub(c.steppedAt); gap > stoodStill && !c.steppedAt.IsZero() {
+		c.log.Info("stood still", "for", gap.Round(time.Millisecond))
+		c.own.Woke(gap)
+	}
+	c.steppedAt = now
 	switch e := ev.(type) {
 	case step.Tick:
 		c.tick()
@@ -121,7 +128,7 @@
 	if c.leaving || !c.serves() || len(c.view.Types) == 0 || c.view.Version == 0 {
 		return false
 	}
-	if c.loop.Now.Sub(c.stateOK) < 4*time.Second {
+	if c.reachable() {
 		return true
 	}
 	// One that hears no other controller either is itself cut off: nobody is
@@ -155,10 +162,6 @@
 
 // tick does what time alone brings about.
 func (c *Core) tick() {
-	if c.loop.Now.Sub(c.tickedAt) > stoodStill {
-		c.own.Woke()
-	}
-	c.tickedAt = c.loop.Now
 	c.loadTypes()
 	if !c.loaded {
 		c.load()
@@ -178,11 +181,12 @@
 	c.own.Store()
 	c.runVerify()
 	c.own.Check()
+	c.own.LogServed()
 	c.leadTick()
 }
 
-// stoodStill is a gap between ticks, which are a fraction of a second apart,
-// that says that the process did not run.
+// stoodStill is a gap between steps that says that the process did not run: time
+// alone brings one every fraction of a second.
 const stoodStill = time.Second
 
 // loadTypes reads the machine types, which validation needs, and refreshes
@@ -235,7 +239,7 @@
 
 // frame is the beginning of every message to another controller.
 func (c *Core) frame() *peerpb.Frame {
-	f := &peerpb.Frame{From: c.view.Me, Incarnation: c.hold.Incarnation(), StateOk: c.loop.Now.Sub(c.stateOK) < 4*time.Second,
+	f := &peerpb.Frame{From: c.view.Me, Incarnation: c.hold.Incarnation(), StateOk: c.reachable(),
 		ReadsForm: leasevalue.FormPages}
 	if c.view.Par.Levels.Gated() {
 		f.Form, f.NewestLevel, f.SeenLevel = frameForm, uint32(c.view.Par.Levels.Newest), c.view.Lease.Level
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -245,6 +245,7 @@
 		j.NextWrite = c.loop.Now.Add(300 * time.Millisecond)
 		switch {
 		case d.Status == 200:
+			c.own.Tally.Ended(&j.Rec.Job, state == wire.Cancelled, j.Begun() || j.Told != [2]int{})
 			c.applyEnd(id, rec)
 			then(true)
 		case d.Status == 409:
@@ -312,12 +313,43 @@
 // service before anybody is told: all questions that come up while one check
 // is under way go into the next one, as conditions of a transaction that
 // changes nothing. That way no answer is older than another controller's.
+//
+// Submissions and cancellations go first, then polls for jobs that are known
+// here, then those for ids that may be anybody's guess. What could not be
+// answered before its user has given up is refused at once instead.
 type verifier struct {
 	busy  bool
 	next  time.Time // not before then, to keep within the request limit
-	queue []question
+	queue [ranks][]question
 }
 
+// The ranks of questions, in the order in which they are answered.
+const (
+	changes = iota
+	pollsKnown
+	pollsUnknown
+	ranks
+)
+
+// pollPatience is how long a question may wait: users wait 2 s for an answer.
+const pollPatience = 1500 * time.Millisecond
+
+// verifyEvery spaces the checks, to keep to a part of the request limit.
+func (c *Core) verifyEvery() time.Duration {
+	return time.Duration(float64(time.Second) / max(1, 0.25*c.view.Cfg.Cluster.State.RPS/float64(c.nodes())))
+}
+
+// verifyMost is how many questions go into a check: two conditions a question,
+// four times txn_ops conditions at most.
+func (c *Core) verifyMost() int { return max(1, 2*c.view.Cfg.Cluster.State.TxnOps) }
+
+// reachable tells whether the state service answers: its watch does so every two
+// seconds if nothing else does. Where it does not, users are told so at once.
+func (c *Core) reachable() bool { return c.loop.Now.Sub(c.stateOK) < stateSilent }
+
+// stateSilent is after what silence the state service counts as out of reach.
+const stateSilent = 4 * time.Second
+
 type question struct {
 	id string
 	// then gets the job, or its end, or neither when it does not exist; ok
@@ -325,30 +357,47 @@
 	then func(j *owner.Job, end *wire.EndRecord, ok bool)
 }
 
-// ask answers a question about a job from what is surely current.
-func (c *Core) ask(id string, then func(j *owner.Job, end *wire.EndRecord, ok bool)) {
+// ask answers a question about a job from what is surely current. poll says that
+// the question may be put again.
+func (c *Core) ask(id string, poll bool, then func(j *owner.Job, end *wire.EndRecord, ok bool)) {
 	if e, ok := c.ended[id]; ok {
 		then(nil, &e, true) // an end is final
 		return
 	}
-	if len(c.verify.queue) > 2000 {
+	rank := changes
+	if poll {
+		if rank = pollsUnknown; c.own.Job(id) != nil {
+			rank = pollsKnown
+		}
+	}
+	ahead := 0
+	for r := range rank + 1 {
+		ahead += len(c.verify.queue[r])
+	}
+	if !c.reachable() || ahead >= int(pollPatience/c.verifyEvery())*c.verifyMost() {
 		then(nil, nil, false)
 		return
 	}
-	c.verify.queue = append(c.verify.queue, question{id, then})
+	c.verify.queue[rank] = append(c.verify.queue[rank], question{id, then})
 	c.runVerify()
 }
 
 func (c *Core) runVerify() {
-	if c.verify.busy || len(c.verify.queue) == 0 || c.loop.Now.Before(c.verify.next) {
+	if c.verify.busy || c.loop.Now.Before(c.verify.next) {
 		return
 	}
-	c.verify.next = c.loop.Now.Add(time.Duration(float64(time.Second) / max(1, 0.25*c.view.Cfg.Cluster.State.RPS/float64(c.nodes()))))
-	// Two conditions a question, four times txn_ops conditions at most.
-	n := min(len(c.verify.queue), max(1, 2*c.view.Cfg.Cluster.State.TxnOps))
-	batch := c.verify.queue[:n:n]
-	c.verify.queue = slices.Clone(c.verify.queue[n:])
+	var batch []question
+	for r, queue := range c.verify.queue {
+		n := min(len(queue), c.verifyMost()-len(batch))
+		batch = append(batch, queue[:n]...)
+		c.verify.queue[r] = slices.Clone(queue[n:])
+	}
+	if len(batch) == 0 {
+		return
+	}
+	c.verify.next = c.loop.Now.Add(c.verifyEvery())
 	c.verify.busy = true
+	n := len(batch)
 	conds := make([]wire.Cond, 0, 2*n)
 	asked := map[string]bool{}
 	for _, q := range batch {
@@ -392,7 +441,7 @@
 				})
 			case d.Status == 409:
 				// Only what failed is sure to be listed; the rest is asked again.
-				c.verify.queue = append(c.verify.queue, q)
+				c.verify.queue[changes] = append(c.verify.queue[changes], q)
 			case known[q.id]:
 				if j := c.own.Job(q.id); j != nil && !j.Over {
 					q.then(j, nil, true)
@@ -418,7 +467,7 @@
 		c.loop.Unavailable(e.Req)
 		return
 	}
-	c.ask(e.ID, func(j *owner.Job, end *wire.EndRecord, ok bool) {
+	c.ask(e.ID, true, func(j *owner.Job, end *wire.EndRecord, ok bool) {
 		switch {
 		case end != nil:
 			c.loop.Answer(e.Req, 200, endAnswer(e.ID, *end))
@@ -441,7 +490,7 @@
 		c.loop.Unavailable(e.Req)
 		return
 	}
-	c.ask(e.ID, func(j *owner.Job, end *wire.EndRecord, ok bool) {
+	c.ask(e.ID, false, func(j *owner.Job, end *wire.EndRecord, ok bool) {
 		switch {
 		case end != nil:
 			c.loop.Answer(e.Req, 200, endAnswer(e.ID, *end))
@@ -522,7 +571,7 @@
 	}
 	if status != 0 || c.own.Job(id) != nil || c.Ended(id) {
 		// A known job is answered as it stands, whatever the body says.
-		c.ask(id, func(j *owner.Job, end *wire.EndRecord, ok bool) {
+		c.ask(id, false, func(j *owner.Job, end *wire.EndRecord, ok bool) {
 			switch {
 			case c.known(e.Req, id, j, end):
 			case !ok || status == 503 || status == 0:
@@ -535,6 +584,10 @@
 		})
 		return
 	}
+	if !c.reachable() {
+		c.loop.Unavailable(e.Req)
+		return
+	}
 	rec := wire.JobRecord{Job: e.Job, Part: c.fileUnder(&e.Job), AtMs: c.loop.Now.UnixMilli()}
 	rec.Owner = c.homeOf(rec.Team)
 	if rec.Part != "" {
@@ -557,6 +610,7 @@
 		value, form = env, env.Form
 	}
 	c.userWrites++
+	c.own.Tally.Came(&rec.Job)
 	c.loop.Emit(step.StateTxn{
 		Txn: wire.Txn{
 			If:   []wire.Cond{{Key: jobPrefix + id}, {Key: endPrefix + id}},
@@ -569,6 +623,7 @@
 			}
 			switch d.Status {
 			case 200:
+				c.own.Tally.Accepted(&rec.Job)
 				c.applyJob(rec, owner.Stamp{Version: d.Txn.Revision, Form: form})
 				c.log.Debug("accepted", "job", id, "class", rec.Class, "tasks", rec.Tasks, "image", rec.Image, "owner", rec.Owner)
 				c.loop.Answer(req, 201, wire.JobAnswer{ID: id, State: wire.Pending})
--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -398,6 +398,8 @@
 // is called once it is stored.
 func (c *Core) writeLease(rec wire.LeaseRecord, then func()) {
 	c.leaseBusy = true
+	sent := c.loop.Now
+	c.writeSent = sent
 	if b, ok := rec.Blocks[c.view.Me]; ok && b.Incarnation == c.hold.Incarnation() {
 		b.Renewal = c.hold.Sent(c.loop.Now)
 		rec.Blocks[c.view.Me] = b
@@ -437,7 +439,7 @@
 				then()
 				c.applyLease(rec, d.Txn.Revision)
 				if c.lead != nil {
-					c.lead.Stored(renewed)
+					c.lead.Stored(renewed, sent)
 					c.leadTick()
 				}
 				return
--- a/internal/core/leader/fleet.go
+++ b/internal/core/leader/fleet.go
@@ -93,7 +93,7 @@
 
 // Run rents, lists and returns machines.
 func (l *Leader) Run() {
-	if l.view.Version == 0 {
+	if l.view.Version == 0 || !l.acts() {
 		return
 	}
 	l.listMachines()
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -62,6 +62,7 @@
 	again    bool // an answer has come in that should be acted on at once
 	lean     bool // the next write leaves out what can wait
 	wrote    time.Time
+	storedAt time.Time                  // when the last write that is stored was sent
 	renewals map[string]*peerpb.Renewal // newest of each controller
 	heardAt  map[string]time.Time       // when it came
 	// renewedAt is when the answer to the last write with a renewal of that
@@ -105,6 +106,15 @@
 // it acts on the lack of one.
 func (l *Leader) rebuild() time.Duration { return l.view.Par.Publish + time.Second }
 
+// acts tells whether this leader may still rent and return machines. Whoever
+// takes the lead over gives no block away before its lease has lapsed, counted
+// from the last value; until then its holders still stand for what they told.
+// Later a leader that is cut off, or has stood still, would return machines that
+// work for others by now: to it they are silent.
+func (l *Leader) acts() bool {
+	return l.loop.Now.Sub(l.storedAt) < cluster.Shrink(l.view.Par.Lease)
+}
+
 // Term is the term that it leads.
 func (l *Leader) Term() uint64 { return l.term }
 
@@ -152,8 +162,10 @@
 	return true
 }
 
-// Stored notes that a proposed value is stored which renews these leases.
-func (l *Leader) Stored(renewed []string) {
+// Stored notes that a proposed value, sent at a moment, is stored and renews these
+// leases.
+func (l *Leader) Stored(renewed []string, sent time.Time) {
+	l.storedAt = sent
 	for _, node := range renewed {
 		l.renewedAt[node] = l.loop.Now
 	}
--- a/internal/core/owner/job.go
+++ b/internal/core/owner/job.go
@@ -43,10 +43,14 @@
 	failedOn  map[string]bool // since one of its tasks last completed
 	waitSince time.Time
 	spared    time.Time // not stopped for others before then
+	begun     bool      // a task of it was started, by whomever
 	keeps     string    // machine on which room is kept for it
 	passedAt  time.Time // when it was last said to be overdue
 }
 
+// Begun tells whether a task of the job was started, as far as is known here.
+func (j *Job) Begun() bool { return j.begun }
+
 // Counts are the tasks that are completed and those that run, as far as the
 // job's owner knows.
 func (j *Job) Counts() (done, running int) { return j.doneCount, j.running() }
@@ -134,6 +138,7 @@
 	}
 	j.done[i/64] |= 1 << (i % 64)
 	j.doneCount++
+	j.begun = true
 	if j.doneCount == j.Rec.Tasks {
 		o.ending[j.Rec.ID] = true
 	} else if !j.isStored(i) {
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -14,6 +14,7 @@
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/grant"
 	"fawncove/internal/core/sched"
+	"fawncove/internal/core/served"
 	"fawncove/internal/core/step"
 	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
@@ -75,6 +76,7 @@
 	used      map[string]sched.Amount // by team
 	stopping  map[string]sched.Amount // the part of used that is being stopped
 	classes   map[string]*classStats
+	Tally     served.Tally
 	inflow    sched.Inflow
 	placeDue  bool
 	placedAt  time.Time
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -616,6 +616,10 @@
 	j.queue = j.queue[1:]
 	j.waitSince = o.loop.Now
 	o.class(j.Rec.Class).startedAt = o.loop.Now
+	if !j.begun {
+		j.begun = true
+		o.Tally.Begun(&j.Rec.Job, o.loop.Now.Sub(time.UnixMilli(j.Rec.AtMs)))
+	}
 	r := &run{j: j, i: i, task: taskName(j.Rec.ID, i), attempt: o.hold.Attempt(), m: m,
 		state: runQueued, placed: o.loop.Now}
 	m.runs[runKey{r.task, r.attempt}] = r
--- a/internal/core/owner/tell.go
+++ b/internal/core/owner/tell.go
@@ -8,6 +8,7 @@
 
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/sched"
+	"fawncove/internal/core/served"
 	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
@@ -197,6 +198,27 @@
 	return out
 }
 
+// LogServed logs, once a minute, what became of jobs.
+func (o *Owner) LogServed() {
+	o.Tally.Log(o.loop.Now, o.log, func() map[served.Group]served.Waiting {
+		out := map[served.Group]served.Waiting{}
+		for _, j := range o.jobs {
+			if !o.Owns(j) || j.Over || len(j.queue) == 0 {
+				continue
+			}
+			for _, g := range []served.Group{{Kind: served.Team, Name: j.Rec.Team}, {Kind: served.Class, Name: j.Rec.Class}} {
+				w := out[g]
+				w.Jobs++
+				if !j.begun {
+					w.Oldest = max(w.Oldest, o.loop.Now.Sub(time.UnixMilli(j.Rec.AtMs)))
+				}
+				out[g] = w
+			}
+		}
+		return out
+	})
+}
+
 // Inflow is the work that has come in lately, in processors.
 func (o *Owner) Inflow() float64 { return o.inflow.Rate(o.loop.Now) }
 
--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -419,7 +419,7 @@
 		}
 		return a
 	}
-	a.j, a.stop = j, false
+	a.j, a.stop, j.begun = j, false, true
 	j.runs[i] = a
 	o.count(a, 1)
 	if k, ok := slices.BinarySearch(j.queue, i); ok {
@@ -703,9 +703,15 @@
 	return len(o.machines) > 0 && o.loop.Now.Sub(o.reported) > o.unreportedAfter()+redirectEvery+2*time.Second
 }
 
-// Woke notes that this controller has stood still: what it did not hear
-// meanwhile says nothing.
-func (o *Owner) Woke() { o.reported = o.loop.Now }
+// Woke notes that this controller has stood still for a while: that it heard
+// nothing meanwhile says nothing about the machines. Else a leader that wakes
+// would return its whole block before it reads a single report.
+func (o *Owner) Woke(gap time.Duration) {
+	o.reported = o.loop.Now
+	for _, m := range o.machines {
+		m.heard = m.heard.Add(gap)
+	}
+}
 
 // GuestsOf counts the machines of each other controller's block that report
 // here and stay.
--- /dev/null
+++ b/internal/core/served/report.go
@@ -0,0 +1,222 @@
+package served
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// What a log is refused for.
+var (
+	ErrEmpty   = errors.New("empty log")
+	ErrForeign = errors.New("not the log of a controller from its start")
+	ErrCutOff  = errors.New("log ends within a line")
+	ErrSilent  = errors.New("log says nothing of what was served: LOG_LEVEL has to be info or debug")
+)
+
+// Sum adds up logs.
+type Sum struct {
+	groups map[Group]*Counts
+	sizes  map[Group]map[int]*Counts
+	oldest map[Group]time.Duration
+}
+
+// Add reads one controller's log, from the start of its process on. It returns
+// one of the errors above, or what is wrong with a line, and then has added
+// nothing.
+func (s *Sum) Add(r io.Reader) error {
+	text, err := io.ReadAll(r)
+	switch {
+	case err != nil:
+		return err
+	case len(bytes.TrimSpace(text)) == 0:
+		return ErrEmpty
+	case text[len(text)-1] != '\n':
+		return ErrCutOff
+	}
+	began, said := false, false
+	var lines []map[string]string
+	scan := bufio.NewScanner(bytes.NewReader(text))
+	scan.Buffer(nil, len(text)+1)
+	for scan.Scan() {
+		// Whoever collects logs may have put something before each line.
+		_, line, ok := strings.Cut(scan.Text(), "time=")
+		if !ok {
+			continue
+		}
+		kv := fields("time=" + line)
+		switch {
+		case kv["msg"] == "serving" && kv["node"] != "":
+			began = true
+		case !began:
+			return ErrForeign
+		case kv["msg"] == Message:
+			said = true
+			lines = append(lines, kv)
+		}
+	}
+	switch {
+	case !began:
+		return ErrForeign
+	case !said:
+		return ErrSilent
+	}
+	var one Sum
+	for _, kv := range lines {
+		if err := one.line(kv); err != nil {
+			return err
+		}
+	}
+	s.merge(&one)
+	return nil
+}
+
+// line adds one line.
+func (s *Sum) line(kv map[string]string) error {
+	g := Group{Team, kv[Team]}
+	if g.Name == "" {
+		g = Group{Class, kv[Class]}
+	}
+	if g.Name == "" {
+		return errors.New("a line of what was served names neither team nor class")
+	}
+	var c Counts
+	for name, to := range map[string]*int{"came": &c.Came, "accepted": &c.Accepted, "begun": &c.Begun, "late": &c.Late,
+		"ended": &c.Ended, "cancelled": &c.Cancelled, "unbegun": &c.Unbegun} {
+		n, err := strconv.Atoi(kv[name])
+		if err != nil {
+			return fmt.Errorf("%s of %s %s: %w", name, g.Kind, g.Name, err)
+		}
+		*to = n
+	}
+	oldest, err := time.ParseDuration(kv["oldest"])
+	if err != nil {
+		return fmt.Errorf("oldest of %s %s: %w", g.Kind, g.Name, err)
+	}
+	one := Sum{groups: map[Group]*Counts{g: &c}, oldest: map[Group]time.Duration{g: oldest}}
+	if text := kv["sizes"]; text != "" {
+		sizes, err := parseSizes(text)
+		if err != nil {
+			return err
+		}
+		one.sizes = map[Group]map[int]*Counts{g: {}}
+		for b, c := range sizes {
+			one.sizes[g][b] = &c
+		}
+	}
+	s.merge(&one)
+	return nil
+}
+
+func (s *Sum) merge(d *Sum) {
+	if s.groups == nil {
+		s.groups, s.sizes, s.oldest = map[Group]*Counts{}, map[Group]map[int]*Counts{}, map[Group]time.Duration{}
+	}
+	for g, c := range d.groups {
+		if s.groups[g] == nil {
+			s.groups[g] = &Counts{}
+		}
+		s.groups[g].add(*c)
+		s.oldest[g] = max(s.oldest[g], d.oldest[g])
+		for b, c := range d.sizes[g] {
+			if s.sizes[g] == nil {
+				s.sizes[g] = map[int]*Counts{}
+			}
+			if s.sizes[g][b] == nil {
+				s.sizes[g][b] = &Counts{}
+			}
+			s.sizes[g][b].add(*c)
+		}
+	}
+}
+
+// Row is what was served of a group.
+type Row struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	Counts
+	Share   float64 `json:"share"`    // begun, of those accepted and not cancelled before
+	OldestS float64 `json:"oldest_s"` // longest wait seen of a job that had not begun
+	// Of a class: the largest jobs, a tenth of all or a little more.
+	Largest      int     `json:"largest,omitempty"`
+	LargestShare float64 `json:"largest_share,omitempty"`
+	LargestLate  int     `json:"largest_late,omitempty"`
+	Failed       string  `json:"failed,omitempty"` // why the day fails with it
+}
+
+// Rows lists all groups, teams first.
+func (s *Sum) Rows() []Row {
+	var out []Row
+	for _, g := range slices.SortedFunc(maps.Keys(s.groups), func(a, b Group) int { return -a.compare(b) }) {
+		c := *s.groups[g]
+		row := Row{Kind: g.Kind, Name: g.Name, Counts: c, Share: share(c), OldestS: s.oldest[g].Seconds()}
+		if row.Share < 0.5 {
+			row.Failed = "less than half was served"
+		}
+		if len(s.sizes[g]) > 0 {
+			top := s.largest(g)
+			row.Largest, row.LargestShare, row.LargestLate = top.Accepted, share(top), top.Late
+			switch {
+			case row.LargestShare < 0.5:
+				row.Failed = "less than half of the largest was served"
+			case top.Late > 0:
+				row.Failed = "one of the largest began late"
+			}
+		}
+		out = append(out, row)
+	}
+	return out
+}
+
+// share is the part of the jobs that began, of those that were to.
+func share(c Counts) float64 {
+	if due := c.Accepted - c.Unbegun; due > 0 {
+		return min(1, float64(c.Begun)/float64(due))
+	}
+	return 1
+}
+
+// largest sums the buckets from above until they hold a tenth of the class.
+func (s *Sum) largest(g Group) Counts {
+	var top Counts
+	buckets := slices.Sorted(maps.Keys(s.sizes[g]))
+	slices.Reverse(buckets)
+	for _, b := range buckets {
+		if top.Accepted > 0 && 10*top.Accepted >= s.groups[g].Accepted {
+			break
+		}
+		top.add(*s.sizes[g][b])
+	}
+	return top
+}
+
+// fields reads the pairs of a line that log/slog's text handler wrote.
+func fields(line string) map[string]string {
+	out := map[string]string{}
+	for line != "" {
+		key, rest, ok := strings.Cut(strings.TrimLeft(line, " "), "=")
+		if !ok {
+			break
+		}
+		if strings.HasPrefix(rest, `"`) {
+			quoted, err := strconv.QuotedPrefix(rest)
+			if err != nil {
+				break
+			}
+			out[key], _ = strconv.Unquote(quoted)
+			line = rest[len(quoted):]
+			continue
+		}
+		var value string
+		value, line, _ = strings.Cut(rest, " ")
+		out[key] = value
+	}
+	return out
+}
--- /dev/null
+++ b/internal/core/served/served.go
@@ -0,0 +1,191 @@
+// Package served counts what becomes of jobs, by team, by class and by size
+// within a class, and adds up what controllers have logged of it.
+//
+// A controller counts what it does itself: submissions it stores, jobs of which
+// it starts the first task, ends it stores. So the sums over the logs of all
+// controllers are those of the cluster. What a process has not logged when it is
+// killed, up to Every, is lost to the sums.
+package served
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/bits"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"fawncove/internal/wire"
+)
+
+const (
+	// Every is how often a controller logs its counts.
+	Every = time.Minute
+	// Message is the message of such a line.
+	Message = "served"
+	// LateAfter is how long users expect even the largest jobs to wait at most
+	// until they begin.
+	LateAfter = 4 * time.Minute
+)
+
+// Counts are what became of a group of jobs.
+type Counts struct {
+	Came      int `json:"came"`      // valid submissions, repeats included
+	Accepted  int `json:"accepted"`  // records stored
+	Begun     int `json:"begun"`     // a first task started
+	Late      int `json:"late"`      // the same, after more than LateAfter
+	Ended     int `json:"ended"`     // done or cancelled
+	Cancelled int `json:"cancelled"` // by their users
+	Unbegun   int `json:"unbegun"`   // cancelled before a first task started
+}
+
+func (c *Counts) add(d Counts) {
+	c.Came += d.Came
+	c.Accepted += d.Accepted
+	c.Begun += d.Begun
+	c.Late += d.Late
+	c.Ended += d.Ended
+	c.Cancelled += d.Cancelled
+	c.Unbegun += d.Unbegun
+}
+
+// Waiting is what waits at a moment.
+type Waiting struct {
+	Jobs   int           // with tasks that wait
+	Oldest time.Duration // longest wait of one that has not begun
+}
+
+// Group names what is counted together: a team, or a class.
+type Group struct{ Kind, Name string }
+
+// The kinds of groups.
+const (
+	Team  = "team"
+	Class = "class"
+)
+
+// Tally are the counts of one controller since it last logged them. Its zero
+// value is ready.
+type Tally struct {
+	groups map[Group]*Counts
+	sizes  map[Group]map[int]*Counts // of classes, by bucket
+	next   time.Time
+}
+
+// bucket is the size of a job as a power of two: 7 for 64 to 127 tasks.
+func bucket(tasks int) int { return bits.Len(uint(max(0, tasks))) }
+
+func (t *Tally) each(j *wire.Job, f func(c *Counts)) {
+	if t.groups == nil {
+		t.groups, t.sizes = map[Group]*Counts{}, map[Group]map[int]*Counts{}
+	}
+	for _, g := range []Group{{Team, j.Team}, {Class, j.Class}} {
+		if t.groups[g] == nil {
+			t.groups[g] = &Counts{}
+		}
+		f(t.groups[g])
+	}
+	class, b := Group{Class, j.Class}, bucket(j.Tasks)
+	if t.sizes[class] == nil {
+		t.sizes[class] = map[int]*Counts{}
+	}
+	if t.sizes[class][b] == nil {
+		t.sizes[class][b] = &Counts{}
+	}
+	f(t.sizes[class][b])
+}
+
+// Came counts a valid submission of a job that is not known yet.
+func (t *Tally) Came(j *wire.Job) { t.each(j, func(c *Counts) { c.Came++ }) }
+
+// Accepted counts a job whose record is stored.
+func (t *Tally) Accepted(j *wire.Job) { t.each(j, func(c *Counts) { c.Accepted++ }) }
+
+// Begun counts a job whose first task is started after a wait.
+func (t *Tally) Begun(j *wire.Job, wait time.Duration) {
+	t.each(j, func(c *Counts) {
+		c.Begun++
+		if wait > LateAfter {
+			c.Late++
+		}
+	})
+}
+
+// Ended counts a job whose end is stored.
+func (t *Tally) Ended(j *wire.Job, cancelled, begun bool) {
+	t.each(j, func(c *Counts) {
+		c.Ended++
+		if cancelled {
+			c.Cancelled++
+			if !begun {
+				c.Unbegun++
+			}
+		}
+	})
+}
+
+// Log logs the counts when that is due, a line a group, and begins anew. waiting
+// is asked only then.
+func (t *Tally) Log(now time.Time, log *slog.Logger, waiting func() map[Group]Waiting) {
+	if t.next.IsZero() {
+		t.next = now.Add(Every)
+	}
+	if now.Before(t.next) {
+		return
+	}
+	t.next = now.Add(Every)
+	waits := waiting()
+	groups := map[Group]bool{}
+	for g := range t.groups {
+		groups[g] = true
+	}
+	for g := range waits {
+		groups[g] = true
+	}
+	for _, g := range slices.SortedFunc(maps.Keys(groups), Group.compare) {
+		var c Counts
+		if t.groups[g] != nil {
+			c = *t.groups[g]
+		}
+		w := waits[g]
+		args := []any{g.Kind, g.Name, "came", c.Came, "accepted", c.Accepted, "begun", c.Begun, "late", c.Late,
+			"ended", c.Ended, "cancelled", c.Cancelled, "unbegun", c.Unbegun,
+			"waits", w.Jobs, "oldest", w.Oldest.Round(time.Second)}
+		if len(t.sizes[g]) > 0 {
+			args = append(args, "sizes", formatSizes(t.sizes[g]))
+		}
+		log.Info(Message, args...)
+	}
+	t.groups, t.sizes = nil, nil
+}
+
+func (g Group) compare(h Group) int {
+	return cmp.Or(strings.Compare(g.Kind, h.Kind), strings.Compare(g.Name, h.Name))
+}
+
+// formatSizes writes accepted, begun, late and cancelled before they began, by
+// bucket: "3:4/4/0/0,7:1/0/0/0".
+func formatSizes(sizes map[int]*Counts) string {
+	var parts []string
+	for _, b := range slices.Sorted(maps.Keys(sizes)) {
+		c := sizes[b]
+		parts = append(parts, fmt.Sprintf("%d:%d/%d/%d/%d", b, c.Accepted, c.Begun, c.Late, c.Unbegun))
+	}
+	return strings.Join(parts, ",")
+}
+
+func parseSizes(text string) (map[int]Counts, error) {
+	out := map[int]Counts{}
+	for part := range strings.SplitSeq(text, ",") {
+		var b int
+		var c Counts
+		if _, err := fmt.Sscanf(part, "%d:%d/%d/%d/%d", &b, &c.Accepted, &c.Begun, &c.Late, &c.Unbegun); err != nil {
+			return nil, fmt.Errorf("sizes %s: %w", strconv.Quote(text), err)
+		}
+		out[b] = c
+	}
+	return out, nil
+}
--- a/internal/edge/httpapi/httpapi.go
+++ b/internal/edge/httpapi/httpapi.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -71,12 +70,8 @@
 	if err == nil {
 		return body, true
 	}
-	status := http.StatusBadRequest
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		status = http.StatusRequestEntityTooLarge
-	}
-	write(w, step.Reply{Status: status, Body: wire.ErrorAnswer{Error: "body too large or cut short"}})
+	// Too large is malformed as well: on any other status users would try again.
+	write(w, step.Reply{Status: http.StatusBadRequest, Body: wire.ErrorAnswer{Error: "body too large or cut short"}})
 	return nil, false
 }
 
--- a/internal/testkit/simtest/night_test.go
+++ b/internal/testkit/simtest/night_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"fawncove/internal/core/step"
+	"fawncove/internal/wire"
 )
 
 var nights = flag.Uint64("nights", 24, "number of seeded bad nights to play")
@@ -148,3 +151,168 @@
 		}
 	})
 }
+
+// holder is the controller that holds all machines.
+func (w *World) holder(t *testing.T) int {
+	t.Helper()
+	for i, n := range w.nodes {
+		if n.core.Holds() > 0 && n.core.Holds() == w.held() {
+			return i
+		}
+	}
+	t.Fatal("the machines are not in one place")
+	return 0
+}
+
+// newUser is a user of one job.
+func (w *World) newUser(job wire.Job) *user {
+	u := &user{w: w, doneTasks: map[string]bool{}, job: job}
+	w.users[job.ID] = u
+	return u
+}
+
+// serviceNight builds a world with services that run on machines of one holder.
+func serviceNight(t *testing.T, seed uint64) (w *World, holder int) {
+	t.Helper()
+	w = NewNight(seed)
+	w.Run(5 * time.Second)
+	for i := range 8 {
+		w.newUser(wire.Job{ID: fmt.Sprintf("wk-%06d", i), Class: "s", Team: "free", Shape: wire.Daemon, Priority: "production",
+			Tasks: 1, CPUs: 3, MemoryGB: 2, Image: "a", ImageGB: 1}).submit()
+	}
+	w.Run(70 * time.Second)
+	if w.Starts < 8 {
+		t.Fatalf("%d starts, want 8", w.Starts)
+	}
+	return w, w.holder(t)
+}
+
+// TestDeafMachineIsReturned has nothing reach a machine that goes on reporting.
+// What ran on it has to run elsewhere, and it has to be returned, within its lease,
+// a round of all controllers and the time to notice. One that is deaf for some
+// seconds only is kept.
+func TestDeafMachineIsReturned(t *testing.T) {
+	for _, c := range []struct {
+		deaf, bound time.Duration
+		kept        bool
+	}{{never, 60 * time.Second, false}, {6 * time.Second, 60 * time.Second, true}} {
+		w, _ := serviceNight(t, 1)
+		var victim *worker
+		for _, k := range w.byName() {
+			if len(k.tasks) > 0 {
+				victim = k
+			}
+		}
+		if victim.deaf = never; c.kept {
+			victim.deaf = w.now + c.deaf
+		}
+		starts := w.Starts
+		w.Run(c.bound)
+		for _, x := range w.Broken() {
+			t.Error(x)
+		}
+		if victim.gone == c.kept {
+			t.Errorf("deaf for %v: returned after %v: %v", c.deaf, c.bound, victim.gone)
+		}
+		if len(w.where) < 8 || (!c.kept && w.Starts == starts) {
+			t.Errorf("deaf for %v: %d services run", c.deaf, len(w.where))
+		}
+	}
+}
+
+// TestDesertedResigns cuts the holder of all machines off from the workers alone.
+// Another has to go on with what runs, where it runs, and the holder has to get
+// nothing back while it would lose it again.
+func TestDesertedResigns(t *testing.T) {
+	w, holder := serviceNight(t, 1)
+	w.Desert(holder, 100*time.Second)
+	starts := w.Starts
+	w.Run(25 * time.Second)
+	if n := w.nodes[holder].core.Holds(); n > 0 || w.held() == 0 {
+		t.Errorf("after 25 s it holds %d machines, all together %d", n, w.held())
+	}
+	w.Run(100 * time.Second)
+	for _, x := range w.Broken() {
+		t.Error(x)
+	}
+	if w.Starts != starts {
+		t.Errorf("%d tasks were started again", w.Starts-starts)
+	}
+}
+
+// TestCutButForWorkers cuts the holder off from the state service and the other
+// controllers. It has to tell users at once that it cannot serve them, its
+// services have to go on where they run, and new work has to start elsewhere
+// within the stated bound.
+func TestCutButForWorkers(t *testing.T) {
+	w, holder := serviceNight(t, 1)
+	w.Isolate(holder, 120*time.Second)
+	starts, n := w.Starts, w.nodes[holder]
+	w.Run(8 * time.Second)
+	if n.core.Healthy() {
+		t.Error("healthy, cut off from all but its workers")
+	}
+	var status int
+	asked, answered := w.now, time.Duration(0)
+	n.ask(func(req uint64) step.Event { return step.PollIn{Req: req, ID: "wk-000001"} },
+		func(r step.Reply) { status, answered = r.Status, w.now-asked })
+	w.Run(time.Second)
+	if status != 503 || answered > 100*time.Millisecond {
+		t.Errorf("a user gets %d after %v, want 503 at once", status, answered)
+	}
+	u := w.newUser(wire.Job{ID: "wk-000500", Class: "a", Team: "free", Shape: wire.Array, Priority: "urgent", Tasks: 2, CPUs: 1, MemoryGB: 2,
+		Image: "a", ImageGB: 1, Spot: true})
+	u.submit()
+	w.Run(isolatedBound - 9*time.Second)
+	if u.begunAt == 0 {
+		t.Errorf("nothing new has begun %v after the cut", isolatedBound)
+	}
+	w.Run(90 * time.Second)
+	for _, x := range w.Broken() {
+		t.Error(x)
+	}
+	if again := w.Starts - starts - u.job.Tasks; again > 0 {
+		t.Errorf("%d tasks were started again", again)
+	}
+	if n.core.Holds() > 0 && w.held() == n.core.Holds() {
+		t.Error("it got everything back by itself")
+	}
+}
+
+// isolatedBound is from the cut to the first start elsewhere: the lease of a
+// block, an election within it, and the asking of the machines.
+const isolatedBound = 32 * time.Second
+
+// TestSilentControllerIsReplaced freezes the controller that leads and holds all
+// machines. Its block must be with another when its lease has lapsed, however
+// long the election took, and nothing be started twice when it wakes.
+func TestSilentControllerIsReplaced(t *testing.T) {
+	w, holder := serviceNight(t, 1)
+	for i, n := range w.nodes {
+		if i != holder {
+			n.core.Healthy()
+		}
+	}
+	w.Freeze(holder, 75*time.Second)
+	if w.leader() != w.nodes[holder].name {
+		for i, n := range w.nodes {
+			if n.name == w.leader() {
+				w.Freeze(i, 75*time.Second)
+			}
+		}
+	}
+	w.Run(27 * time.Second)
+	others := 0
+	for _, n := range w.nodes {
+		if w.now >= n.frozen {
+			others += n.core.Holds()
+		}
+	}
+	if others == 0 {
+		t.Error("27 s after it fell silent nobody else holds its machines")
+	}
+	w.Run(90 * time.Second)
+	for _, x := range w.Broken() {
+		t.Error(x)
+	}
+}
