--- a/internal/core/leader/fleet.go
+++ b/internal/core/leader/fleet.go
@@ -73,6 +73,9 @@
 	listedAt time.Time
 	endpoint string
 	session  uint64 // last heard of; 0: unknown
+	// ownerless is since when it is listed as up and yet in no block: it reports
+	// to nobody, or hears nobody.
+	ownerless time.Time
 }
 
 func (f *fleet) init() {
@@ -93,7 +96,13 @@
 
 // Run rents, lists and returns machines.
 func (l *Leader) Run() {
-	if l.view.Version == 0 || !l.acts() {
+	if l.view.Version == 0 {
+		return
+	}
+	if !l.acts() {
+		for _, r := range l.fleet.machines {
+			r.ownerless = time.Time{} // no machine can join a block meanwhile
+		}
 		return
 	}
 	l.listMachines()
@@ -168,7 +177,15 @@
 		f.machines[m.Name] = r
 	}
 	r.listedAt, r.endpoint = l.loop.Now, m.Endpoint
+	if m.State != wire.MachineRunning || l.view.OwnerOf(m.Name) != "" {
+		r.ownerless = time.Time{}
+	} else if r.ownerless.IsZero() {
+		r.ownerless = l.loop.Now
+	}
 	switch {
+	case !r.ownerless.IsZero() && l.loop.Now.Sub(r.ownerless) > l.ownerlessMost():
+		l.log.Info("machine is up and joins no block", "machine", m.Name)
+		f.leaving[m.Name] = true
 	case m.State == wire.MachineFailed:
 		f.leaving[m.Name] = true
 	case m.State == wire.MachineBooting && l.view.OwnerOf(m.Name) == "":
@@ -179,6 +196,12 @@
 	}
 }
 
+// ownerlessMost is how long a machine that is up may be in no block. It takes a
+// report and a write of the lease value to join one; a list may show it late.
+func (l *Leader) ownerlessMost() time.Duration {
+	return config.Seconds(l.view.Cfg.Cluster.Workers.LeaseS+2*l.view.Cfg.Cluster.Cloud.ListLagS) + 30*time.Second
+}
+
 // judge marks machines for return: lost ones at once, idle and bad ones by
 // recalling them from their blocks.
 func (l *Leader) judge() {
