A machine carries no more attempts than its worker's report may list

Need: tiny tasks of a few seconds on a large machine: the ended ones stay in the worker's reports until their completion is stored, and a report beyond 64 KiB is refused, so that the worker loses its lease and all tasks. Change: at most 582 attempts a machine, ended ones not forgotten yet included. Deaf machines stay deaf, and workers come back knowing nothing, in the nights.

--- a/internal/core/owner/guards_test.go
+++ b/internal/core/owner/guards_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -225,3 +226,23 @@
 		t.Errorf("answered %d times in 20 s", stays)
 	}
 }
+
+// TestReportsStayWithinTheirLimit puts a crowd of tiny tasks on a machine that
+// could run thousands of them: its reports must not outgrow what may be sent.
+func TestReportsStayWithinTheirLimit(t *testing.T) {
+	o, m, now := oneMachine(t, false)
+	o.Put(wire.JobRecord{Job: wire.Job{ID: "wk-000001", Team: "free", Shape: wire.Array, Priority: "idle", Tasks: 50000, CPUs: 0.001, Spot: true}, AtMs: now.UnixMilli()}, Stamp{Version: 6})
+	rep := reportOf(m, 1, 1, m.fence)
+	for range 8 {
+		report(o, now, step.ReportIn{Req: 1, Report: rep})
+		rep.Seq, rep.Tasks = rep.Seq+1, nil
+		for _, key := range sortedRuns(m) {
+			rep.Tasks = append(rep.Tasks, wire.TaskReport{Task: key.task, Attempt: key.attempt, State: wire.TaskEnded, Why: wire.WhyDone})
+		}
+		now = now.Add(time.Second)
+	}
+	body, err := json.Marshal(rep.Tasks)
+	if err != nil || len(rep.Tasks) < 100 || len(body) > wire.MaxBody {
+		t.Errorf("%d tasks in a report of %d bytes, %v", len(rep.Tasks), len(body), err)
+	}
+}
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -83,6 +83,12 @@
 	return j.Rec.AtMs + int64(1000*best)
 }
 
+// runsMost bounds the attempts on a machine, ended ones that its worker has not
+// been told to forget included: a report may have 64 KiB, a task takes some ninety
+// bytes of it, and a worker whose reports are refused loses all its tasks. Small
+// tasks of a few seconds on a large machine come near.
+const runsMost = wire.MaxBody * 8 / 10 / 90
+
 // longWait is from how many seconds on an aim for the start counts in the
 // order. Shorter ones would only put what has just come before what has waited.
 const longWait = 15
@@ -275,7 +281,7 @@
 		s := o.choices[best].s
 		s.free, s.soon = s.free.Add(need, -1), s.soon.Add(need, -1)
 		o.start(j, s.m)
-		if need.Fits(s.free) {
+		if need.Fits(s.free) && len(s.m.runs) < runsMost {
 			o.choices[best].cost = o.costOf(j, s)
 		} else {
 			o.choices = slices.Delete(o.choices, best, best+1)
@@ -545,7 +551,7 @@
 // given its other tasks at this moment.
 func (o *Owner) allowed(j *Job, m *machine) bool {
 	rec := &j.Rec
-	if !j.mayUse(m) {
+	if !j.mayUse(m) || len(m.runs) >= runsMost {
 		return false
 	}
 	// A machine on which the job failed is no place for another try, unless
--- a/internal/testkit/simtest/night_test.go
+++ b/internal/testkit/simtest/night_test.go
@@ -22,7 +22,11 @@
 
 var trials = []trial{
 	{"deaf machines", func(w *World, d time.Duration) {
-		w.some(25, func(k *worker) { k.deaf = w.now + d })
+		w.some(25, func(k *worker) {
+			if k.deaf = w.now + d; w.rng.IntN(3) == 0 {
+				k.deaf = never
+			}
+		})
 	}},
 	{"late copies", func(w *World, d time.Duration) {
 		w.night.copies = 30
@@ -47,6 +51,9 @@
 		w.some(30, func(k *worker) {
 			k.clear()
 			k.session, k.lease, k.known, k.tasks = k.session+1, w.now, map[string]bool{}, nil
+			if w.rng.IntN(2) == 0 { // its worker remembers nothing at all
+				k.session, k.seq, k.token = 1, 0, 0
+			}
 		})
 	}},
 	{"machines late or never", func(w *World, d time.Duration) {
