--- a/internal/core/controller/controller_test.go
+++ b/internal/core/controller/controller_test.go
@@ -127,3 +127,21 @@
 		t.Errorf("incarnation %d, holds a block: %v", got, c.hold.Held())
 	}
 }
+
+// TestStandstillIsNoSilence lets a process stand still for longer than a worker's
+// lease. In its first step afterwards it has heard nobody for so long, and must
+// not take its machines for lost; a silence that it was awake for counts.
+func TestStandstillIsNoSilence(t *testing.T) {
+	for _, awake := range []bool{false, true} {
+		c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: wire.NameSet{"host-000001"}}}})
+		c.Step(now, step.Tick{})
+		for ms := 150; awake && ms < 20000; ms += 150 {
+			c.Step(now.Add(time.Duration(ms)*time.Millisecond), step.Tick{})
+		}
+		c.Step(now.Add(20*time.Second), step.Tick{})
+		if lost := c.Renewal().GetLost() != ""; lost != awake {
+			t.Errorf("awake: %v, its machine is lost: %v", awake, lost)
+		}
+	}
+}
