Test of what users are refused: 400, 422, 404, each only once it is sure

Need: impossible jobs and unknown ids had no test of their own answers, nor of the 503 while the state service says nothing. Measured: six cases, each with and without an answer of the state service.

--- a/internal/core/controller/controller_test.go
+++ b/internal/core/controller/controller_test.go
@@ -145,3 +145,43 @@
 		}
 	}
 }
+
+// TestWhatUsersAreRefused: what can never run is 422, what is malformed 400 and an
+// unknown id 404, but each only once it is sure that the job was never accepted.
+func TestWhatUsersAreRefused(t *testing.T) {
+	teams := []config.Team{{Name: "free"}, {Name: "red", CPUsMax: 8}}
+	fits := wire.Job{ID: "wk-000001", Team: "free", Shape: wire.Array, Priority: "standard", Tasks: 9, CPUs: 2}
+	with := func(change func(j *wire.Job)) step.SubmitIn {
+		j := fits
+		change(&j)
+		return step.SubmitIn{Req: 1, Job: j}
+	}
+	for name, c := range map[string]struct {
+		ev   step.Event
+		want int
+	}{
+		"malformed":             {step.SubmitIn{Req: 1, Job: wire.Job{ID: fits.ID}, Err: io.ErrUnexpectedEOF}, 400},
+		"unknown team":          {with(func(j *wire.Job) { j.Team = "nobody" }), 422},
+		"fits no machine":       {with(func(j *wire.Job) { j.CPUs = 5 }), 422},
+		"wrong zone":            {with(func(j *wire.Job) { j.Zone = "z" }), 422},
+		"service over a limit":  {with(func(j *wire.Job) { j.Team, j.Shape = "red", wire.Daemon }), 422},
+		"poll for nobody's job": {step.PollIn{Req: 1, ID: fits.ID}, 404},
+	} {
+		for status, want := range map[int]int{200: c.want, 0: 503} { // sure, and no answer
+			core, now := newCore(t, teams, wire.LeaseRecord{Term: 3, Leader: "n1", Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}})
+			got := 0
+			for _, e := range core.Step(now, c.ev) {
+				if txn, ok := e.(step.StateTxn); ok && len(txn.Txn.Then) == 0 {
+					for _, e := range core.Step(now, step.Completed{ID: txn.ID, State: true, Status: status}) {
+						if r, ok := e.(step.Reply); ok {
+							got = r.Status
+						}
+					}
+				}
+			}
+			if got != want {
+				t.Errorf("%s, the state service says %d: answered %d, want %d", name, status, got, want)
+			}
+		}
+	}
+}
