--- a/internal/core/leader/leader_test.go
+++ b/internal/core/leader/leader_test.go
@@ -209,3 +209,20 @@
 		}
 	}
 }
+
+// TestLivingHoldersMayRenew has a leader elected long after the last value was
+// seen, as after an outage. Holders that live must have the time to renew with it
+// before their leases count as lapsed; then one that did not is replaced.
+func TestLivingHoldersMayRenew(t *testing.T) {
+	x := newLeader([]config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7,
+		Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}, "n1": {Grant: 3<<16 + 1, Incarnation: 9}}})
+	start := x.loop.Now
+	l := New(x.loop, x.view, new(leasevalue.Book), &local{}, x.log, 7, 3, start.Add(-time.Minute))
+	for after, want := range map[time.Duration]bool{l.rebuild() - time.Second: true, l.rebuild() + time.Second: false} {
+		l.loop.Begin(start.Add(after))
+		rec, _ := l.Publish(&peerpb.Renewal{Node: "n0", Incarnation: 7, Number: 1})
+		if _, held := rec.Blocks["n1"]; held != want {
+			t.Errorf("%v after the election it has its block: %v, want %v", after, held, want)
+		}
+	}
+}
--- a/internal/core/owner/guards_test.go
+++ b/internal/core/owner/guards_test.go
@@ -244,3 +244,18 @@
 		t.Errorf("%d tasks in a report of %d bytes, %v", len(rep.Tasks), len(body), err)
 	}
 }
+
+// TestCopyOfAGuestsReport: a copy of what a guest reported says nothing of whether
+// its machine lives.
+func TestCopyOfAGuestsReport(t *testing.T) {
+	o, m, now := oneMachine(t, false)
+	guest := &machine{name: "host-000002"}
+	for s, seq := range []uint64{7, 7, 6} {
+		at := now.Add(time.Duration(s) * time.Second)
+		o.Known(at)
+		report(o, at, step.ReportIn{Req: seq, Report: reportOf(guest, 1, seq, m.fence)})
+	}
+	if g := o.guests[guest.name]; g == nil || g.heard != now {
+		t.Errorf("copies count: %+v", g)
+	}
+}
