--- a/internal/core/leader/leader_test.go
+++ b/internal/core/leader/leader_test.go
@@ -226,3 +226,17 @@
 		}
 	}
 }
+
+// TestOwnerlessMachineIsReturned lists a machine that is up and joins no block, as
+// one that hears nobody. It is returned within the stated bound, not before.
+func TestOwnerlessMachineIsReturned(t *testing.T) {
+	l := newLeader([]config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7})
+	start, bound := l.loop.Now, l.ownerlessMost()
+	for _, after := range []time.Duration{0, bound - time.Second, bound + time.Second} {
+		l.loop.Begin(start.Add(after))
+		l.listed(wire.Machine{Name: "host-000001", Type: "s4", Zone: "x", State: wire.MachineRunning, AgeS: 60})
+		if got, want := l.fleet.leaving["host-000001"], after > bound; got != want {
+			t.Errorf("%v after it was first listed: returned %v, want %v", after, got, want)
+		}
+	}
+}
