One piece each for what questions share, a job's age, and workers sent back

Need: reading the whole change again: polls and cancellations began and ended with the same lines twice, a poll answered known jobs beside the piece that does so, the age of a job was worked out in five places, the condition for sending a guest back stood twice, and the look for overdue jobs fell through a switch. Change: mayAsk, notFound and known, Job.age, one condition, a plain if.

--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -458,36 +458,43 @@
 	})})
 }
 
-func (c *Core) onPoll(e step.PollIn) {
-	if !wire.ValidJobID(e.ID) {
-		c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
-		return
+// mayAsk tells whether a question about an id can be looked into here, and answers
+// it if not.
+func (c *Core) mayAsk(req uint64, id string) bool {
+	switch {
+	case !wire.ValidJobID(id):
+		c.notFound(req, true)
+	case !c.serves():
+		c.loop.Unavailable(req)
+	default:
+		return true
 	}
-	if !c.serves() {
-		c.loop.Unavailable(e.Req)
+	return false
+}
+
+// notFound answers a question about a job that is not known: 404 when it is sure
+// that there is none, or to come back.
+func (c *Core) notFound(req uint64, sure bool) {
+	if sure {
+		c.loop.Answer(req, 404, wire.ErrorAnswer{Error: "no such job"})
+	} else {
+		c.loop.Unavailable(req)
+	}
+}
+
+func (c *Core) onPoll(e step.PollIn) {
+	if !c.mayAsk(e.Req, e.ID) {
 		return
 	}
 	c.ask(e.ID, true, func(j *owner.Job, end *wire.EndRecord, ok bool) {
-		switch {
-		case end != nil:
-			c.loop.Answer(e.Req, 200, endAnswer(e.ID, *end))
-		case j != nil:
-			c.loop.Answer(e.Req, 200, c.jobAnswer(j))
-		case ok:
-			c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
-		default:
-			c.loop.Unavailable(e.Req)
+		if !c.known(e.Req, e.ID, j, end) {
+			c.notFound(e.Req, ok)
 		}
 	})
 }
 
 func (c *Core) onCancel(e step.CancelIn) {
-	if !wire.ValidJobID(e.ID) {
-		c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
-		return
-	}
-	if !c.serves() {
-		c.loop.Unavailable(e.Req)
+	if !c.mayAsk(e.Req, e.ID) {
 		return
 	}
 	c.ask(e.ID, false, func(j *owner.Job, end *wire.EndRecord, ok bool) {
@@ -502,10 +509,8 @@
 					c.loop.Unavailable(e.Req)
 				}
 			})
-		case ok:
-			c.loop.Answer(e.Req, 404, wire.ErrorAnswer{Error: "no such job"})
 		default:
-			c.loop.Unavailable(e.Req)
+			c.notFound(e.Req, ok)
 		}
 	})
 }
@@ -540,7 +545,7 @@
 	return 0, ""
 }
 
-// known answers a submission of a job that is there already, or over. It returns
+// known answers a question about a job that is there, or over. It returns
 // false when there is neither.
 func (c *Core) known(req uint64, id string, j *owner.Job, end *wire.EndRecord) bool {
 	switch {
--- a/internal/core/owner/job.go
+++ b/internal/core/owner/job.go
@@ -48,6 +48,9 @@
 	passedAt  time.Time // when it was last said to be overdue
 }
 
+// age is how long ago the job was submitted.
+func (j *Job) age(now time.Time) time.Duration { return now.Sub(time.UnixMilli(j.Rec.AtMs)) }
+
 // Begun tells whether a task of the job was started, as far as is known here.
 func (j *Job) Begun() bool { return j.begun }
 
--- a/internal/core/owner/overdue.go
+++ b/internal/core/owner/overdue.go
@@ -42,7 +42,7 @@
 // overdue tells whether nothing of the job has begun for too long.
 func (o *Owner) overdue(j *Job) bool {
 	return j.doneCount == 0 && len(j.runs) == 0 && len(j.queue) > 0 && !j.doubtful() &&
-		o.loop.Now.Sub(time.UnixMilli(j.Rec.AtMs)) > o.overdueAfter()
+		j.age(o.loop.Now) > o.overdueAfter()
 }
 
 // takes tells whether the spot is not kept for another job.
@@ -80,16 +80,13 @@
 	// Hundreds of small jobs may be overdue at once on a full fleet.
 	roomiest := mostFree(spots)
 	for _, j := range overdue {
-		switch {
-		case j.need().Fits(roomiest):
+		if j.need().Fits(roomiest) {
 			if o.placeOne(j, spots, hidden) != nil {
 				continue
 			}
 			roomiest = mostFree(spots)
-			fallthrough
-		default:
-			most -= o.keepRoom(j, spots, most)
 		}
+		most -= o.keepRoom(j, spots, most)
 	}
 }
 
@@ -128,5 +125,5 @@
 	}
 	j.passedAt, o.passedAt = o.loop.Now, o.loop.Now
 	o.log.Info("job overdue", "job", j.Rec.ID, "class", j.Rec.Class, "team", j.Rec.Team, "tasks", j.Rec.Tasks,
-		"waits", o.loop.Now.Sub(time.UnixMilli(j.Rec.AtMs)).Round(time.Second), "why", why)
+		"waits", j.age(o.loop.Now).Round(time.Second), "why", why)
 }
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -624,7 +624,7 @@
 	o.class(j.Rec.Class).startedAt = o.loop.Now
 	if !j.begun {
 		j.begun = true
-		o.Tally.Begun(&j.Rec.Job, o.loop.Now.Sub(time.UnixMilli(j.Rec.AtMs)))
+		o.Tally.Begun(&j.Rec.Job, j.age(o.loop.Now))
 	}
 	r := &run{j: j, i: i, task: taskName(j.Rec.ID, i), attempt: o.hold.Attempt(), m: m,
 		state: runQueued, placed: o.loop.Now}
--- a/internal/core/owner/tell.go
+++ b/internal/core/owner/tell.go
@@ -210,7 +210,7 @@
 				w := out[g]
 				w.Jobs++
 				if !j.begun {
-					w.Oldest = max(w.Oldest, o.loop.Now.Sub(time.UnixMilli(j.Rec.AtMs)))
+					w.Oldest = max(w.Oldest, j.age(o.loop.Now))
 				}
 				out[g] = w
 			}
--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -636,12 +636,15 @@
 			g.pending = append(g.pending, e.Req)
 			return
 		}
-	} else if owner != o.view.Me && o.view.LinkUp(owner, o.loop.Now) && g.sent.IsZero() && o.view.Peers[owner].NoReports {
-		g.sent = o.loop.Now // it would not get there; later it is to try all the same
 	} else if owner != o.view.Me && o.view.LinkUp(owner, o.loop.Now) && o.loop.Now.Sub(g.sent) > redirectEvery {
+		first := g.sent.IsZero()
 		g.sent = o.loop.Now
-		o.loop.Answer(e.Req, 421, wire.Redirect{ReportTo: owner})
-		return
+		// Where no worker gets through it is kept at first; later it is to try
+		// all the same.
+		if !first || !o.view.Peers[owner].NoReports {
+			o.loop.Answer(e.Req, 421, wire.Redirect{ReportTo: owner})
+			return
+		}
 	}
 	// The owner is out of reach for this worker. Its own token keeps its
 	// tasks alive without a right to start anything. Not for long: a direct
