Test of a full spool prints what cannot be packed

It printed 3 MB of zeros and expected some to be skipped at a bound of 1 MiB. The bound counts packed bytes, so whether any were skipped depended on whether the cutter kept up with the command: with pauses in the output nothing was skipped and the test failed, as it did once in the project's checks.

--- a/internal/artefacts/capture/capture_test.go
+++ b/internal/artefacts/capture/capture_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -213,11 +214,19 @@
 }
 
 // TestFullSpool: output beyond the bound is skipped while the store is away, the
-// command is not held up, and the gap is noted where it is.
+// command is not held up, and the gap is noted where it is. The output is such as
+// cannot be packed: the bound counts packed bytes, and of zeros, which pack to
+// nothing, a cutter that keeps up with the command skips none.
 func TestFullSpool(t *testing.T) {
 	f := newStore(t)
 	f.away = true
-	opt := options(t, f, 1, "echo begin; head -c 3000000 /dev/zero; echo end")
+	noise := make([]byte, 3000000)
+	_, _ = rand.NewChaCha8([32]byte{1}).Read(noise) // never fails
+	file := filepath.Join(t.TempDir(), "noise")
+	if err := os.WriteFile(file, noise, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	opt := options(t, f, 1, "echo begin; cat "+file+"; echo end")
 	opt.Most, opt.Linger = 1<<20, time.Millisecond
 	res, err := Run(context.Background(), opt)
 	if err != nil || res.Skipped == 0 {
