--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -34,7 +34,12 @@
 	// listPage is how many machines a page of the cloud's list holds, and
 	// listPart the part of the cloud's calls that reading it may take.
 	listPage = 500
-	listPart = 0.5
+	listPart = 0.25
+	// listRounds is how long reading the whole list may take, in times that a
+	// small one is read every: the list is that old anyway. What is learnt from it
+	// alone (machines that nobody asked for or that never come up) costs money for
+	// that long.
+	listRounds = 4
 )
 
 // Controllers is how many controllers there are.
@@ -59,7 +64,7 @@
 	if c.Limits.Cores > 0 {
 		add("processor time for reports", "cluster.limits.cores", n*ReportsPerCore*c.Limits.Cores*c.Workers.ReportS)
 	}
-	add("reading the machine list", "cluster.cloud.rps", listPart*c.Cloud.RPS*s.ListEvery().Seconds()*listPage)
+	add("reading the machine list", "cluster.cloud.rps", listRounds*s.ListEvery().Seconds()/s.ListPause().Seconds()*listPage)
 	slices.SortStableFunc(out, func(a, b Budget) int { return cmp.Compare(a.Machines, b.Machines) })
 	return out
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,11 +101,15 @@
 	return time.Duration(s * float64(time.Second))
 }
 
-// ListEvery is how often the leader reads the machine list.
+// ListEvery is how often the leader reads the machine list, when that takes few
+// pages.
 func (s *Settings) ListEvery() time.Duration {
 	return max(2*time.Second, Seconds(s.Cluster.Cloud.ListLagS)/2)
 }
 
+// ListPause is the time from one page of the machine list to the next.
+func (s *Settings) ListPause() time.Duration { return Seconds(1 / (listPart * s.Cluster.Cloud.RPS)) }
+
 // Load reads and checks the file at path.
 func Load(path string) (*Settings, error) {
 	var s Settings
--- a/internal/core/leader/fleet.go
+++ b/internal/core/leader/fleet.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"fawncove/internal/config"
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/sched"
 	"fawncove/internal/core/step"
@@ -41,9 +40,7 @@
 	leaving   map[string]bool // to be released
 	releasing bool
 	releaseAt time.Time
-	listing   bool
-	listAt    time.Time
-	listed    bool // one whole list has been read since leading
+	list      reading
 	planAt    time.Time
 	judgedAt  time.Time
 	gaugedAt  time.Time
@@ -101,7 +98,7 @@
 		}
 		return
 	}
-	l.listMachines()
+	l.readList()
 	if l.loop.Now.Sub(l.fleet.judgedAt) >= judgeEvery {
 		l.fleet.judgedAt = l.loop.Now
 		l.judge()
@@ -110,7 +107,7 @@
 	l.release()
 	// The picture is rebuilt first: the machine list, and a renewal of every
 	// controller or the time that one takes.
-	if !l.fleet.listed || (len(l.renewals) < l.view.Cfg.Controllers() && l.loop.Now.Sub(l.since) < l.rebuild()) {
+	if !l.fleet.list.whole || (len(l.renewals) < l.view.Cfg.Controllers() && l.loop.Now.Sub(l.since) < l.rebuild()) {
 		return
 	}
 	if l.loop.Now.Sub(l.fleet.planAt) >= planEvery {
@@ -119,85 +116,6 @@
 	}
 }
 
-// listMachines reads the machine list now and then.
-func (l *Leader) listMachines() {
-	f := &l.fleet
-	if f.listing || (!f.listAt.IsZero() && l.loop.Now.Sub(f.listAt) < l.view.Cfg.ListEvery()) {
-		return
-	}
-	f.listing, f.listAt = true, l.loop.Now
-	l.listPage("", map[string]bool{})
-}
-
-func (l *Leader) listPage(after string, names map[string]bool) {
-	l.loop.Emit(step.CloudList{After: after, ID: l.loop.Call(func(d step.Completed) {
-		f := &l.fleet
-		if l.ended {
-			return
-		}
-		if d.Status != 200 {
-			f.listing = false
-			return
-		}
-		for _, m := range d.List.Machines {
-			names[m.Name] = true
-			after = m.Name
-			l.listed(m)
-		}
-		if d.List.More && len(d.List.Machines) > 0 {
-			l.listPage(after, names)
-			return
-		}
-		f.listing, f.listed = false, true
-		l.local.Introduce(l.Seen)
-		// Missing for longer than any list can lag: taken by the cloud. The
-		// release makes sure of it before anything is started again.
-		lag := config.Seconds(2*l.view.Cfg.Cluster.Cloud.ListLagS) + 5*time.Second
-		for name, r := range f.machines {
-			if !names[name] && l.loop.Now.Sub(r.listedAt) > lag && l.loop.Now.Sub(r.rentedAt) > lag {
-				f.leaving[name] = true
-			}
-		}
-	})})
-}
-
-// listed takes one line of the machine list.
-func (l *Leader) listed(m wire.Machine) {
-	f := &l.fleet
-	if m.Name == "" || l.gone[m.Name] || f.leaving[m.Name] {
-		return
-	}
-	r := f.machines[m.Name]
-	if r == nil {
-		r = &rented{offerKey: offerKey{m.Type, m.Zone, m.Spot}, rentedAt: l.loop.Now.Add(-config.Seconds(m.AgeS))}
-		f.machines[m.Name] = r
-	}
-	r.listedAt, r.endpoint = l.loop.Now, m.Endpoint
-	if m.State != wire.MachineRunning || l.view.OwnerOf(m.Name) != "" {
-		r.ownerless = time.Time{}
-	} else if r.ownerless.IsZero() {
-		r.ownerless = l.loop.Now
-	}
-	switch {
-	case !r.ownerless.IsZero() && l.loop.Now.Sub(r.ownerless) > l.ownerlessMost():
-		l.log.Info("machine is up and joins no block", "machine", m.Name)
-		f.leaving[m.Name] = true
-	case m.State == wire.MachineFailed:
-		f.leaving[m.Name] = true
-	case m.State == wire.MachineBooting && l.view.OwnerOf(m.Name) == "":
-		// Never came up: some take several times as long, a few for ever.
-		if t, ok := l.view.Types[m.Type]; ok && m.AgeS > cluster.NeverUp*t.BootS+15 {
-			f.leaving[m.Name] = true
-		}
-	}
-}
-
-// ownerlessMost is how long a machine that is up may be in no block. It takes a
-// report and a write of the lease value to join one; a list may show it late.
-func (l *Leader) ownerlessMost() time.Duration {
-	return config.Seconds(l.view.Cfg.Cluster.Workers.LeaseS+2*l.view.Cfg.Cluster.Cloud.ListLagS) + 30*time.Second
-}
-
 // judge marks machines for return: lost ones at once, idle and bad ones by
 // recalling them from their blocks.
 func (l *Leader) judge() {
--- a/internal/core/leader/homes.go
+++ b/internal/core/leader/homes.go
@@ -92,7 +92,7 @@
 	// After a start the others get a moment to show up, and the machine list
 	// to tell the size of the fleet.
 	early := l.loop.Now.Sub(l.since) < 3*time.Second
-	if early && (len(l.view.Types) == 0 || !l.fleet.listed || (large && len(l.renewals) < l.view.Cfg.Controllers())) {
+	if early && (len(l.view.Types) == 0 || !l.fleet.list.whole || (large && len(l.renewals) < l.view.Cfg.Controllers())) {
 		return
 	}
 	live := []string{}
--- a/internal/core/leader/leader_test.go
+++ b/internal/core/leader/leader_test.go
@@ -41,7 +41,7 @@
 	loop := &step.Loop{}
 	loop.Begin(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC))
 	l := New(loop, view, new(leasevalue.Book), &local{}, slog.New(slog.NewTextHandler(io.Discard, nil)), 7, rec.Term, loop.Now)
-	l.since, l.fleet.listed = loop.Now.Add(-time.Minute), true
+	l.since, l.fleet.list.whole = loop.Now.Add(-time.Minute), true
 	return l
 }
 
