--- a/internal/testkit/simtest/night.go
+++ b/internal/testkit/simtest/night.go
@@ -21,6 +21,8 @@
 // night is what a bad night changes in a world, and when it is over.
 type night struct {
 	copies    int           // of a hundred reports so many come once more, late
+	lateTxns  int           // of a hundred transactions so many get no answer and are carried out late
+	slow      time.Duration // an answer of the state service takes up to so long
 	pollEvery time.Duration // users' patience
 	boot      func(usual time.Duration) time.Duration
 	calmAt    time.Duration // from when on every job has to be known
@@ -73,6 +75,12 @@
 	}
 }
 
+// Vanish parts controller i from everybody.
+func (w *World) Vanish(i int, d time.Duration) {
+	w.Isolate(i, d)
+	w.Desert(i, d)
+}
+
 // copyLate has some controller get a report once more, from a moment to three
 // leases late. Nobody reads the answer.
 func (w *World) copyLate(r wire.Report) {
--- a/internal/testkit/simtest/night_test.go
+++ b/internal/testkit/simtest/night_test.go
@@ -78,6 +78,30 @@
 		u := w.SubmitNight(2100, 0)
 		u.job.Team, u.job.Class, u.job.Priority, u.job.Tasks, u.job.CPUs, u.job.Spot = "free", "huge", "idle", 1500, 0.25, true
 	}},
+	{"off the network", func(w *World, d time.Duration) { w.Vanish(w.anyOf(), d) }},
+	{"zones apart, packets held up", func(w *World, d time.Duration) { w.heldUp = true; w.apart(d) }},
+	{"state service away", func(w *World, d time.Duration) { w.Outage(d, "") }},
+	{"state service slow", func(w *World, d time.Duration) {
+		w.night.slow = 2500 * time.Millisecond // a part of the answers comes too late
+		w.after(d, func() { w.night.slow = 0 })
+	}},
+	{"transactions carried out late", func(w *World, d time.Duration) { w.night.lateTxns = 30; w.after(d, func() { w.night.lateTxns = 0 }) }},
+	{"machines hang, commands held up", func(w *World, d time.Duration) {
+		w.heldUp = true
+		w.some(30, func(k *worker) {
+			k.hang = w.now + time.Duration(1+w.rng.IntN(13))*time.Second
+			for _, n := range w.nodes {
+				if w.rng.IntN(2) == 0 {
+					w.Cut(k.name, n.name, d/4)
+				}
+			}
+		})
+	}},
+	{"all restarted one after the other", func(w *World, d time.Duration) {
+		for i := range w.nodes {
+			w.after(time.Duration(i)*d/time.Duration(len(w.nodes)), func() { w.Crash(i, time.Duration(100+w.rng.IntN(4000))*time.Millisecond) })
+		}
+	}},
 	{"refused alone", func(w *World, d time.Duration) { w.Outage(d, w.nodes[w.anyOf()].name) }},
 }
 
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -434,7 +434,11 @@
 		if state && w.now < w.store.lost[n.name] {
 			return
 		}
-		w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, func() {
+		way := time.Duration(1+w.rng.IntN(5)) * time.Millisecond
+		if state && w.night.slow > 0 {
+			way += time.Duration(w.rng.Float64() * float64(w.night.slow))
+		}
+		w.after(way, func() {
 			serve(func(c step.Completed) {
 				if w.rng.IntN(400) == 0 {
 					return // the answer is lost
@@ -473,7 +477,7 @@
 		call(e.ID, true, short, func(answer func(step.Completed)) {
 			if w.store.down(n.name) {
 				answer(step.Completed{Status: 503})
-			} else if w.rng.IntN(150) == 0 {
+			} else if w.rng.IntN(150) == 0 || w.rng.IntN(100) < w.night.lateTxns {
 				// Applied late, without an answer.
 				w.after(time.Duration(w.rng.IntN(30))*time.Second, func() { w.store.txn(e.Txn) })
 			} else {
