A state that has lost data is noticed, made whole from what controllers know, and said

Whoever restored the state service from an older copy, or emptied, had controllers that believed it: terms and tokens could repeat, jobs were forgotten, tasks ran twice. Now a revision below one that an answer had shown when the request went out is the proof; who notices stops and tells, all store again what they know, and the state goes on with a new generation and a term above every one seen (package rebuild).

--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -108,6 +108,12 @@
 	Form    uint32    // the newest form of the lease value that it reads
 	Teams   map[string]*peerpb.TeamUse
 	Room    Room
+	// Generation is that of the state it goes by, 0 if it cannot rebuild it; Lost
+	// says that it has found data of that lost, Restored that it has stored again
+	// what it knew.
+	Generation     uint64
+	Lost, Restored bool
+	Revision       uint64 // the highest that the state service has shown it
 	// NoReports says that none of its machines has reported to it of late, and
 	// Guests how many machines of this controller's block report there instead.
 	NoReports bool
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -15,6 +15,7 @@
 	"fawncove/internal/core/leader"
 	"fawncove/internal/core/leasevalue"
 	"fawncove/internal/core/owner"
+	"fawncove/internal/core/rebuild"
 	"fawncove/internal/core/step"
 	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
@@ -65,10 +66,18 @@
 	awayUntil    time.Time // no block is asked for before then, see resign
 	level        level
 
+	// The state's generation, and what happens when it has lost data.
+	gen      cluster.Stored[rebuild.Generation]
+	high     uint64 // highest revision that an answer has shown
+	recovery *recovery
+	kept     rebuild.Memory // of before a rebuild, until everything is read again
+	waking   waking
+
 	// What was last told to the peers.
 	pingAt time.Time
 
 	steppedAt time.Time    // when the last event was handled
+	wokeAt    time.Time    // when it last stood still until
 	writeSent time.Time    // when the last write of the lease value went out
 	spare     float64      // processors free here beyond what waits
 	room      cluster.Room // free here
@@ -77,19 +86,25 @@
 // New returns the core of the controller described by cfg. incarnation must
 // be larger than that of every earlier process of the same name.
 func New(cfg *config.Settings, par cluster.Params, log *slog.Logger, incarnation uint64) *Core {
-	c := &Core{view: cluster.New(cfg, par), log: log, hold: grant.New(incarnation, par.Lease),
-		ended: map[string]wire.EndRecord{}}
-	c.book.Before = !par.Levels.Gated()
-	c.own = owner.New(&c.loop, c.view, c.hold, c, log)
+	c := new(Core)
+	c.begin(cluster.New(cfg, par), log, incarnation)
 	return c
 }
 
+// begin makes the core that of a process that knows nothing yet.
+func (c *Core) begin(view *cluster.View, log *slog.Logger, incarnation uint64) {
+	c.view, c.log, c.hold, c.ended = view, log, grant.New(incarnation, view.Par.Lease), map[string]wire.EndRecord{}
+	c.book.Before = !view.Par.Levels.Gated()
+	c.own = owner.New(&c.loop, c.view, c.hold, c, log)
+}
+
 // Step handles one event and returns what is to be done.
 func (c *Core) Step(now time.Time, ev step.Event) []step.Effect {
 	c.loop.Begin(now)
 	if gap := now.Sub(c.steppedAt); gap > stoodStill && !c.steppedAt.IsZero() {
 		c.log.Info("stood still", "for", gap.Round(time.Millisecond))
 		c.own.Woke(gap)
+		c.wokeAt = now
 	}
 	c.steppedAt = now
 	switch e := ev.(type) {
@@ -111,6 +126,7 @@
 		if e.State && (e.Status == 200 || e.Status == 404 || e.Status == 409) {
 			c.stateOK = now
 		}
+		c.witness(&e)
 		c.loop.Complete(e)
 		if c.lead != nil && c.lead.Again() {
 			c.leadTick()
@@ -162,9 +178,13 @@
 
 // tick does what time alone brings about.
 func (c *Core) tick() {
+	if c.recovery != nil {
+		c.recover()
+		return
+	}
 	c.loadTypes()
 	if !c.loaded {
-		c.load()
+		c.wake()
 		return
 	}
 	c.watch()
@@ -241,6 +261,7 @@
 func (c *Core) frame() *peerpb.Frame {
 	f := &peerpb.Frame{From: c.view.Me, Incarnation: c.hold.Incarnation(), StateOk: c.reachable(),
 		ReadsForm: leasevalue.FormPages}
+	c.tellGeneration(f)
 	if c.view.Par.Levels.Gated() {
 		f.Form, f.NewestLevel, f.SeenLevel = frameForm, uint32(c.view.Par.Levels.Newest), c.view.Lease.Level
 	}
@@ -257,7 +278,12 @@
 		c.log.Warn("frame in a form that is unknown to this version", "from", f.GetFrom(), "form", f.GetForm(), "renewal", f.GetRenewal().GetForm())
 		return
 	}
+	if f.GetHello() {
+		c.loop.Emit(step.PeerSend{To: f.GetFrom(), Frame: c.frame()})
+		return
+	}
 	p.Process, p.Seen = f.GetIncarnation(), gate.Level(f.GetSeenLevel())
+	p.Generation, p.Lost, p.Restored, p.Revision = f.GetGeneration(), f.GetLost(), f.GetRestored(), f.GetRevision()
 	if f.GetStateOk() && (!p.StateOK || c.loop.Now.Sub(p.Heard) > cluster.LinkDead) {
 		p.OKSince = c.loop.Now
 	}
@@ -281,4 +307,5 @@
 	if r := f.GetRenewal(); r != nil && r.GetNode() == f.GetFrom() {
 		c.onRenewal(r)
 	}
+	c.heardOfLoss(p)
 }
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -10,6 +10,7 @@
 	"fawncove/internal/core/gate"
 	"fawncove/internal/core/leasevalue"
 	"fawncove/internal/core/owner"
+	"fawncove/internal/core/rebuild"
 	"fawncove/internal/core/sched"
 	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
@@ -35,7 +36,13 @@
 		return
 	}
 	c.loading = true
-	c.loadPage("", 0, map[string]bool{})
+	c.readGeneration(func(status int) {
+		if (status != 200 && status != 404) || c.doubtful() {
+			c.loadFailed("generation", status)
+			return
+		}
+		c.loadPage("", 0, map[string]bool{})
+	})
 }
 
 func (c *Core) loadFailed(what string, status int) {
@@ -75,7 +82,11 @@
 				c.loadFailed("leases", status)
 				return
 			}
-			c.loading, c.loaded = false, true
+			if c.doubtful() {
+				c.loadFailed("generation", status)
+				return
+			}
+			c.loading, c.loaded, c.kept = false, true, rebuild.Memory{}
 			c.rev = rev
 			c.own.Known(sent)
 			c.leaseSeen = c.loop.Now
@@ -160,6 +171,8 @@
 			return
 		}
 		c.applyEnd(key[len(endPrefix):], rec)
+	case key == genKey:
+		c.applyGeneration(value, version)
 	case strings.HasPrefix(key, renPrefix):
 		c.applyStoredRenewal(value)
 	case strings.HasPrefix(key, LevelPrefix):
@@ -472,10 +485,14 @@
 	return false
 }
 
+// wokeFor is how long after a standstill nothing is sure to be unknown: the others
+// have told by then what they have seen meanwhile, should the state have lost it.
+const wokeFor = 1500 * time.Millisecond
+
 // notFound answers a question about a job that is not known: 404 when it is sure
 // that there is none, or to come back.
 func (c *Core) notFound(req uint64, sure bool) {
-	if sure {
+	if sure && c.recovery == nil && c.loop.Now.Sub(c.wokeAt) >= wokeFor {
 		c.loop.Answer(req, 404, wire.ErrorAnswer{Error: "no such job"})
 	} else {
 		c.loop.Unavailable(req)
@@ -503,7 +520,7 @@
 			c.loop.Answer(e.Req, 200, endAnswer(e.ID, *end))
 		case j != nil:
 			c.End(j, wire.Cancelled, 3, func(bool) {
-				if end, over := c.ended[e.ID]; over {
+				if end, over := c.ended[e.ID]; over && c.recovery == nil {
 					c.loop.Answer(e.Req, 200, endAnswer(e.ID, end))
 				} else {
 					c.loop.Unavailable(e.Req)
@@ -630,6 +647,10 @@
 			case 200:
 				c.own.Tally.Accepted(&rec.Job)
 				c.applyJob(rec, owner.Stamp{Version: d.Txn.Revision, Form: form})
+				if c.recovery != nil {
+					c.loop.Unavailable(req) // perhaps it was stored in what is lost
+					return
+				}
 				c.log.Debug("accepted", "job", id, "class", rec.Class, "tasks", rec.Tasks, "image", rec.Image, "owner", rec.Owner)
 				c.loop.Answer(req, 201, wire.JobAnswer{ID: id, State: wire.Pending})
 			case 409:
@@ -656,7 +677,12 @@
 // Ready tells whether workers may be answered: jobs are known, and this
 // controller is not the only one refused by the state service; then others know
 // who owns the machines by now.
-func (c *Core) Ready() bool { return c.serves() && (c.hold.Held() || !c.refusedAlone()) }
+//
+// While the state is being rebuilt workers are answered with their own tokens, as
+// those of others are, so that what runs lives on.
+func (c *Core) Ready() bool {
+	return c.recovery != nil || c.serves() && (c.hold.Held() || !c.refusedAlone())
+}
 
 // Ended tells whether a job is known to be over.
 func (c *Core) Ended(id string) bool { _, ok := c.ended[id]; return ok }
--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -122,7 +122,7 @@
 // applyLease takes over a newer lease value and what it means for this
 // controller's block, homes and rights.
 func (c *Core) applyLease(rec wire.LeaseRecord, version uint64) {
-	if version <= c.view.Version {
+	if version <= c.view.Version || c.recovery != nil {
 		return
 	}
 	c.view.Take(rec, version)
@@ -429,7 +429,10 @@
 		c.view.ValueBytes = draft.Bytes
 	}
 	c.loop.Emit(step.StateTxn{Control: true,
-		Txn: wire.Txn{If: append([]wire.Cond{{Key: leaseKey, Version: c.view.Version}}, c.raiseConds(&rec)...), Then: ops},
+		// The generation is part of the compare: when the state has been rebuilt
+		// its revisions count again from below, and a write of before that could
+		// find the version it was based on.
+		Txn: wire.Txn{If: append([]wire.Cond{{Key: leaseKey, Version: c.view.Version}, {Key: genKey, Version: c.gen.Version}}, c.raiseConds(&rec)...), Then: ops},
 		ID: c.loop.Call(func(d step.Completed) {
 			c.leaseBusy = false
 			if d.Status == 200 {
--- a/internal/core/controller/level.go
+++ b/internal/core/controller/level.go
@@ -42,7 +42,7 @@
 }
 
 // serves tells whether users and workers can be served at all.
-func (c *Core) serves() bool { return c.loaded && c.refused == nil }
+func (c *Core) serves() bool { return c.loaded && c.refused == nil && c.recovery == nil }
 
 // Refused tells why this version cannot serve this cluster, or nil.
 func (c *Core) Refused() error { return c.refused }
--- a/internal/core/controller/level_test.go
+++ b/internal/core/controller/level_test.go
@@ -49,7 +49,7 @@
 		if len(out) != 1 {
 			t.Fatalf("%d writes", len(out))
 		}
-		want := []wire.Cond{{Key: leaseKey, Version: 5}}
+		want := []wire.Cond{{Key: leaseKey, Version: 5}, {Key: genKey}}
 		if raise {
 			want = append(want, wire.Cond{Key: WordKey, Version: 13}, wire.Cond{Key: NodePrefix + "n0", Version: 11}, wire.Cond{Key: NodePrefix + "n1", Version: 12})
 		}
--- a/internal/core/gate/inventory.go
+++ b/internal/core/gate/inventory.go
@@ -31,6 +31,7 @@
 		{"fc/g/word", 1, "", "0.2", "operators", "leader, operators", "does not read it"},
 		{"fp/", 0, "", "0.1", "each owner, its own", "owners that take over", "-"},
 		{"fp/", 1, "envelope", "0.2", "each owner, its own", "owners that take over", "leaves it alone, writes other pages"},
+		{"fc/gen", 1, "", "0.3", "who rebuilds the state", "all, operators", "does not read it"},
 		{"frame", 0, "", "0.1", "controllers", "controllers", "-"},
 		{"frame", 1, "", "0.2", "controllers", "controllers", "reads it as before; an unknown form is dropped"},
 		{"renewal", 0, "", "0.1", "controllers", "leader", "-"},
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -63,6 +63,8 @@
 	pagesNext time.Time
 	rewriting rewriting
 
+	token uint64 // the highest that any worker has shown here
+
 	machines  map[string]*machine
 	reported  time.Time  // when a machine of the block last reported
 	order     []*machine // the block by name, see machineOrder
--- a/internal/core/owner/pages.go
+++ b/internal/core/owner/pages.go
@@ -130,7 +130,7 @@
 		raw := o.facts[entry]
 		id, k, _ := splitEntry(entry)
 		if j := o.jobs[id]; j != nil && j.done != nil {
-			raw = merge(raw, j.bits(k))
+			raw = Merge(raw, j.bits(k))
 		}
 		o.facts[entry] = raw
 		value[entry] = base64.RawStdEncoding.EncodeToString(raw)
@@ -189,8 +189,8 @@
 	return raw
 }
 
-// merge returns the tasks in a or in b.
-func merge(a, b []byte) []byte {
+// Merge returns the tasks in a or in b.
+func Merge(a, b []byte) []byte {
 	if len(a) < len(b) {
 		a, b = b, a
 	}
@@ -236,7 +236,7 @@
 			delete(entries, entry)
 			continue
 		}
-		o.facts[entry] = merge(o.facts[entry], raw)
+		o.facts[entry] = Merge(o.facts[entry], raw)
 	}
 	return env, entries, nil
 }
--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -183,6 +183,7 @@
 		o.loop.Unavailable(e.Req)
 		return
 	}
+	o.token = max(o.token, r.Token)
 	m := o.machines[r.Machine]
 	// A higher token than ours means that somebody else has taken over.
 	if m == nil || !o.hold.Held() || r.Token > o.tokenFor(m) {
--- /dev/null
+++ b/internal/core/rebuild/rebuild.go
@@ -0,0 +1,205 @@
+// Package rebuild decides how a state that has lost data is made whole again from
+// what controllers know: what of it is missing, in which transactions it is
+// stored, and what the lease value is from then on. It reads no clock, sends
+// nothing, and knows of the state service only what it is handed.
+//
+//   - What is known to be over stays over, and is stored before anything starts.
+//   - Whatever may be on a machine counts as being there: all machines that any
+//     value named come to one holder as those of a dead one do, and jobs that
+//     may have been started wait until they have been heard.
+//   - Terms go on above every one that was seen, with room for those that were
+//     not, and with them grants, tokens and attempts.
+//   - A write of before the loss finds another generation, and changes nothing.
+package rebuild
+
+import (
+	"encoding/base64"
+	"maps"
+	"slices"
+
+	"fawncove/internal/wire"
+)
+
+// Generation is the stored form of the state's generation; none is stored until
+// the state has been rebuilt for the first time.
+type Generation struct {
+	Form       int    `msgpack:"f"`
+	Generation uint64 `msgpack:"gen"`
+	// Rebuilding says that this generation has lost data and the next one is not
+	// there yet: a process that has just started waits.
+	Rebuilding bool `msgpack:"rebuilding"`
+	// What is known of the loss: the highest revision that the controller which
+	// rebuilt had seen, what it found instead, what it stored again, and when.
+	By       string `msgpack:"by"`
+	Lost     uint64 `msgpack:"lost"`
+	Found    uint64 `msgpack:"found"`
+	Jobs     int    `msgpack:"jobs"`
+	Ends     int    `msgpack:"ends"`
+	AtMs     int64  `msgpack:"at_ms"`
+	TookMs   int64  `msgpack:"took_ms"`
+	Machines int    `msgpack:"machines"`
+}
+
+// GenerationForm is the newest form of Generation.
+const GenerationForm = 1
+
+// Memory is what a controller knows.
+type Memory struct {
+	Jobs  map[string]any            // what is to be stored for each job that is not over
+	Ends  map[string]wire.EndRecord // of jobs that are
+	Facts map[string][]byte         // completed tasks, a bit a task, by stretch of a job
+}
+
+// Found is what the state holds.
+type Found struct {
+	Jobs  map[string]uint64 // versions of their records
+	Ends  map[string]bool
+	Facts map[string][]byte
+}
+
+// Keys are the prefixes under which things are stored.
+type Keys struct{ Job, End, Page string }
+
+// Limits are those of a transaction: its changes, and the bytes it should have.
+type Limits struct{ Ops, Bytes int }
+
+// Missing returns the transactions that store what is known and not there, those
+// that keep a job from coming back to life first. Each changes nothing if the state
+// is not as it was found.
+func Missing(m *Memory, f *Found, k Keys, lim Limits) (txns []wire.Txn, jobs, ends int, err error) {
+	b := batch{lim: lim}
+	late := []string{}
+	for _, id := range slices.Sorted(maps.Keys(m.Ends)) {
+		if f.Ends[id] {
+			continue
+		}
+		ends++
+		v, alive := f.Jobs[id]
+		if !alive {
+			late = append(late, id)
+			continue
+		}
+		if err := b.add([]wire.Cond{{Key: k.Job + id, Version: v}, {Key: k.End + id}},
+			wire.Op{Delete: k.Job + id}, wire.Op{Put: k.End + id, Value: m.Ends[id]}); err != nil {
+			return nil, 0, 0, err
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.Jobs)) {
+		_, over := m.Ends[id]
+		if _, there := f.Jobs[id]; there || over || f.Ends[id] {
+			continue
+		}
+		jobs++
+		if err := b.add([]wire.Cond{{Key: k.Job + id}, {Key: k.End + id}}, wire.Op{Put: k.Job + id, Value: m.Jobs[id]}); err != nil {
+			return nil, 0, 0, err
+		}
+	}
+	for _, id := range late {
+		if err := b.add([]wire.Cond{{Key: k.Job + id}, {Key: k.End + id}}, wire.Op{Put: k.End + id, Value: m.Ends[id]}); err != nil {
+			return nil, 0, 0, err
+		}
+	}
+	return b.done(), jobs, ends, nil
+}
+
+// Entries are the completed tasks that are known and not stored, as pages hold
+// them, in groups of about most bytes.
+func Entries(m *Memory, f *Found, most int) []map[string]string {
+	var out []map[string]string
+	size := 0
+	for _, key := range slices.Sorted(maps.Keys(m.Facts)) {
+		if covers(f.Facts[key], m.Facts[key]) {
+			continue
+		}
+		text := base64.RawStdEncoding.EncodeToString(m.Facts[key])
+		if n := len(key) + len(text) + 12; len(out) == 0 || size+n > most {
+			out, size = append(out, map[string]string{}), 0
+		}
+		out[len(out)-1][key] = text
+		size += len(key) + len(text) + 12
+	}
+	return out
+}
+
+// covers tells whether all of b's bits are in a.
+func covers(a, b []byte) bool {
+	for i, v := range b {
+		if v != 0 && (i >= len(a) || v&^a[i] != 0) {
+			return false
+		}
+	}
+	return true
+}
+
+// batch gathers changes into transactions.
+type batch struct {
+	lim   Limits
+	txns  []wire.Txn
+	bytes int
+}
+
+func (b *batch) add(conds []wire.Cond, ops ...wire.Op) error {
+	size := 0
+	for _, op := range ops {
+		raw, err := wire.Encode(op.Value)
+		if err != nil {
+			return err
+		}
+		size += len(raw)*5/4 + 2*len(op.Put+op.Delete) + 100 // as JSON, with its conditions
+	}
+	if n := len(b.txns); n == 0 || len(b.txns[n-1].Then)+len(ops) > b.lim.Ops || b.bytes+size > b.lim.Bytes {
+		b.txns, b.bytes = append(b.txns, wire.Txn{}), 0
+	}
+	t := &b.txns[len(b.txns)-1]
+	t.If, t.Then = append(t.If, conds...), append(t.Then, ops...)
+	b.bytes += size
+	return nil
+}
+
+func (b *batch) done() []wire.Txn { return b.txns }
+
+// termGap is how far a rebuilt term lies above the highest that was seen. A term
+// takes seconds, and nobody rebuilds minutes after everybody else.
+const termGap = 256
+
+// TermOf is the term that a token was made in: see package grant, and the grants
+// of a lease value.
+func TermOf(token uint64) uint64 { return token >> (24 + 16) }
+
+// Lease joins lease values, of before the loss and as found, into the one that the
+// state goes on with. Its leader holds all machines that any of them names, as those
+// of holders that ended, all homes and all shares. token is the highest that any
+// worker has shown; share is a team's limit.
+func Lease(node string, incarnation, generation, token uint64, share func(team string) wire.Share, values ...*wire.LeaseRecord) wire.LeaseRecord {
+	out := wire.LeaseRecord{Leader: node, Incarnation: incarnation, Generation: generation,
+		Term: TermOf(token), Homes: map[string]string{}, Blocks: map[string]wire.Block{}}
+	machines := map[string]bool{}
+	for _, v := range values {
+		out.Term, out.Beat, out.Form = max(out.Term, v.Term), max(out.Beat, v.Beat), max(out.Form, v.Form)
+		out.Level, out.Confirmed = max(out.Level, v.Level), max(out.Confirmed, v.Confirmed)
+		for _, b := range v.Blocks {
+			for _, names := range [][]string{b.Machines, b.Old} {
+				for _, n := range names {
+					machines[n] = true
+				}
+			}
+		}
+		for home := range v.Homes {
+			out.Homes[home] = node
+		}
+		for team := range v.Shares {
+			if out.Shares == nil {
+				out.Shares = map[string]wire.Shares{}
+			}
+			out.Shares[team] = wire.Shares{node: share(team)}
+		}
+		if out.Unknown == nil {
+			out.Unknown = v.Unknown
+		}
+	}
+	out.Term += termGap
+	out.Beat++
+	out.Grants = out.Term << 16
+	out.Blocks[node] = wire.Block{Grant: out.Grants, Incarnation: incarnation, Old: slices.Sorted(maps.Keys(machines))}
+	return out
+}
--- a/internal/core/step/step.go
+++ b/internal/core/step/step.go
@@ -15,9 +15,18 @@
 type Loop struct {
 	Now time.Time // when the event happened
 
+	// Mark is noted with each call, see Marked.
+	Mark uint64
+
 	out     []Effect
 	next    uint64
-	waiting map[uint64]func(Completed)
+	waiting map[uint64]pending
+}
+
+// pending is an open call.
+type pending struct {
+	f    func(Completed)
+	mark uint64
 }
 
 // Begin starts a step at now.
@@ -32,25 +41,32 @@
 // Call registers f for the completion of an effect and returns its id.
 func (l *Loop) Call(f func(Completed)) uint64 {
 	if l.waiting == nil {
-		l.waiting = map[uint64]func(Completed){}
+		l.waiting = map[uint64]pending{}
 	}
 	l.next++
-	l.waiting[l.next] = f
+	l.waiting[l.next] = pending{f, l.Mark}
 	return l.next
 }
 
 // Complete hands a completion to whom it is for. It tells whether anybody
 // still waited.
 func (l *Loop) Complete(d Completed) bool {
-	f := l.waiting[d.ID]
-	if f == nil {
+	p, ok := l.waiting[d.ID]
+	if !ok {
 		return false
 	}
 	delete(l.waiting, d.ID)
-	f(d)
+	p.f(d)
 	return true
 }
 
+// Marked is the mark that stood when an open call was made; 0 when nobody waits
+// for it.
+func (l *Loop) Marked(id uint64) uint64 { return l.waiting[id].mark }
+
+// Forget drops all open calls: nobody hears of their completion.
+func (l *Loop) Forget() { l.waiting = nil }
+
 // Answer answers a request.
 func (l *Loop) Answer(req uint64, status int, body any) {
 	l.Emit(Reply{Req: req, Status: status, Body: body})
--- /dev/null
+++ b/internal/testkit/simtest/lost_test.go
@@ -0,0 +1,77 @@
+package simtest
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"fawncove/internal/core/gate"
+)
+
+var losses = flag.Uint64("losses", 18, "number of seeded losses of state to play")
+
+// TestLostState puts an older copy of the state, or none at all, in place of what the
+// state service holds, at a moment in a busy night and beside another trouble. While
+// one controller that knew lives, nothing that was accepted may be forgotten, nothing
+// that is over may run again, and every rule holds; a while later all is normal.
+func TestLostState(t *testing.T) {
+	for seed := *first; seed < *first+*losses; seed++ {
+		x := trials[(seed/3)%uint64(len(trials))]
+		beside := seed%3 > 0
+		name := fmt.Sprintf("%d alone", seed)
+		if beside {
+			name = fmt.Sprintf("%d %s", seed, x.name)
+		}
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := NewNight(seed)
+			if seed%2 == 0 {
+				w.Begin(gate.Current(), 10*time.Second) // records stand in envelopes
+			}
+			for i := range 75 {
+				w.SubmitNight(i, time.Duration(w.rng.IntN(120))*time.Second)
+			}
+			at := time.Duration(50+w.rng.IntN(60)) * time.Second
+			back := time.Duration(1+w.rng.IntN(40)) * time.Second
+			if w.rng.IntN(3) == 0 {
+				back = at // all of it
+			}
+			lost := false
+			end := at + 40*time.Second
+			if beside {
+				from, d := at-time.Duration(w.rng.IntN(20))*time.Second, time.Duration(15+w.rng.IntN(30))*time.Second
+				if x.name == "back in a moment" || x.name == "all restarted one after the other" { // who knew has to live
+					from = at - d - 5*time.Second
+				}
+				w.after(from, func() { x.do(w, d) })
+				end = max(end, from+d)
+			} else { // one of those that know ends while it rebuilds
+				w.after(at+time.Duration(w.rng.IntN(8000))*time.Millisecond, func() {
+					w.Crash(w.anyOf(), time.Duration(50+w.rng.IntN(5000))*time.Millisecond)
+				})
+			}
+			w.after(at, func() {
+				oldest := w.now
+				for _, n := range w.nodes {
+					if n.up {
+						oldest = min(oldest, n.since)
+					}
+				}
+				lost = w.LoseState(min(back, max(time.Second, w.now-oldest-5*time.Second)))
+			})
+			w.night.calmAt = end + 3*time.Duration(w.cfg.Workers.LeaseS)*time.Second
+			w.Run(480 * time.Second)
+			w.complain(t)
+			for _, x := range w.Unserved() {
+				t.Error(x)
+			}
+			if left := w.Unfinished(); len(left) > 0 {
+				t.Errorf("not over long after the loss: %v", left)
+			}
+			if _, noticed := w.store.values["fc/gen"]; noticed != lost {
+				t.Errorf("lost %v, noticed %v", lost, noticed)
+			}
+		})
+	}
+}
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -45,6 +45,31 @@
 	outage  time.Duration            // for all, until then
 	alone   map[string]time.Duration // for one controller
 	lost    map[string]time.Duration // the same, but it gets no answer at all
+	times   []time.Duration          // of each revision
+}
+
+// LoseState puts an older copy of the state in place of it, from d ago, as
+// whoever restores a backup does. It tells whether anything was lost by that.
+func (w *World) LoseState(d time.Duration) bool {
+	s := w.store
+	rev, _ := slices.BinarySearch(s.times, w.now-d+1)
+	if uint64(rev) == s.rev {
+		return false
+	}
+	log := s.log
+	s.rev, s.times, s.values, s.log, s.puts = uint64(rev), s.times[:rev], map[string]stored{}, nil, nil
+	for _, e := range log {
+		switch {
+		case e.Version > s.rev:
+			continue
+		case e.Put != "":
+			s.values[e.key] = stored{e.Value, e.Version}
+		default:
+			delete(s.values, e.key)
+		}
+		s.log = append(s.log, e)
+	}
+	return true
 }
 
 // down tells whether the service refuses a controller.
@@ -94,6 +119,7 @@
 	}
 	if len(t.Then) > 0 {
 		s.rev++
+		s.times = append(s.times, s.w.now)
 	}
 	for _, op := range t.Then {
 		if op.Put != "" {
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -477,7 +477,7 @@
 		call(e.ID, true, short, func(answer func(step.Completed)) {
 			if w.store.down(n.name) {
 				answer(step.Completed{Status: 503})
-			} else if w.rng.IntN(150) == 0 || w.rng.IntN(100) < w.night.lateTxns {
+			} else if w.rng.IntN(150) == 0 || (w.night.lateTxns > 0 && w.rng.IntN(100) < w.night.lateTxns) {
 				// Applied late, without an answer.
 				w.after(time.Duration(w.rng.IntN(30))*time.Second, func() { w.store.txn(e.Txn) })
 			} else {
