Recovery: what an operator sees, a drill with real processes, and who may not be alarmed

Every seeded world now fails when a loss is noticed that was none, or when a task of a job starts after its user was told that it is done.

--- a/cmd/fawncove/main.go
+++ b/cmd/fawncove/main.go
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), upgradeCommand(), tryCommand(), artefactsCommand(), captureCommand(), logsCommand(), servedCommand())
+	root.AddCommand(serveCommand(), checkCommand(), versionCommand(), upgradeCommand(), recoverCommand(), tryCommand(), artefactsCommand(), captureCommand(), logsCommand(), servedCommand())
 	err := root.Execute()
 	var exit exitStatus
 	switch {
--- a/cmd/fawncove/try.go
+++ b/cmd/fawncove/try.go
@@ -63,6 +63,7 @@
 	f.Uint64Var(&p.Seed, "seed", 1, "seed of the sample jobs")
 	f.BoolVar(&stay, "stay", false, "keep the cluster running until it is interrupted")
 	f.StringVar(&p.From, "upgrade-from", "", "an earlier build to start with, and to roll out this one from")
+	f.DurationVar(&p.Lose, "lose-state", 0, "put a copy of the state that is so old in its place, and see it made whole")
 	f.BoolVar(&p.Back, "back", false, "roll back to the earlier build before the level is raised")
 	return cmd
 }
@@ -73,10 +74,15 @@
 		return err
 	}
 	fmt.Fprintf(p.Out, "three controllers serve; their settings and logs are in %s\n\ntype next, in another terminal:\n", p.Dir)
-	for _, args := range []string{"upgrade status", "upgrade plan", "check-config"} {
+	for _, args := range []string{"upgrade status", "upgrade plan", "recover status", "check-config"} {
 		fmt.Fprintf(p.Out, "    %s %s --config %s\n", p.Binary, args, d.Settings())
 	}
 	fmt.Fprintf(p.Out, "    tail -f %s/n0.log\n\n", p.Dir)
+	if p.Lose > 0 {
+		if err := d.LoseState(); err != nil {
+			return err
+		}
+	}
 	if p.From != "" {
 		if err := d.Rollout(); err != nil {
 			return err
--- a/cmd/fawncove/upgrade.go
+++ b/cmd/fawncove/upgrade.go
@@ -56,6 +56,16 @@
 
 // command returns a command that reads the cluster's state and has f answer.
 func (o *operator) command(use, short string, f func(r *rollout) error) *cobra.Command {
+	return o.stateCommand(use, short, func(r *rollout) error {
+		if err := r.read(); err != nil {
+			return err
+		}
+		return f(r)
+	})
+}
+
+// stateCommand returns a command that has the state service at hand.
+func (o *operator) stateCommand(use, short string, f func(r *rollout) error) *cobra.Command {
 	cmd := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := interrupted(cmd.Context())
@@ -66,9 +76,6 @@
 			}
 			r := &rollout{ctx: ctx, out: cmd.OutOrStdout(), settings: s,
 				store: statestore.New(s.External.State, s.Cluster.State.RPS, s.Cluster.State.WriteRPS, s.Controllers())}
-			if err := r.read(); err != nil {
-				return err
-			}
 			return f(r)
 		},
 	}
--- a/internal/core/controller/recover.go
+++ b/internal/core/controller/recover.go
@@ -24,7 +24,7 @@
 
 const (
 	// genKey is where the state's generation is stored, see rebuild.Generation.
-	genKey = root + "gen"
+	genKey = rebuild.Key
 	// pagePrefix is where completed tasks are stored.
 	pagePrefix = "fp/"
 	// joinTime is how long the others get to notice: a watch of theirs is answered.
@@ -229,11 +229,7 @@
 	if version <= c.gen.Version {
 		return
 	}
-	var g rebuild.Generation
-	err := wire.Decode(value, &g)
-	if err == nil && g.Form > rebuild.GenerationForm {
-		err = wire.FormError{What: genKey, Form: g.Form}
-	}
+	g, err := rebuild.Decode(value)
 	if err != nil {
 		c.log.Error("generation", "err", err)
 		return
@@ -285,8 +281,11 @@
 		version := uint64(0)
 		for _, p := range d.Page.Pairs {
 			version = p.Version
-			if err := wire.Decode(p.Value, &g); err != nil {
+			var err error
+			if g, err = rebuild.Decode(p.Value); err != nil {
 				c.log.Error("generation", "err", err)
+				done()
+				return
 			}
 		}
 		rebuilt := g.Generation > r.gen
@@ -300,7 +299,7 @@
 			done()
 		case rebuilt && (r.restored || !c.mayAdd()):
 			if !r.restored { // said, and not made up: see mayAdd
-				c.log.Error("the state was rebuilt without this controller, and takes nothing from it any more", "generation", g.Generation)
+				c.log.Error("the state was rebuilt without this controller, and takes nothing from it any more", "generation", g.Generation, "known", len(c.own.Jobs()))
 			}
 			c.beginAnew()
 		case !r.restored && (rebuilt || c.myTurn()):
@@ -359,12 +358,13 @@
 
 // state is what the state service holds, as a rebuild reads it.
 type state struct {
-	found   rebuild.Found
-	lease   wire.LeaseRecord
-	version uint64 // of the lease value; 0: there is none
-	gen     cluster.Stored[rebuild.Generation]
-	pages   map[string]bool // keys of completed tasks
-	book    leasevalue.Book
+	found      rebuild.Found
+	lease      wire.LeaseRecord
+	version    uint64 // of the lease value; 0: there is none
+	gen        rebuild.Generation
+	genVersion uint64
+	pages      map[string]bool // keys of completed tasks
+	book       leasevalue.Book
 }
 
 // readState reads everything; then gets nil if that failed.
@@ -392,8 +392,9 @@
 		} else if p.Key == leaseKey {
 			lease, s.version = p.Value, p.Version
 		} else if p.Key == genKey {
-			s.gen.Version = p.Version
-			if err := wire.Decode(p.Value, &s.gen.Value); err != nil {
+			s.genVersion = p.Version
+			var err error
+			if s.gen, err = rebuild.Decode(p.Value); err != nil {
 				c.log.Error("generation", "err", err)
 			}
 		}
@@ -483,6 +484,9 @@
 // renewLease writes the lease value and the generation that the state goes on with.
 func (c *Core) renewLease(s *state) {
 	r := c.recovery
+	if s.gen.Generation > r.gen {
+		return // somebody else has; the next look sees it
+	}
 	c.hold.Outgrow(max(s.lease.Incarnation, s.lease.Blocks[c.view.Me].Incarnation, c.view.Lease.Blocks[c.view.Me].Incarnation))
 	rec := rebuild.Lease(c.view.Me, c.hold.Incarnation(), r.gen+1, c.own.Token(), func(team string) wire.Share {
 		l := c.view.LimitOf(team)
@@ -503,7 +507,7 @@
 	ops = append(ops, wire.Op{Put: genKey, Value: g})
 	r.busy = true
 	c.loop.Emit(step.StateTxn{Control: true,
-		Txn: wire.Txn{If: []wire.Cond{{Key: leaseKey, Version: s.version}, {Key: genKey, Version: s.gen.Version}}, Then: ops},
+		Txn: wire.Txn{If: []wire.Cond{{Key: leaseKey, Version: s.version}, {Key: genKey, Version: s.genVersion}}, Then: ops},
 		ID: c.loop.Call(func(d step.Completed) {
 			r.busy, r.next = false, c.loop.Now.Add(recoverPause)
 			if d.Status == 200 && c.recovery == r {
--- a/internal/core/rebuild/rebuild.go
+++ b/internal/core/rebuild/rebuild.go
@@ -13,7 +13,9 @@
 package rebuild
 
 import (
+	"context"
 	"encoding/base64"
+	"fmt"
 	"maps"
 	"slices"
 
@@ -23,26 +25,57 @@
 // Generation is the stored form of the state's generation; none is stored until
 // the state has been rebuilt for the first time.
 type Generation struct {
-	Form       int    `msgpack:"f"`
-	Generation uint64 `msgpack:"gen"`
+	Form       int    `msgpack:"f" json:"-"`
+	Generation uint64 `msgpack:"gen" json:"generation"`
 	// Rebuilding says that this generation has lost data and the next one is not
 	// there yet: a process that has just started waits.
-	Rebuilding bool `msgpack:"rebuilding"`
+	Rebuilding bool `msgpack:"rebuilding" json:"rebuilding"`
 	// What is known of the loss: the highest revision that the controller which
 	// rebuilt had seen, what it found instead, what it stored again, and when.
-	By       string `msgpack:"by"`
-	Lost     uint64 `msgpack:"lost"`
-	Found    uint64 `msgpack:"found"`
-	Jobs     int    `msgpack:"jobs"`
-	Ends     int    `msgpack:"ends"`
-	AtMs     int64  `msgpack:"at_ms"`
-	TookMs   int64  `msgpack:"took_ms"`
-	Machines int    `msgpack:"machines"`
+	By       string `msgpack:"by" json:"by"`
+	Lost     uint64 `msgpack:"lost" json:"revision_seen"`
+	Found    uint64 `msgpack:"found" json:"revision_found"`
+	Jobs     int    `msgpack:"jobs" json:"jobs"`
+	Ends     int    `msgpack:"ends" json:"ends"`
+	AtMs     int64  `msgpack:"at_ms" json:"at_ms"`
+	TookMs   int64  `msgpack:"took_ms" json:"took_ms"`
+	Machines int    `msgpack:"machines" json:"machines"`
 }
 
 // GenerationForm is the newest form of Generation.
 const GenerationForm = 1
 
+// Key is where it is stored.
+const Key = "fc/gen"
+
+// Store is what of the state service's client Read needs.
+type Store interface {
+	Get(ctx context.Context, key string) (status int, p wire.Pair, err error)
+}
+
+// Read reads the state's generation; found is false if it was never rebuilt, nor is
+// being so.
+func Read(ctx context.Context, s Store) (g Generation, found bool, err error) {
+	status, p, err := s.Get(ctx, Key)
+	switch {
+	case status == 404:
+		return Generation{Generation: 1}, false, nil
+	case err != nil:
+		return g, false, fmt.Errorf("generation: %w", err)
+	}
+	g, err = Decode(p.Value)
+	return g, true, err
+}
+
+// Decode decodes a stored generation.
+func Decode(value []byte) (g Generation, err error) {
+	err = wire.Decode(value, &g)
+	if err == nil && g.Form > GenerationForm {
+		err = wire.FormError{What: Key, Form: g.Form}
+	}
+	return g, err
+}
+
 // Memory is what a controller knows.
 type Memory struct {
 	Jobs  map[string]any            // what is to be stored for each job that is not over
--- a/internal/testkit/drill/drill.go
+++ b/internal/testkit/drill/drill.go
@@ -24,6 +24,7 @@
 
 	"fawncove/internal/config"
 	"fawncove/internal/core/gate"
+	"fawncove/internal/core/rebuild"
 	"fawncove/internal/edge/statestore"
 	"fawncove/internal/testkit/loopback"
 	"fawncove/internal/testkit/simtest"
@@ -35,6 +36,7 @@
 	Binary string        // this build
 	From   string        // an earlier build to start with; empty: none
 	Back   bool          // roll back to it before the level is raised
+	Lose   time.Duration // put a copy of the state so old in its place; 0: do not
 	Jobs   int           // sample jobs
 	Over   time.Duration // in which they are submitted
 	Run    []string      // command of every task; empty: tasks only take their time
@@ -307,6 +309,29 @@
 	}
 }
 
+// LoseState puts an older copy of the state in place of it while jobs run, and
+// waits until the controllers have made it whole.
+func (d *Drill) LoseState() error {
+	if err := d.until("tasks run", time.Minute, func() bool { s, _ := d.Summary(); return s.Running > 0 && s.Over > 2 }); err != nil {
+		return err
+	}
+	d.status()
+	d.host.Look(func(w *simtest.Driven) { w.LoseState(d.plan.Lose) })
+	s, _ := d.Summary()
+	d.say("the state service has now what it had %v ago: %d records", d.plan.Lose, s.Records)
+	var g rebuild.Generation
+	if err := d.until("the state is rebuilt", 90*time.Second, func() bool {
+		var err error
+		g, _, err = rebuild.Read(d.ctx, d.store)
+		return err == nil && g.Generation > 1
+	}); err != nil {
+		return err
+	}
+	s, _ = d.Summary()
+	d.say("%s has rebuilt it: generation %d, %d jobs and %d ends stored again, %d machines taken over, %d records", g.By, g.Generation, g.Jobs, g.Ends, g.Machines, s.Records)
+	return nil
+}
+
 // Settings is the settings file of the first controller, for the commands of an
 // operator.
 func (d *Drill) Settings() string { return d.procs[0].settings }
--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -295,6 +295,12 @@
 // started checks what only the moment of a start shows.
 func (w *World) started(k *worker, t *simTask, u *user) {
 	w.Starts++
+	if w.nextStart {
+		w.nextStart, w.startedAt = false, w.now
+	}
+	if u.told == wire.Done {
+		w.breakRule("ran_again: %s starts after its user was told that the job is done", t.name)
+	}
 	if u.begunAt == 0 {
 		u.begunAt = w.now
 	}
--- a/internal/testkit/simtest/lost_test.go
+++ b/internal/testkit/simtest/lost_test.go
@@ -69,8 +69,11 @@
 			if left := w.Unfinished(); len(left) > 0 {
 				t.Errorf("not over long after the loss: %v", left)
 			}
-			if _, noticed := w.store.values["fc/gen"]; noticed != lost {
-				t.Errorf("lost %v, noticed %v", lost, noticed)
+			if (w.rebuiltAt > 0) != lost {
+				t.Errorf("lost %v, rebuilt at %v", lost, w.rebuiltAt)
+			}
+			if at := w.store.lostAt; lost {
+				t.Logf("noticed %.1f rebuilt %.1f next start %.1f s after it", (w.noticedAt - at).Seconds(), (w.rebuiltAt - at).Seconds(), (w.startedAt - at).Seconds())
 			}
 		})
 	}
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -11,6 +11,7 @@
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/gate"
 	"fawncove/internal/core/leasevalue"
+	"fawncove/internal/core/rebuild"
 	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
@@ -46,6 +47,7 @@
 	alone   map[string]time.Duration // for one controller
 	lost    map[string]time.Duration // the same, but it gets no answer at all
 	times   []time.Duration          // of each revision
+	lostAt  time.Duration            // when data was last lost; 0: never
 }
 
 // LoseState puts an older copy of the state in place of it, from d ago, as
@@ -57,6 +59,7 @@
 		return false
 	}
 	log := s.log
+	s.lostAt = w.now
 	s.rev, s.times, s.values, s.log, s.puts = uint64(rev), s.times[:rev], map[string]stored{}, nil, nil
 	for _, e := range log {
 		switch {
@@ -311,6 +314,9 @@
 	if !slices.ContainsFunc(gate.Inventory(), func(f gate.Form) bool { return strings.HasPrefix(key, f.Name) }) {
 		w.breakRule("%s is not in the inventory of forms", key)
 	}
+	if key == rebuild.Key {
+		w.seeGeneration(data)
+	}
 	if key != leasevalue.Key {
 		return
 	}
@@ -333,6 +339,21 @@
 	w.level = gate.Level(v.Level)
 }
 
+// seeGeneration notes how far a rebuild is. Nothing else may look like a loss.
+func (w *World) seeGeneration(data []byte) {
+	g, err := rebuild.Decode(data)
+	switch {
+	case err != nil:
+		w.breakRule("generation: %v", err)
+	case w.store.lostAt == 0:
+		w.breakRule("%s takes the state for one that has lost data", g.By)
+	case g.Rebuilding && w.noticedAt < w.store.lostAt:
+		w.noticedAt = w.now
+	case !g.Rebuilding:
+		w.rebuiltAt, w.nextStart = w.now, true
+	}
+}
+
 // raiseBlind is for how long a leader may not know that a controller is gone.
 const raiseBlind = cluster.LinkDead + 2*time.Second
 
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -54,10 +54,15 @@
 	doomed   []*user            // cancelled, and perhaps still running somewhere
 	Starts   int
 	Dones    int
-	moves    int         // of homes between controllers that live
-	level    gate.Level  // of the cluster, as stored
-	edge     Edge        // of a world whose controllers are processes; else nil
-	trace    hash.Hash64 // of all that the cores asked for, if it is kept
+	moves    int        // of homes between controllers that live
+	level    gate.Level // of the cluster, as stored
+	edge     Edge       // of a world whose controllers are processes; else nil
+	// Of the last loss of state: when it was noticed, made good, and when the next
+	// task started.
+	noticedAt, rebuiltAt, startedAt time.Duration
+	nextStart                       bool
+
+	trace hash.Hash64 // of all that the cores asked for, if it is kept
 }
 
 // epoch is the time of day at which every world begins.
