--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -11,6 +11,7 @@
 
 	"fawncove/internal/config"
 	"fawncove/internal/core/gate"
+	"fawncove/internal/core/rebuild"
 	"fawncove/internal/core/sched"
 	"fawncove/internal/core/share"
 	"fawncove/internal/peerpb"
@@ -113,7 +114,8 @@
 	// what it knew.
 	Generation     uint64
 	Lost, Restored bool
-	Revision       uint64 // the highest that the state service has shown it
+	Revision       uint64        // the highest that the state service has shown it
+	View           *rebuild.View // while it rebuilds
 	// NoReports says that none of its machines has reported to it of late, and
 	// Guests how many machines of this controller's block report there instead.
 	NoReports bool
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -307,5 +307,5 @@
 	if r := f.GetRenewal(); r != nil && r.GetNode() == f.GetFrom() {
 		c.onRenewal(r)
 	}
-	c.heardOfLoss(p)
+	c.heardOfLoss(p, f.GetView())
 }
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -298,6 +298,8 @@
 			case 200:
 				c.applyPut(jobPrefix+id, d.Pair.Value, d.Pair.Version)
 				then(true)
+			case 404:
+				c.missing(id, then)
 			default:
 				then(false)
 			}
@@ -305,6 +307,22 @@
 	})})
 }
 
+// missing reads a job's end once more whose record was not there. A record goes in
+// the same transaction in which the end comes: if neither is there, the state has
+// lost data.
+func (c *Core) missing(id string, then func(ok bool)) {
+	j := c.own.Job(id)
+	c.loop.Emit(step.StateGet{Key: endPrefix + id, ID: c.loop.Call(func(d step.Completed) {
+		switch {
+		case d.Status == 200:
+			c.applyPut(endPrefix+id, d.Pair.Value, d.Pair.Version)
+		case d.Status == 404 && j != nil && !j.Over && !j.Writing:
+			c.lose("a job is gone from it: "+id, c.high, 0)
+		}
+		then(d.Status == 200)
+	})})
+}
+
 // ---- the users' side
 
 func (c *Core) jobAnswer(j *owner.Job) wire.JobAnswer {
--- a/internal/core/controller/recover.go
+++ b/internal/core/controller/recover.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -49,6 +50,12 @@
 	ends     int
 }
 
+// Rebuilding tells whether this controller is rebuilding the state, and whether all
+// that it knew is stored.
+func (c *Core) Rebuilding() (underWay, stored bool) {
+	return c.recovery != nil, c.recovery != nil && c.recovery.restored
+}
+
 // generation is that of the state this controller goes by.
 func (c *Core) generation() uint64 { return max(1, c.gen.Value.Generation) }
 
@@ -60,11 +67,25 @@
 	f.Generation = c.generation()
 	if r := c.recovery; r != nil {
 		f.Generation, f.Lost, f.Restored = r.gen, true, r.restored
+		v := c.leases()
+		raw, err := wire.Encode(v)
+		if err != nil {
+			c.log.Error("view of the leases", "err", err)
+		}
+		f.View = raw
 		return
 	}
 	f.Revision = c.high
 }
 
+// leases is what this controller knows of leases and machines.
+func (c *Core) leases() rebuild.View {
+	v := rebuild.ViewOf(c.view.Lease)
+	v.Machines, v.Token = c.own.Guests(), c.own.Token()
+	slices.Sort(v.Machines)
+	return v
+}
+
 // waking is a process that has just started: what it reads may have lost data, of
 // which it can know nothing. So it asks the others first, and waits while a rebuild
 // is under way.
@@ -188,7 +209,16 @@
 
 // heardOfLoss acts on what another controller tells of the state: that it has lost
 // data, or that it has been rebuilt without this controller.
-func (c *Core) heardOfLoss(p *cluster.Peer) {
+func (c *Core) heardOfLoss(p *cluster.Peer, view []byte) {
+	p.View = nil
+	if len(view) > 0 {
+		v := new(rebuild.View)
+		if err := wire.Decode(view, v); err != nil {
+			c.log.Error("another controller's view of the leases", "err", err)
+		} else {
+			p.View = v
+		}
+	}
 	if c.recovery == nil && c.waking.genRead && p.Generation == c.generation() && !p.Lost {
 		c.high = max(c.high, p.Revision) // what is asked from now on shows as much
 		c.loop.Mark = c.high
@@ -488,10 +518,19 @@
 		return // somebody else has; the next look sees it
 	}
 	c.hold.Outgrow(max(s.lease.Incarnation, s.lease.Blocks[c.view.Me].Incarnation, c.view.Lease.Blocks[c.view.Me].Incarnation))
-	rec := rebuild.Lease(c.view.Me, c.hold.Incarnation(), r.gen+1, c.own.Token(), func(team string) wire.Share {
+	// A machine that only the newest value names may run tasks already, and whoever
+	// has read that value need not be the one who rebuilds.
+	own, found := c.leases(), rebuild.ViewOf(s.lease)
+	views := []*rebuild.View{&own, &found}
+	c.rebuilders(func(_ string, p *cluster.Peer) {
+		if p.View != nil {
+			views = append(views, p.View)
+		}
+	})
+	rec := rebuild.Lease(c.view.Me, c.hold.Incarnation(), r.gen+1, func(team string) wire.Share {
 		l := c.view.LimitOf(team)
 		return wire.Share{CPUs: int(l.CPUs), Cards: int(l.Cards)}
-	}, &c.view.Lease, &s.lease)
+	}, views...)
 	ops := []wire.Op{{Put: leaseKey, Value: rec}}
 	if rec.Form >= 2 {
 		draft, err := s.book.Write(&rec, c.view.Cfg.ValueLimits())
--- a/internal/core/rebuild/rebuild.go
+++ b/internal/core/rebuild/rebuild.go
@@ -191,6 +191,24 @@
 
 func (b *batch) done() []wire.Txn { return b.txns }
 
+// View is what one controller knows of leases and machines.
+type View struct {
+	Lease wire.LeaseRecord `msgpack:"lease"`
+	// What the plain form of a lease value has no place for.
+	Form   int                    `msgpack:"f"`
+	Levels [2]uint32              `msgpack:"levels"` // its level, and the one confirmed
+	Shares map[string]wire.Shares `msgpack:"shares"`
+	// Machines reported there, whoever holds them, and Token is the highest that a
+	// worker has shown.
+	Machines wire.NameSet `msgpack:"machines"`
+	Token    uint64       `msgpack:"token"`
+}
+
+// ViewOf is what a lease value says; the zero value says nothing.
+func ViewOf(rec wire.LeaseRecord) View {
+	return View{Lease: rec, Form: rec.Form, Levels: [2]uint32{rec.Level, rec.Confirmed}, Shares: rec.Shares}
+}
+
 // termGap is how far a rebuilt term lies above the highest that was seen. A term
 // takes seconds, and nobody rebuilds minutes after everybody else.
 const termGap = 256
@@ -201,15 +219,18 @@
 
 // Lease joins lease values, of before the loss and as found, into the one that the
 // state goes on with. Its leader holds all machines that any of them names, as those
-// of holders that ended, all homes and all shares. token is the highest that any
-// worker has shown; share is a team's limit.
-func Lease(node string, incarnation, generation, token uint64, share func(team string) wire.Share, values ...*wire.LeaseRecord) wire.LeaseRecord {
+// of holders that ended, all homes and all shares. share is a team's limit.
+func Lease(node string, incarnation, generation uint64, share func(team string) wire.Share, views ...*View) wire.LeaseRecord {
 	out := wire.LeaseRecord{Leader: node, Incarnation: incarnation, Generation: generation,
-		Term: TermOf(token), Homes: map[string]string{}, Blocks: map[string]wire.Block{}}
+		Homes: map[string]string{}, Blocks: map[string]wire.Block{}}
 	machines := map[string]bool{}
-	for _, v := range values {
-		out.Term, out.Beat, out.Form = max(out.Term, v.Term), max(out.Beat, v.Beat), max(out.Form, v.Form)
-		out.Level, out.Confirmed = max(out.Level, v.Level), max(out.Confirmed, v.Confirmed)
+	for _, view := range views {
+		v := &view.Lease
+		out.Term, out.Beat, out.Form = max(out.Term, v.Term, TermOf(view.Token)), max(out.Beat, v.Beat), max(out.Form, view.Form)
+		out.Level, out.Confirmed = max(out.Level, view.Levels[0]), max(out.Confirmed, view.Levels[1])
+		for _, n := range view.Machines {
+			machines[n] = true
+		}
 		for _, b := range v.Blocks {
 			for _, names := range [][]string{b.Machines, b.Old} {
 				for _, n := range names {
@@ -220,7 +241,7 @@
 		for home := range v.Homes {
 			out.Homes[home] = node
 		}
-		for team := range v.Shares {
+		for team := range view.Shares {
 			if out.Shares == nil {
 				out.Shares = map[string]wire.Shares{}
 			}
