--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -230,6 +230,7 @@
 		switch c.Op {
 		case wire.OpStart:
 			if i < 0 {
+				k.w.commands++
 				k.start(c)
 			}
 		case wire.OpHalt:
--- a/internal/testkit/simtest/lost_test.go
+++ b/internal/testkit/simtest/lost_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fawncove/internal/core/gate"
+	"fawncove/internal/wire"
 )
 
 var losses = flag.Uint64("losses", 18, "number of seeded losses of state to play")
@@ -57,6 +58,11 @@
 					}
 				}
 				w.after(at, look)
+				// Another is away when it happens and comes back, knowing nothing, in
+				// the middle of it.
+				if i := (victim + 1) % len(w.nodes); len(w.nodes) > 3 {
+					w.after(at-6*time.Second, func() { w.Crash(i, time.Duration(6000+w.rng.IntN(5000))*time.Millisecond) })
+				}
 			}
 			w.after(at, func() {
 				oldest := w.now
@@ -85,3 +91,48 @@
 		})
 	}
 }
+
+// TestNothingStartsWhileRebuilding counts the start commands that reach workers from
+// when a loss is noticed until the state is whole again. What runs lives on.
+func TestNothingStartsWhileRebuilding(t *testing.T) {
+	w := NewNight(7)
+	for i := range 75 {
+		w.SubmitNight(i, time.Duration(i)*time.Second)
+	}
+	w.Run(60 * time.Second)
+	w.LoseState(20 * time.Second)
+	for w.noticedAt == 0 {
+		w.Run(50 * time.Millisecond)
+	}
+	w.Run(200 * time.Millisecond) // what was on its way
+	before, running, ended := w.commands, len(w.where), w.Dones
+	for w.rebuiltAt == 0 {
+		w.Run(50 * time.Millisecond)
+	}
+	w.complain(t)
+	if w.commands != before {
+		t.Errorf("%d starts while the state was rebuilt", w.commands-before)
+	}
+	if left := len(w.where); running == 0 || left < running-(w.Dones-ended) {
+		t.Errorf("%d tasks ran, %d ended, %d run", running, w.Dones-ended, left)
+	}
+}
+
+// TestLostRecord takes a job's record out of the state, and nothing else: revisions go
+// on, so only a question about the job shows it.
+func TestLostRecord(t *testing.T) {
+	w := NewNight(1)
+	u := w.newUser(wire.Job{ID: "wk-000001", Class: "c", Team: "free", Shape: wire.Daemon, Priority: "urgent", Tasks: 2, CPUs: 1, MemoryGB: 1, Image: "a", ImageGB: 1})
+	u.submit()
+	w.Run(40 * time.Second)
+	delete(w.store.values, "fc/j/wk-000001")
+	w.store.lostAt, w.store.puts = w.now, nil
+	w.Run(30 * time.Second)
+	w.complain(t)
+	if _, there := w.store.values["fc/j/wk-000001"]; !there || w.rebuiltAt == 0 {
+		t.Errorf("record there: %v; rebuilt at %v", there, w.rebuiltAt)
+	}
+	if w.Starts != 2 {
+		t.Errorf("%d starts, want 2", w.Starts)
+	}
+}
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -61,6 +61,7 @@
 	// task started.
 	noticedAt, rebuiltAt, startedAt time.Duration
 	nextStart                       bool
+	commands                        int // start commands that reached a worker
 
 	trace hash.Hash64 // of all that the cores asked for, if it is kept
 }
