What was known before a loss stands against what was decided after it

Ends that come in while the state is rebuilt say nothing, and those known before are stored in their place.

--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -215,6 +215,11 @@
 
 // applyEnd notes that a job is over. An end is final.
 func (c *Core) applyEnd(id string, rec wire.EndRecord) {
+	if c.recovery != nil {
+		// Decided on what is left of the state, by a record that may have been over
+		// before the loss; it says nothing against what was known then.
+		return
+	}
 	if _, ok := c.ended[id]; !ok {
 		c.ended[id] = rec
 		c.endedOrder = append(c.endedOrder, id)
--- a/internal/core/controller/recover.go
+++ b/internal/core/controller/recover.go
@@ -335,7 +335,10 @@
 		case !r.restored && (rebuilt || c.myTurn()):
 			c.readState(func(s *state) {
 				if done(); s != nil {
-					c.restore(s, func() { r.restored = true })
+					c.restore(s, func() {
+						r.restored, c.pingAt = true, time.Time{} // the next one waits for it
+						c.ping()
+					})
 				}
 			})
 		case r.restored && c.chosen():
@@ -399,13 +402,17 @@
 
 // readState reads everything; then gets nil if that failed.
 func (c *Core) readState(then func(s *state)) {
-	s := &state{pages: map[string]bool{}, found: rebuild.Found{Jobs: map[string]uint64{}, Ends: map[string]bool{}, Facts: map[string][]byte{}}}
+	s := &state{pages: map[string]bool{}, found: rebuild.Found{Jobs: map[string]uint64{}, Ends: map[string]rebuild.End{}, Facts: map[string][]byte{}}}
 	var lease []byte
 	take := func(p wire.Pair) {
 		if id, ok := strings.CutPrefix(p.Key, jobPrefix); ok {
 			s.found.Jobs[id] = p.Version
 		} else if id, ok := strings.CutPrefix(p.Key, endPrefix); ok {
-			s.found.Ends[id] = true
+			var e wire.EndRecord
+			if err := wire.Decode(p.Value, &e); err != nil {
+				c.log.Error("end record", "key", p.Key, "err", err)
+			}
+			s.found.Ends[id] = rebuild.End{State: e.State, Version: p.Version}
 		} else if strings.HasPrefix(p.Key, pagePrefix) {
 			s.pages[p.Key] = true
 			facts, err := c.own.PageFacts(p.Key, p.Value)
--- a/internal/core/rebuild/rebuild.go
+++ b/internal/core/rebuild/rebuild.go
@@ -86,10 +86,16 @@
 // Found is what the state holds.
 type Found struct {
 	Jobs  map[string]uint64 // versions of their records
-	Ends  map[string]bool
+	Ends  map[string]End
 	Facts map[string][]byte
 }
 
+// End is the end of a job as the state has it.
+type End struct {
+	State   string
+	Version uint64
+}
+
 // Keys are the prefixes under which things are stored.
 type Keys struct{ Job, End, Page string }
 
@@ -103,7 +109,8 @@
 	b := batch{lim: lim}
 	late := []string{}
 	for _, id := range slices.Sorted(maps.Keys(m.Ends)) {
-		if f.Ends[id] {
+		there, ok := f.Ends[id]
+		if ok && there.State == m.Ends[id].State {
 			continue
 		}
 		ends++
@@ -119,7 +126,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(m.Jobs)) {
 		_, over := m.Ends[id]
-		if _, there := f.Jobs[id]; there || over || f.Ends[id] {
+		_, there := f.Jobs[id]
+		_, ended := f.Ends[id]
+		if there || over || ended {
 			continue
 		}
 		jobs++
@@ -128,7 +137,9 @@
 		}
 	}
 	for _, id := range late {
-		if err := b.add([]wire.Cond{{Key: k.Job + id}, {Key: k.End + id}}, wire.Op{Put: k.End + id, Value: m.Ends[id]}); err != nil {
+		// Somebody who had not noticed yet may have ended it another way since. What
+		// was known before the loss may have been told.
+		if err := b.add([]wire.Cond{{Key: k.Job + id}, {Key: k.End + id, Version: f.Ends[id].Version}}, wire.Op{Put: k.End + id, Value: m.Ends[id]}); err != nil {
 			return nil, 0, 0, err
 		}
 	}
--- a/internal/core/rebuild/rebuild_test.go
+++ b/internal/core/rebuild/rebuild_test.go
@@ -14,14 +14,15 @@
 // transaction: ends of jobs that have come back to life before anything else, and
 // nothing that is over as a job.
 func TestMissing(t *testing.T) {
-	m := &Memory{Jobs: map[string]any{}, Ends: map[string]wire.EndRecord{"zombie": {State: wire.Done}, "gone": {State: wire.Cancelled}, "known": {State: wire.Done}}}
+	m := &Memory{Jobs: map[string]any{}, Ends: map[string]wire.EndRecord{"zombie": {State: wire.Done}, "gone": {State: wire.Cancelled}, "known": {State: wire.Done}, "other": {State: wire.Done}}}
 	for i := range 30 {
 		m.Jobs[fmt.Sprintf("job-%02d", i)] = strings.Repeat("x", 1000)
 	}
 	m.Jobs["known"], m.Jobs["ended elsewhere"] = "old", "old"
-	f := &Found{Jobs: map[string]uint64{"zombie": 7, "job-03": 8}, Ends: map[string]bool{"known": true, "ended elsewhere": true}}
+	f := &Found{Jobs: map[string]uint64{"zombie": 7, "job-03": 8}, Ends: map[string]End{
+		"known": {wire.Done, 3}, "ended elsewhere": {wire.Done, 4}, "other": {wire.Cancelled, 5}}}
 	txns, jobs, ends, err := Missing(m, f, keys, Limits{Ops: 8, Bytes: 5000})
-	if err != nil || jobs != 29 || ends != 2 {
+	if err != nil || jobs != 29 || ends != 3 {
 		t.Fatalf("%d jobs, %d ends, %v", jobs, ends, err)
 	}
 	if first := txns[0].Then; first[0].Delete != "j/zombie" || first[1].Put != "t/zombie" || txns[0].If[0] != (wire.Cond{Key: "j/zombie", Version: 7}) {
@@ -40,7 +41,7 @@
 			t.Errorf("a transaction of %d changes, %d conditions, %d bytes", len(x.Then), len(x.If), size)
 		}
 	}
-	for _, key := range []string{"t/zombie", "t/gone", "j/job-00", "j/job-29"} {
+	for _, key := range []string{"t/zombie", "t/gone", "t/other", "j/job-00", "j/job-29"} {
 		if stored[key] != 1 {
 			t.Errorf("%s is stored %d times", key, stored[key])
 		}
