--- a/internal/core/controller/recover.go
+++ b/internal/core/controller/recover.go
@@ -26,8 +26,6 @@
 const (
 	// genKey is where the state's generation is stored, see rebuild.Generation.
 	genKey = rebuild.Key
-	// pagePrefix is where completed tasks are stored.
-	pagePrefix = "fp/"
 	// joinTime is how long the others get to notice: a watch of theirs is answered.
 	joinTime = cluster.WatchHold + time.Second
 	// recoverPause spaces what is tried again.
@@ -413,7 +411,7 @@
 				c.log.Error("end record", "key", p.Key, "err", err)
 			}
 			s.found.Ends[id] = rebuild.End{State: e.State, Version: p.Version}
-		} else if strings.HasPrefix(p.Key, pagePrefix) {
+		} else if strings.HasPrefix(p.Key, owner.PagePrefix) {
 			s.pages[p.Key] = true
 			facts, err := c.own.PageFacts(p.Key, p.Value)
 			if err != nil {
@@ -465,7 +463,7 @@
 			}
 		})})
 	}
-	read([]string{root, pagePrefix}, "")
+	read([]string{root, owner.PagePrefix}, "")
 }
 
 // restore stores what is known here and not there; then is called once nothing is
@@ -473,7 +471,7 @@
 func (c *Core) restore(s *state, then func()) {
 	r, m := c.recovery, c.memory()
 	st := c.view.Cfg.Cluster.State
-	txns, jobs, ends, err := rebuild.Missing(&m, &s.found, rebuild.Keys{Job: jobPrefix, End: endPrefix, Page: pagePrefix},
+	txns, jobs, ends, err := rebuild.Missing(&m, &s.found, rebuild.Keys{Job: jobPrefix, End: endPrefix},
 		rebuild.Limits{Ops: st.TxnOps, Bytes: rebuildBytes})
 	if err != nil {
 		c.log.Error("rebuilding", "err", err)
@@ -516,7 +514,9 @@
 
 // factPage is where this controller stores page n of completed tasks that it knew
 // of: beside the pages of its processes, which count from 0.
-func (c *Core) factPage(n int) string { return pagePrefix + c.view.Me + "/" + strconv.Itoa(500+n) }
+func (c *Core) factPage(n int) string {
+	return owner.PagePrefix + c.view.Me + "/" + strconv.Itoa(500+n)
+}
 
 // renewLease writes the lease value and the generation that the state goes on with.
 func (c *Core) renewLease(s *state) {
--- a/internal/core/owner/pages.go
+++ b/internal/core/owner/pages.go
@@ -24,9 +24,9 @@
 // means that tasks are started again whose results the workers still have.
 
 const (
-	// pagePrefix is where they stand: not below what every controller watches,
+	// PagePrefix is where they stand: not below what every controller watches,
 	// since only those who take up jobs read them.
-	pagePrefix = "fp/"
+	PagePrefix = "fp/"
 	// chunk is how many tasks one entry of a page covers; as base64 that is
 	// well below the smallest value limit met so far.
 	chunk = 4096
@@ -124,7 +124,7 @@
 
 // writePage stores a page as it stands. Only then may the workers forget.
 func (o *Owner) writePage(n int, p *page) {
-	key := pagePrefix + o.view.Me + "/" + strconv.Itoa(n)
+	key := PagePrefix + o.view.Me + "/" + strconv.Itoa(n)
 	value := make(map[string]string, len(p.entries))
 	for entry := range p.entries {
 		raw := o.facts[entry]
@@ -260,7 +260,7 @@
 	read := o.pageReads
 	var next func(after string)
 	next = func(after string) {
-		o.loop.Emit(step.StateRange{Prefix: pagePrefix, After: after, ID: o.loop.Call(func(d step.Completed) {
+		o.loop.Emit(step.StateRange{Prefix: PagePrefix, After: after, ID: o.loop.Call(func(d step.Completed) {
 			if d.Status != 200 {
 				o.pagesBusy = false
 				o.pagesNext = o.loop.Now.Add(300 * time.Millisecond)
@@ -292,7 +292,7 @@
 
 // ownPage takes up a page that an earlier process of this controller wrote.
 func (o *Owner) ownPage(key string, version uint64, env wire.Envelope, entries map[string]string, err error) {
-	num, ok := strings.CutPrefix(key, pagePrefix+o.view.Me+"/")
+	num, ok := strings.CutPrefix(key, PagePrefix+o.view.Me+"/")
 	n, bad := strconv.Atoi(num)
 	if !ok || bad != nil || n < 0 || n > 1000 {
 		return
--- a/internal/core/rebuild/rebuild.go
+++ b/internal/core/rebuild/rebuild.go
@@ -97,7 +97,7 @@
 }
 
 // Keys are the prefixes under which things are stored.
-type Keys struct{ Job, End, Page string }
+type Keys struct{ Job, End string }
 
 // Limits are those of a transaction: its changes, and the bytes it should have.
 type Limits struct{ Ops, Bytes int }
--- a/internal/core/rebuild/rebuild_test.go
+++ b/internal/core/rebuild/rebuild_test.go
@@ -8,7 +8,7 @@
 	"fawncove/internal/wire"
 )
 
-var keys = Keys{Job: "j/", End: "t/", Page: "p/"}
+var keys = Keys{Job: "j/", End: "t/"}
 
 // TestMissing stores what is known and not there, within the limits of a
 // transaction: ends of jobs that have come back to life before anything else, and
