A machine given back counts under its grant only

Cause: a renewal says which machines its sender has given back, and the leader went by the newest renewal it had, however old. A machine that went to another controller, came back and had tasks again was taken off its holder a second time by the renewal of before; the holder took it for gone, as nothing else leaves a block, and would have started its tasks elsewhere while they ran.

Change: what was given back counts only if the renewal was made under the grant that the block has, as promises of shares do. A holder whose grant has changed says so again at once.

Measured: TestGaveCountsUnderItsGrant, seen failing before ("by a renewal of before it is \"\"'s, to be returned: true"); all tests pass.

--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -150,8 +150,11 @@
 		c.hold.Hurry()
 		return
 	}
-	c.hold.Granted(b)
+	changed := c.hold.Granted(b)
 	c.own.Leased(b)
+	if changed && c.own.GivesBack() {
+		c.hold.Hurry() // only what is given back under this grant counts
+	}
 }
 
 // loseBlock forgets all that the right to a block was the ground of.
--- a/internal/core/grant/grant.go
+++ b/internal/core/grant/grant.go
@@ -98,16 +98,16 @@
 func (h *Holder) Calm() { h.hurry = false }
 
 // Granted takes the block as a lease value shows it, which must be one of this
-// incarnation.
-func (h *Holder) Granted(b wire.Block) {
-	if h.grant != b.Grant {
+// incarnation. It tells whether the grant is another one than before.
+func (h *Holder) Granted(b wire.Block) (changed bool) {
+	if changed = h.grant != b.Grant; changed {
 		h.grant, h.attempts = b.Grant, 0 // attempts are counted under each grant anew
 	}
 	h.promises.Honoured(b.Renewal)
 	h.yields = slices.DeleteFunc(h.yields, func(y yield) bool { return y.renewal <= b.Renewal })
 	sent, ok := h.sent[b.Renewal]
 	if !ok {
-		return
+		return changed
 	}
 	if until := sent.Add(cluster.Shrink(h.lease)); until.After(h.until) {
 		h.until = until
@@ -117,6 +117,7 @@
 			delete(h.sent, n)
 		}
 	}
+	return changed
 }
 
 // Lose forgets the block and every right and promise that came with it.
--- a/internal/core/leader/leader_test.go
+++ b/internal/core/leader/leader_test.go
@@ -240,3 +240,43 @@
 		}
 	}
 }
+
+// TestGaveCountsUnderItsGrant: a controller gives a machine back, another gets it,
+// gives it back as well, and the first one has it again and starts tasks there. The
+// renewal in which it gave the machine back is still the newest one known of it;
+// counted again it would take the machine off it while tasks run there, and its
+// holder would start them elsewhere, as on a machine that is gone.
+func TestGaveCountsUnderItsGrant(t *testing.T) {
+	l := newLeader(nil, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7, Grants: 3<<16 + 1,
+		Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}, "n1": {Grant: 3<<16 + 1, Incarnation: 9, Machines: []string{"host-000001"}}}})
+	l.fleet.machines["host-000001"] = &rented{offerKey: offerKey{kind: "s4"}}
+	version := l.view.Version
+	publish := func(own *peerpb.Renewal) string {
+		own.Node, own.Incarnation, own.Number = "n0", 7, l.view.Lease.Blocks["n0"].Renewal+1
+		own.Grant = l.view.Lease.Blocks["n0"].Grant
+		rec, stored := l.Publish(own)
+		stored()
+		version++
+		l.view.Take(rec, version)
+		return l.view.OwnerOf("host-000001")
+	}
+	l.Renewal(&peerpb.Renewal{Node: "n1", Incarnation: 9, Number: 1, Grant: 3<<16 + 1, Gave: wire.PackNames([]string{"host-000001"})})
+	l.recalls["host-000001"], l.moves["host-000001"] = true, "n0"
+	if got := publish(&peerpb.Renewal{}); got != "n0" {
+		t.Fatalf("given back for n0, it is %q's", got)
+	}
+	l.moves["host-000001"] = "n1"
+	if got := publish(&peerpb.Renewal{Gave: wire.PackNames([]string{"host-000001"})}); got != "n1" {
+		t.Fatalf("given back for n1, it is %q's", got)
+	}
+	delete(l.recalls, "host-000001")
+	delete(l.moves, "host-000001")
+	if got := publish(&peerpb.Renewal{}); got != "n1" || l.fleet.leaving["host-000001"] {
+		t.Errorf("by a renewal of before it is %q's, to be returned: %v", got, l.fleet.leaving["host-000001"])
+	}
+	grant := l.view.Lease.Blocks["n1"].Grant
+	l.Renewal(&peerpb.Renewal{Node: "n1", Incarnation: 9, Number: 2, Grant: grant, Gave: wire.PackNames([]string{"host-000001"})})
+	if got := publish(&peerpb.Renewal{}); got != "" || !l.fleet.leaving["host-000001"] {
+		t.Errorf("given back under its grant it is %q's, to be returned: %v", got, l.fleet.leaving["host-000001"])
+	}
+}
--- a/internal/core/leader/publish.go
+++ b/internal/core/leader/publish.go
@@ -98,6 +98,10 @@
 			p.rec.Blocks[node] = b
 		}
 		p.gave[node] = map[string]bool{}
+		// What it gave back under an earlier grant it may have again, with tasks.
+		if r.GetGrant() != p.rec.Blocks[node].Grant {
+			continue
+		}
 		for _, name := range l.unpack(r.GetGave()) {
 			p.gave[node][name] = true
 		}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -208,6 +208,16 @@
 	o.releaseGuests(false)
 }
 
+// GivesBack tells whether a machine of the block is to go back to the leader.
+func (o *Owner) GivesBack() bool {
+	for _, m := range o.machines {
+		if m.gave {
+			return true
+		}
+	}
+	return false
+}
+
 // take takes a machine into the block. A dirty one may run tasks that this
 // controller knows nothing of.
 func (o *Owner) take(name string, dirty bool) {
