Freshness counts from when the first page of jobs was asked for

Cause: a controller that has read all jobs took all cancellations up to the end of that reading for known. Where the state service is slow the first page is older by seconds than the last one, and a job on it may have been cancelled since; should the service then be away, workers were answered, and cancelled tasks kept alive, for as much longer than cancel_s allows.

Change: what is known counts from when the first page was asked for. The watch that follows brings it up to date within its two seconds.

--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -41,7 +41,7 @@
 			c.loadFailed("generation", status)
 			return
 		}
-		c.loadPage("", 0, map[string]bool{})
+		c.loadPage(c.loop.Now, "", 0, map[string]bool{})
 	})
 }
 
@@ -51,7 +51,9 @@
 	c.retryAt = c.loop.Now.Add(500 * time.Millisecond)
 }
 
-func (c *Core) loadPage(after string, rev uint64, seen map[string]bool) {
+// loadPage reads a page of jobs and those behind it. asked is when the first one
+// was asked for: what has changed since may be on a page that was read before.
+func (c *Core) loadPage(asked time.Time, after string, rev uint64, seen map[string]bool) {
 	c.loop.Emit(step.StateRange{Prefix: jobPrefix, After: after, ID: c.loop.Call(func(d step.Completed) {
 		if d.Status != 200 {
 			c.loadFailed("jobs", d.Status)
@@ -68,7 +70,7 @@
 			after = p.Key
 		}
 		if d.Page.More && len(d.Page.Pairs) > 0 {
-			c.loadPage(after, rev, seen)
+			c.loadPage(asked, after, rev, seen)
 			return
 		}
 		for id, j := range c.own.Jobs() {
@@ -76,7 +78,6 @@
 				c.own.End(j)
 			}
 		}
-		sent := c.loop.Now
 		c.fetchLease(func(status int) {
 			if status != 200 && status != 404 {
 				c.loadFailed("leases", status)
@@ -88,7 +89,7 @@
 			}
 			c.loading, c.loaded, c.kept = false, true, rebuild.Memory{}
 			c.rev = rev
-			c.own.Known(sent)
+			c.own.Known(asked)
 			c.leaseSeen = c.loop.Now
 			if b, ok := c.view.Lease.Blocks[c.view.Me]; ok && b.Incarnation >= c.hold.Incarnation() && !c.hold.Held() {
 				c.hold.Outgrow(b.Incarnation)
