Leases count from when a value that renews them is first seen

Cause: the leader noted a renewal when its write was answered. A write without an answer may be carried out seconds later; the value then gives its holder a lease from the renewal that it honours, while the leader went on counting from the write before. It gave the block away up to 5 s before the holder's right to start had ended.

Change: any newer value in view, whoever wrote it and however it came to be known, renews the leases of the renewals that it shows.

Measured: TestRenewalsOfALateWriteCount, seen failing before ("its block was given away 3.75s before its lease ended").

--- a/internal/core/controller/lead.go
+++ b/internal/core/controller/lead.go
@@ -27,7 +27,7 @@
 	c.log.Info("leading", "term", term)
 	c.stopLeading()
 	c.lead = leader.New(&c.loop, c.view, &c.book, local{c.own, c}, c.log, c.hold.Incarnation(), term, c.baseSeen)
-	c.lead.Stored(nil, c.writeSent)
+	c.lead.Stored(c.writeSent)
 	c.view.Leading = true
 }
 
--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -125,7 +125,11 @@
 	if version <= c.view.Version || c.recovery != nil {
 		return
 	}
+	before := c.view.Lease.Blocks
 	c.view.Take(rec, version)
+	if c.lead != nil {
+		c.lead.Renewed(before)
+	}
 	c.leaseSeen = c.loop.Now
 	c.baseSeen, c.valueSeen = c.valueSeen, c.loop.Now
 	if rec.Leader == c.view.Me && rec.Incarnation == c.hold.Incarnation() {
@@ -407,13 +411,6 @@
 		b.Renewal = c.hold.Sent(c.loop.Now)
 		rec.Blocks[c.view.Me] = b
 	}
-	// Noted now: the watch may show this write before its answer comes.
-	var renewed []string
-	for node, b := range rec.Blocks {
-		if old := c.view.Lease.Blocks[node]; b.Renewal != old.Renewal || b.Incarnation != old.Incarnation {
-			renewed = append(renewed, node)
-		}
-	}
 	ops := []wire.Op{{Put: leaseKey, Value: rec}}
 	var draft *leasevalue.Draft
 	if rec.Form >= 2 {
@@ -445,7 +442,7 @@
 				then()
 				c.applyLease(rec, d.Txn.Revision)
 				if c.lead != nil {
-					c.lead.Stored(renewed, sent)
+					c.lead.Stored(sent)
 					c.leadTick()
 				}
 				return
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -65,8 +65,8 @@
 	storedAt time.Time                  // when the last write that is stored was sent
 	renewals map[string]*peerpb.Renewal // newest of each controller
 	heardAt  map[string]time.Time       // when it came
-	// renewedAt is when the answer to the last write with a renewal of that
-	// controller came; its lease may last Lease from then.
+	// renewedAt is when a value with another renewal of that controller was first
+	// seen; its lease may last Lease from then.
 	renewedAt map[string]time.Time
 	gone      map[string]bool // released, confirmed
 	recalls   map[string]bool
@@ -162,12 +162,18 @@
 	return true
 }
 
-// Stored notes that a proposed value, sent at a moment, is stored and renews these
-// leases.
-func (l *Leader) Stored(renewed []string, sent time.Time) {
-	l.storedAt = sent
-	for _, node := range renewed {
-		l.renewedAt[node] = l.loop.Now
+// Stored notes that a proposed value, sent at a moment, is stored.
+func (l *Leader) Stored(sent time.Time) { l.storedAt = sent }
+
+// Renewed notes that the view has a newer value, where before it had these blocks.
+// The leases that it renews count from now, whoever wrote it and however it came to
+// be known: a write without an answer may be carried out late, and its holders
+// then have the time that it gives them.
+func (l *Leader) Renewed(before map[string]wire.Block) {
+	for node, b := range l.view.Lease.Blocks {
+		if old := before[node]; b.Renewal != old.Renewal || b.Incarnation != old.Incarnation {
+			l.renewedAt[node] = l.loop.Now
+		}
 	}
 }
 
