An answer makes a command void that had no answer in time

Cause: a controller that has stood still may read a worker's report before it learns that its command to that worker had no answer. The report's answer then kept the session alive with the same token, and in it a start that is still held on its way.

Change: a command that is overdue by the clock raises the token with the next answer, read or not. Tests of their own for the other parts of that mechanism: starts go straight to a worker only while it shows that it hears, not beyond the time for which reports may be answered, raised tokens are followed, guests' tokens are raised.

TestMistakenJobIsTriedSparingly answered with the holder's first token whatever it had been told; a worker shows the highest that it has seen, and so does the stand-in now. Its checks are as they were.

--- a/internal/core/owner/guards_test.go
+++ b/internal/core/owner/guards_test.go
@@ -132,7 +132,7 @@
 				tasks = append(tasks, wire.TaskReport{Task: key.task, Attempt: key.attempt, State: wire.TaskEnded, Why: why})
 			}
 			seq++
-			report(o, at, step.ReportIn{Req: seq, Report: reportOf(m, 1, seq, m.fence, tasks...)})
+			report(o, at, step.ReportIn{Req: seq, Report: reportOf(m, 1, seq, o.tokenFor(m), tasks...)})
 		}
 		for _, name := range names {
 			if o.machines[name].bad {
@@ -259,3 +259,132 @@
 		t.Errorf("copies count: %+v", g)
 	}
 }
+
+// answers are the tokens and commands with which reports were answered.
+func answers(effects []step.Effect) (out []wire.ReportAnswer) {
+	for _, e := range effects {
+		if r, ok := e.(step.Reply); ok && r.Status == 200 {
+			out = append(out, r.Body.(wire.ReportAnswer))
+		}
+	}
+	return out
+}
+
+// TestOverdueCommandIsVoid has a controller stand still after it has sent a start
+// straight to a worker. It reads the worker's report before it learns that the
+// command had no answer: the report's answer has to make the command void, as it
+// keeps the session alive in which it may yet arrive. And until the worker has shown
+// the raised token nothing more is started by a command of its own.
+func TestOverdueCommandIsVoid(t *testing.T) {
+	o, m, now := oneMachine(t, false)
+	report(o, now, step.ReportIn{Req: 1, Report: reportOf(m, 1, 1, m.fence)})
+	putArray(o, "wk-000001", "standard", 1, 1, now)
+	var sent step.Direct
+	for _, e := range tick(o, now.Add(time.Second)) {
+		if d, ok := e.(step.Direct); ok {
+			sent = d
+		}
+	}
+	if len(sent.Body.Commands) != 1 {
+		t.Fatalf("sent %+v, want one start", sent.Body)
+	}
+	at := now.Add(12 * time.Second)
+	o.Known(at)
+	mayStart(o)
+	report(o, at, step.ReportIn{Req: 2, Report: reportOf(m, 1, 5, m.fence)})
+	got := answers(o.loop.Effects())
+	if len(got) != 1 || got[0].Token <= sent.Body.Token {
+		t.Errorf("answered with %+v after a command with token %d", got, sent.Body.Token)
+	}
+	complete(o, at, step.Completed{ID: sent.ID})
+	j := putArray(o, "wk-000002", "standard", 1, 1, at)
+	o.loop.Begin(at)
+	o.start(j, m)
+	m.noDirect = time.Time{}
+	for _, e := range tick(o, at.Add(time.Second)) {
+		if d, ok := e.(step.Direct); ok && len(d.Body.Commands) > 0 {
+			t.Errorf("%+v sent to a machine that may not hear", d.Body)
+		}
+	}
+	report(o, at.Add(2*time.Second), step.ReportIn{Req: 3, Report: reportOf(m, 1, 9, o.tokenFor(m))})
+	if !m.hears() {
+		t.Error("shows the raised token, and does not count as one that hears")
+	}
+}
+
+// TestRaisedTokenIsFollowed: another controller has kept a machine of this one's
+// block and raised its token. Within the grant its holder goes on from there; a
+// token of a later grant says that somebody else has taken over.
+func TestRaisedTokenIsFollowed(t *testing.T) {
+	o, m, now := oneMachine(t, false)
+	report(o, now, step.ReportIn{Req: 1, Report: reportOf(m, 1, 1, m.fence)})
+	raised := m.fence + 3
+	report(o, now.Add(time.Second), step.ReportIn{Req: 2, Report: reportOf(m, 1, 8, raised)})
+	if got := answers(o.loop.Effects()); len(got) != 1 || got[0].Token < raised || len(o.guests) > 0 || !m.hears() {
+		t.Errorf("answered with %+v, guests %d", got, len(o.guests))
+	}
+	report(o, now.Add(2*time.Second), step.ReportIn{Req: 3, Report: reportOf(m, 1, 9, m.fence+1<<24)})
+	if len(o.guests) != 1 {
+		t.Error("a token of a later grant does not make it a guest")
+	}
+}
+
+// TestGuestsTokenIsRaised: with the first answer, when the worker has dealt with
+// others in between, and every now and then, but not with every answer; and not for an
+// owner that would take the machine for lost.
+func TestGuestsTokenIsRaised(t *testing.T) {
+	for _, follows := range []bool{true, false} {
+		o, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n1": {Grant: 5, Incarnation: 7, Machines: wire.NameSet{"host-000001"}}}, Homes: map[string]string{"free": "n1"}})
+		o.view.Peers["n1"].FollowsRaised = follows
+		first := uint64(5 << 24)
+		token, seq := first, uint64(10)
+		for i, c := range []struct {
+			after  time.Duration
+			skips  uint64
+			raised bool
+		}{{0, 0, true}, {time.Second, 0, false}, {time.Second, 0, false}, {time.Second, 1, true},
+			{time.Second, 0, false}, {raiseEvery - time.Second, 0, true}, {time.Second, 0, false}} {
+			now = now.Add(c.after)
+			o.Known(now)
+			seq += 1 + c.skips
+			report(o, now, step.ReportIn{Req: uint64(i), Report: wire.Report{Machine: "host-000001", Type: "s4", Session: 1, Seq: seq, Token: token}})
+			got := answers(o.loop.Effects())
+			if len(got) != 1 {
+				t.Fatalf("follows %v, report %d: answers %+v", follows, i, got)
+			}
+			if raised := got[0].Token > token; raised != (c.raised && follows) {
+				t.Errorf("follows %v, report %d: token %d after %d", follows, i, got[0].Token-first, token-first)
+			}
+			token = got[0].Token
+		}
+	}
+}
+
+// TestStartsNeedFreshness: the block lease is renewed by the leader's word while this
+// controller has not seen for long what was cancelled elsewhere. It may start nothing.
+func TestStartsNeedFreshness(t *testing.T) {
+	for _, fresh := range []bool{true, false} {
+		o, m, now := oneMachine(t, false)
+		at := now.Add(30 * time.Second)
+		if fresh {
+			o.Known(at)
+		}
+		o.loop.Begin(at)
+		mayStart(o)
+		j := putArray(o, "wk-000001", "standard", 1, 1, now)
+		o.observe(m, &wire.Report{Machine: m.name, Endpoint: "e", Type: "s4", Zone: "x", Session: 1, Seq: 5, Token: m.fence}, true)
+		starts := 0
+		for _, e := range tick(o, at) {
+			if d, ok := e.(step.Direct); ok && len(d.Body.Commands) > 0 {
+				starts++
+				if d.Until.After(o.answerUntil()) {
+					t.Errorf("may be sent until %v, reports answered until %v", d.Until, o.answerUntil())
+				}
+			}
+		}
+		if (starts > 0) != fresh || (len(j.runs) > 0) != fresh {
+			t.Errorf("fresh: %v, %d starts, %d runs", fresh, starts, len(j.runs))
+		}
+	}
+}
--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -81,8 +81,9 @@
 	// unanswered counts the direct calls since it was last heard that it has
 	// not answered.
 	unanswered int
-	calling    bool   // a direct call is under way
-	guess      uint64 // its session, as far as others know
+	calling    bool      // a direct call is under way
+	calledAt   time.Time // zero once its token was raised for that
+	guess      uint64    // its session, as far as others know
 	noDirect   time.Time
 	pauseTo    time.Time
 	runs       map[runKey]*run
@@ -227,6 +228,12 @@
 			Body: wire.ReportAnswer{Token: o.tokenFor(m), Commands: []wire.Command{}}})
 		return
 	}
+	if m.calling && !m.calledAt.IsZero() && o.loop.Now.Sub(m.calledAt) > DirectTimeout {
+		// It has had no answer in time, which this controller, having stood still,
+		// has not read yet: this answer must not keep alive what is held on its way.
+		o.suspect(m)
+		m.calledAt = time.Time{}
+	}
 	m.answered = o.loop.Now
 	m.asking = true
 	o.placeSoon()
@@ -846,7 +853,7 @@
 		if len(cmds) == 0 {
 			continue
 		}
-		m.calling = true
+		m.calling, m.calledAt = true, o.loop.Now
 		var sent []*run
 		for _, k := range cmds {
 			if r := m.runs[runKey{k.Task, k.Attempt}]; r != nil && k.Op == wire.OpStart {
@@ -939,7 +946,7 @@
 		if session == 0 {
 			session = m.guess
 		}
-		m.calling = true
+		m.calling, m.calledAt = true, o.loop.Now
 		o.asking++
 		o.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: o.hold.Until(),
 			Body: wire.Commands{Token: o.tokenFor(m), Session: session, Commands: []wire.Command{}},
