Controllers show one another that no cancellation was told; long outages keep work

Cause: workers are answered only while every cancellation that may have been told is known, which the watch shows. In an outage of the state service longer than cancel_s - lease_s nobody was answered any more, and all work was lost.

Change: controllers ask one another in the frames that they send every second. It needs all of them, and ends by itself. Earlier versions do not answer, so beside them nothing changes. Only how long workers are answered goes by it.

TestClear has each part.

TestBadInput sends malformed requests, reports, frames and records, while the state service answers and while it is away.

--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -123,6 +123,10 @@
 	// FollowsRaised says that it goes on with machines whose token was raised
 	// elsewhere.
 	FollowsRaised bool
+	// Asked is its newest ask, and Clear the moment up to which it has told of no
+	// cancellation that is not known here, see package controller's clear.go.
+	Asked uint64
+	Clear time.Time
 }
 
 // Room is what is free on a controller's machines at a moment, in processors.
--- /dev/null
+++ b/internal/core/controller/clear.go
@@ -0,0 +1,69 @@
+package controller
+
+import (
+	"time"
+
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/peerpb"
+)
+
+// Workers are answered, which keeps tasks alive, only while no cancellation can have
+// been told to its user for too long that is not known here (owner.answerUntil). The
+// watch shows that as long as the state service answers. Where it does not, the
+// controllers show it one another.
+//
+// A cancellation is told by a controller that has had its revision from the state
+// service. So each says up to which revision it, or an earlier process of it, may have
+// told any; a process that has read the state says the revision that it read. When
+// every other controller has answered an ask with a revision up to which all changes
+// are known here, then all cancellations that were told before the ask was sent are
+// known. One that is missing, stands still, is cut off, has just started or belongs to
+// an earlier version does not answer, and the proof ends by itself.
+
+// asksKept bounds the asks whose answers still count, one a second.
+const asksKept = 16
+
+// askAll notes that a frame which asks is sent, and writes the ask and the answers to
+// others into it.
+func (c *Core) askAll(f *peerpb.Frame) {
+	if !c.view.Par.Levels.Gated() || !c.loaded || c.recovery != nil {
+		return
+	}
+	c.asks++
+	c.askedAt[c.asks%asksKept] = c.loop.Now
+	f.Ask, f.Cancelled = c.asks, c.cancelled
+	for _, name := range cluster.SortedKeys(c.view.Peers) {
+		if p := c.view.Peers[name]; p.Asked > 0 {
+			f.Echoes = append(f.Echoes, &peerpb.Echo{To: name, Process: p.Process, Ask: p.Asked})
+		}
+	}
+}
+
+// answered takes in what a frame says of cancellations.
+func (c *Core) answered(p *cluster.Peer, f *peerpb.Frame) {
+	if f.GetAsk() > 0 {
+		p.Asked = f.GetAsk()
+	}
+	if !c.loaded || c.recovery != nil || f.GetLost() || f.GetGeneration() != c.generation() ||
+		f.GetCancelled() == 0 || f.GetCancelled() > c.rev {
+		return
+	}
+	for _, e := range f.GetEchoes() {
+		if e.GetTo() != c.view.Me || e.GetProcess() != c.hold.Incarnation() || e.GetAsk() > c.asks || e.GetAsk()+asksKept <= c.asks {
+			continue
+		}
+		if at := c.askedAt[e.GetAsk()%asksKept]; at.After(p.Clear) {
+			p.Clear = at
+		}
+	}
+	var least time.Time
+	for _, p := range c.view.Peers {
+		if p.Clear.IsZero() {
+			return
+		}
+		if least.IsZero() || p.Clear.Before(least) {
+			least = p.Clear
+		}
+	}
+	c.own.Clear(least)
+}
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -76,9 +76,12 @@
 	// What was last told to the peers.
 	pingAt time.Time
 
-	steppedAt time.Time    // when the last event was handled
-	wokeAt    time.Time    // when it last stood still until
-	writeSent time.Time    // when the last write of the lease value went out
+	steppedAt time.Time // when the last event was handled
+	wokeAt    time.Time // when it last stood still until
+	writeSent time.Time // when the last write of the lease value went out
+	cancelled uint64    // no cancellation beyond this revision has been told from here
+	asks      uint64    // see clear.go
+	askedAt   [asksKept]time.Time
 	spare     float64      // processors free here beyond what waits
 	room      cluster.Room // free here
 }
@@ -252,6 +255,7 @@
 	f.Progress = c.own.News()
 	f.NoReports = c.own.Unreported()
 	f.Guests = c.own.GuestsOf()
+	c.askAll(f)
 	for _, name := range cluster.SortedKeys(c.view.Peers) {
 		c.loop.Emit(step.PeerSend{To: name, Frame: f})
 	}
@@ -299,6 +303,7 @@
 		p.NoReports, p.Guests = f.GetNoReports(), int(f.GetGuests()[c.view.Me])
 	}
 	p.Tell(f.GetTeams())
+	c.answered(p, f)
 	for _, g := range f.GetProgress() {
 		if j := c.own.Job(g.GetId()); j != nil {
 			j.Told = [2]int{int(g.GetDone()), int(g.GetRunning())}
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -90,6 +90,7 @@
 			c.loading, c.loaded, c.kept = false, true, rebuild.Memory{}
 			c.rev = rev
 			c.own.Known(asked)
+			c.cancelled = max(c.cancelled, rev, 1) // an earlier process may have told of any
 			c.leaseSeen = c.loop.Now
 			if b, ok := c.view.Lease.Blocks[c.view.Me]; ok && b.Incarnation >= c.hold.Incarnation() && !c.hold.Held() {
 				c.hold.Outgrow(b.Incarnation)
@@ -171,7 +172,7 @@
 			c.log.Error("end record", "key", key, "err", err)
 			return
 		}
-		c.applyEnd(key[len(endPrefix):], rec)
+		c.applyEnd(key[len(endPrefix):], rec, version)
 	case key == genKey:
 		c.applyGeneration(value, version)
 	case strings.HasPrefix(key, renPrefix):
@@ -215,7 +216,10 @@
 }
 
 // applyEnd notes that a job is over. An end is final.
-func (c *Core) applyEnd(id string, rec wire.EndRecord) {
+func (c *Core) applyEnd(id string, rec wire.EndRecord, version uint64) {
+	if rec.State == wire.Cancelled {
+		c.cancelled = max(c.cancelled, version)
+	}
 	if c.recovery != nil {
 		// Decided on what is left of the state, by a record that may have been over
 		// before the loss; it says nothing against what was known then.
@@ -265,7 +269,7 @@
 		switch {
 		case d.Status == 200:
 			c.own.Tally.Ended(&j.Rec.Job, state == wire.Cancelled, j.Begun() || j.Told != [2]int{})
-			c.applyEnd(id, rec)
+			c.applyEnd(id, rec, d.Txn.Revision)
 			then(true)
 		case d.Status == 409:
 			c.refresh(id, func(ok bool) {
--- a/internal/core/controller/meeting_test.go
+++ b/internal/core/controller/meeting_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -197,3 +198,150 @@
 	}
 	return b
 }
+
+// TestBadInput sends what no client, worker, controller or store should, while the
+// state service answers and while it is away. Nothing of it may end the process or
+// change what is known; users and workers are answered at once, with 503 and when to
+// come back where the right answer cannot be known.
+func TestBadInput(t *testing.T) {
+	raw := func(v any) []byte {
+		b, err := wire.Encode(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	put := func(key string, value []byte) step.Event {
+		return step.Completed{State: true, Status: 200, Watch: wire.Changes{Revision: 9, Log: []wire.Change{{Put: key, Value: value, Version: 9}}}}
+	}
+	for name, c := range map[string]struct {
+		ev         step.Event
+		well, away int // the answer's status; 0: there is nothing to answer
+	}{
+		"a submission without an id":       {step.SubmitIn{Req: 1, Err: io.ErrUnexpectedEOF}, 400, 400},
+		"a malformed submission":           {step.SubmitIn{Req: 1, Job: wire.Job{ID: "wk-000009"}, Err: io.ErrUnexpectedEOF}, 400, 503},
+		"a question for an impossible id":  {step.PollIn{Req: 1, ID: "no/such id"}, 404, 404},
+		"a question for an unknown id":     {step.PollIn{Req: 1, ID: "wk-000009"}, 404, 503},
+		"a cancellation of an unknown job": {step.CancelIn{Req: 1, ID: "wk-000009"}, 404, 503},
+		"a report without a machine":       {step.ReportIn{Req: 1, Report: wire.Report{Session: 1}}, 400, 400},
+		"a report without a session":       {step.ReportIn{Req: 1, Report: wire.Report{Machine: "host-000001"}}, 400, 400},
+		"a report of tasks with bad names": {step.ReportIn{Req: 1, Report: wire.Report{Machine: "host-000001", Session: 1, Seq: 1, Token: 1 << 42,
+			Tasks: []wire.TaskReport{{Task: "wk-000001"}, {Task: "wk-000001/-1"}, {Task: "/"}, {Task: "wk-000001/99999999999999999999"}}}}, 200, 200},
+		"a frame of nobody":                {step.PeerIn{Frame: &peerpb.Frame{From: "n9"}}, 0, 0},
+		"a frame with names that are none": {step.PeerIn{Frame: &peerpb.Frame{From: "n1", Renewal: &peerpb.Renewal{Node: "n1", Incarnation: 9, Number: 7, Gave: "?", Lost: "?", Heard: "?", Unknown: "?"}}}, 0, 0},
+		"a frame with a view that is none": {step.PeerIn{Frame: &peerpb.Frame{From: "n1", View: []byte{0xc1}}}, 0, 0},
+		"an echo that nobody asked for":    {step.PeerIn{Frame: &peerpb.Frame{From: "n1", Cancelled: 1, Ask: 1 << 60, Echoes: []*peerpb.Echo{{To: "n0", Process: 7, Ask: 1 << 60}}}}, 0, 0},
+		"an answer to no call":             {step.Completed{ID: 1 << 40, Status: 200, Report: &wire.Report{}}, 0, 0},
+		"a stored job that cannot be read": {put(jobPrefix+"wk-000009", []byte{0xc1}), 0, 0},
+		"a stored job under another's key": {put(jobPrefix+"wk-000009", raw(wire.JobRecord{Job: wire.Job{ID: "wk-000008"}})), 0, 0},
+		"a stored end that cannot be read": {put(endPrefix+"wk-000009", []byte{0xc1}), 0, 0},
+		"a lease value that is none":       {put(leaseKey, []byte{0xc1}), 0, 0},
+		"a renewal that is none":           {put(renPrefix+"n1", raw(map[string]string{"pb": "?"})), 0, 0},
+		"a generation that is none":        {put(genKey, []byte{0xc1}), 0, 0},
+		"a level that is none":             {put(WordKey, []byte{0xc1}), 0, 0},
+	} {
+		for _, away := range []bool{false, true} {
+			c0, start := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7, Homes: map[string]string{"free": "n0"},
+				Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: []string{"host-000001"}}}})
+			want, now, watch := c.well, start, uint64(0)
+			if away {
+				want, now = c.away, start.Add(stateSilent)
+			}
+			// handle carries out an event, and answers what it asks of the state service.
+			var handle func(ev step.Event) int
+			handle = func(ev step.Event) (status int) {
+				for _, e := range c0.Step(now, ev) {
+					switch e := e.(type) {
+					case step.Reply:
+						if status = e.Status; status == 503 && e.RetryAfter == 0 {
+							t.Errorf("%s, away: %v: 503 without when to come back", name, away)
+						}
+					case step.StateTxn:
+						if len(e.Txn.Then) == 0 && !away {
+							status = max(status, handle(step.Completed{ID: e.ID, State: true, Status: 200, Txn: wire.TxnAnswer{Revision: 9}}))
+						}
+					case step.StateWatch:
+						watch = e.ID
+					}
+				}
+				return status
+			}
+			handle(step.Tick{})
+			ev := c.ev
+			if d, ok := ev.(step.Completed); ok && d.ID == 0 {
+				if d.ID = watch; watch == 0 {
+					t.Fatal("no watch is open")
+				}
+				ev = d
+			}
+			jobs, version := len(c0.own.Jobs()), c0.view.Version
+			if got := handle(ev); got != want {
+				t.Errorf("%s, away: %v: answered %d, want %d", name, away, got, want)
+			}
+			handle(step.Tick{})
+			if len(c0.own.Jobs()) != jobs || c0.view.Version != version || len(c0.ended) > 0 || c0.recovery != nil {
+				t.Errorf("%s, away: %v: changed what is known", name, away)
+			}
+		}
+	}
+}
+
+// TestClear: how long workers may be answered while the state service is away, by
+// what the other controllers say of cancellations.
+func TestClear(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(f *peerpb.Frame)
+		all    bool // every other controller says so
+		clear  bool
+	}{
+		"all say so":                      {func(*peerpb.Frame) {}, true, true},
+		"one was never heard":             {func(*peerpb.Frame) {}, false, false},
+		"a cancellation unknown here":     {func(f *peerpb.Frame) { f.Cancelled = 8 }, true, false},
+		"just started":                    {func(f *peerpb.Frame) { f.Cancelled = 0 }, true, false},
+		"state of another generation":     {func(f *peerpb.Frame) { f.Generation = 2 }, true, false},
+		"has found that data is lost":     {func(f *peerpb.Frame) { f.Lost = true }, true, false},
+		"answers an earlier process":      {func(f *peerpb.Frame) { f.Echoes[0].Process-- }, true, false},
+		"answers somebody else":           {func(f *peerpb.Frame) { f.Echoes[0].To = "n3" }, true, false},
+		"answers what was asked long ago": {func(f *peerpb.Frame) { f.Echoes[0].Ask -= asksKept }, true, false},
+		"answers what was never asked":    {func(f *peerpb.Frame) { f.Echoes[0].Ask++ }, true, false},
+		"of an earlier version":           {func(f *peerpb.Frame) { f.Echoes = nil }, true, false},
+	} {
+		c0, start := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{})
+		s := *c0.view.Cfg
+		s.Peers = append(s.Peers, config.Peer{HostName: "n2", Area: "x"})
+		core := New(&s, c0.view.Par, c0.log, 7)
+		core.loop.Begin(start)
+		core.loaded, core.rev, core.stateOK, core.watching = true, 7, start, true
+		core.own.Known(start)
+		ask, now := uint64(0), start
+		for ask < 2*asksKept {
+			now = now.Add(time.Second)
+			for _, e := range core.Step(now, step.Tick{}) {
+				if p, ok := e.(step.PeerSend); ok {
+					ask = max(ask, p.Frame.Ask)
+				}
+			}
+		}
+		asked := now
+		for _, from := range []string{"n1", "n2"} {
+			if from == "n2" && !c.all {
+				continue
+			}
+			f := &peerpb.Frame{From: from, Incarnation: 9, Generation: 1, Cancelled: 7, Echoes: []*peerpb.Echo{{To: "n0", Process: 7, Ask: ask}}}
+			c.change(f)
+			core.Step(now.Add(5*time.Second), step.PeerIn{Frame: f})
+		}
+		// Twenty seconds after the ask, less the margins, counted from the ask.
+		for _, after := range []time.Duration{18 * time.Second, 20 * time.Second} {
+			status, want := 0, c.clear && after < 19*time.Second
+			for _, e := range core.Step(asked.Add(after), step.ReportIn{Req: 1, Report: wire.Report{Machine: "host-000001", Type: "s4", Session: 1, Seq: uint64(after)}}) {
+				if r, ok := e.(step.Reply); ok {
+					status = r.Status
+				}
+			}
+			if (status == 503) == want {
+				t.Errorf("%s: a worker gets %d %v after the ask", name, status, after)
+			}
+		}
+	}
+}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -47,6 +47,7 @@
 	log     *slog.Logger
 
 	fresh   time.Time // all changes of jobs before this time are known
+	clear   time.Time // and all cancellations that were told before this one
 	jobs    map[string]*Job
 	homes   map[string]uint64    // home -> version of the lease value with which it became ours
 	offered map[string]time.Time // when each home was last offered, see yield.go
@@ -114,6 +115,13 @@
 	}
 }
 
+// Clear notes that all cancellations told to their users before a moment are known.
+func (o *Owner) Clear(at time.Time) {
+	if at.After(o.clear) {
+		o.clear = at
+	}
+}
+
 // Holds tells how many machines are in the block.
 func (o *Owner) Holds() int { return len(o.machines) }
 
--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -195,7 +195,11 @@
 // here would keep alive for another lease_s.
 func (o *Owner) answerUntil() time.Time {
 	w := o.view.Cfg.Cluster.Workers
-	return o.fresh.Add(cluster.Shrink(config.Seconds(w.CancelS-w.LeaseS) - 2*time.Second))
+	known := o.fresh
+	if o.clear.After(known) {
+		known = o.clear
+	}
+	return known.Add(cluster.Shrink(config.Seconds(w.CancelS-w.LeaseS) - 2*time.Second))
 }
 
 // Report handles a worker's report.
