A check before an answer compares the state's generation too

Cause: a controller that was cut off while the state lost data knew neither the jobs accepted meanwhile nor of the loss. Back again it found neither record nor end of such a job, as they were not stored again yet, and a revision above all that it had seen, and answered 404.

Change: the generation is a condition of every check, as it is of the lease write; a rebuild under way makes it fail. Before the rebuild is marked, in the first tenths of a second, nothing is called unknown by one that was without the state service for four seconds, for as long as after a standstill.

Measured: TestCutOffBesideLoss, seen failing at five of its moments before the first part and at three before the second.

--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -77,7 +77,7 @@
 	pingAt time.Time
 
 	steppedAt time.Time // when the last event was handled
-	wokeAt    time.Time // when it last stood still until
+	wokeAt    time.Time // until when it last stood still, or was without the state service
 	writeSent time.Time // when the last write of the lease value went out
 	cancelled uint64    // no cancellation beyond this revision has been told from here
 	asks      uint64    // see clear.go
@@ -127,6 +127,9 @@
 		c.onPeer(e.Frame)
 	case step.Completed:
 		if e.State && (e.Status == 200 || e.Status == 404 || e.Status == 409) {
+			if !c.reachable() && !c.stateOK.IsZero() {
+				c.wokeAt = now // what it has missed meanwhile may be a loss
+			}
 			c.stateOK = now
 		}
 		c.witness(&e)
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -380,9 +380,9 @@
 	return time.Duration(float64(time.Second) / max(1, 0.25*c.view.Cfg.Cluster.State.RPS/float64(c.nodes())))
 }
 
-// verifyMost is how many questions go into a check: two conditions a question,
-// four times txn_ops conditions at most.
-func (c *Core) verifyMost() int { return max(1, 2*c.view.Cfg.Cluster.State.TxnOps) }
+// verifyMost is how many questions go into a check: two conditions a question and one
+// for the generation, four times txn_ops conditions at most.
+func (c *Core) verifyMost() int { return max(1, 2*c.view.Cfg.Cluster.State.TxnOps-1) }
 
 // reachable tells whether the state service answers: its watch does so every two
 // seconds if nothing else does. Where it does not, users are told so at once.
@@ -456,9 +456,18 @@
 	for _, cond := range conds {
 		known[cond.Key[len(jobPrefix):]] = cond.Version > 0
 	}
+	// The generation is part of the compare: one who was cut off while the state lost
+	// data need not see it by the revision, which has gone on since from below.
+	if c.view.Par.Levels.Gated() {
+		conds = slices.Insert(conds, 0, wire.Cond{Key: genKey, Version: c.gen.Version})
+	}
 	c.loop.Emit(step.StateTxn{Txn: wire.Txn{If: conds}, ID: c.loop.Call(func(d step.Completed) {
 		c.verify.busy = false
 		failed := map[string]bool{}
+		if slices.Contains(d.Txn.Failed, genKey) {
+			d.Status = 0 // it says nothing that could be told
+			c.readGeneration(func(int) {})
+		}
 		if d.Status == 409 {
 			for _, key := range d.Txn.Failed {
 				if len(key) > len(jobPrefix) {
@@ -513,8 +522,9 @@
 	return false
 }
 
-// wokeFor is how long after a standstill nothing is sure to be unknown: the others
-// have told by then what they have seen meanwhile, should the state have lost it.
+// wokeFor is how long after a standstill, or a time without the state service, nothing
+// is sure to be unknown: the others have told by then what they have seen meanwhile,
+// should the state have lost it.
 const wokeFor = 1500 * time.Millisecond
 
 // notFound answers a question about a job that is not known: 404 when it is sure
--- a/internal/testkit/simtest/lost_test.go
+++ b/internal/testkit/simtest/lost_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fawncove/internal/core/gate"
+	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
 
@@ -136,3 +137,43 @@
 		t.Errorf("%d starts, want 2", w.Starts)
 	}
 }
+
+// TestCutOffBesideLoss cuts a controller off while jobs are accepted elsewhere, and has
+// the state lose them. When it is back it knows neither them nor of the loss, and what
+// it reads goes on from above all that it has seen. At no moment of the rebuild may it
+// call an accepted job unknown.
+func TestCutOffBesideLoss(t *testing.T) {
+	for back := 20 * time.Millisecond; back < 9*time.Second; back += 20*time.Millisecond + back/5 {
+		w := NewNight(1)
+		w.Begin(gate.Current(), time.Hour)
+		for i := range 10 {
+			w.SubmitNight(i, time.Duration(i)*time.Second)
+		}
+		w.Run(40 * time.Second)
+		victim := (w.index(w.leader()) + 1) % len(w.nodes)
+		w.Isolate(victim, 8*time.Second+back)
+		w.Run(2 * time.Second)
+		u := w.SubmitNight(500, 0)
+		for !u.accepted {
+			w.Run(100 * time.Millisecond)
+		}
+		for i := range 20 { // so that the copy is not below what the victim has seen
+			w.SubmitNight(600+i, 0)
+		}
+		w.after(8*time.Second-(w.now-42*time.Second)-2*time.Second, func() { w.LoseState(w.now - u.acceptedAt + 50*time.Millisecond) })
+		var ask func()
+		ask = func() {
+			w.nodes[victim].ask(func(req uint64) step.Event { return step.PollIn{Req: req, ID: u.job.ID} }, func(r step.Reply) {
+				if r.Status == 404 {
+					w.breakRule("forgotten: %s gets 404", u.job.ID)
+				}
+			})
+			w.after(20*time.Millisecond, ask)
+		}
+		w.after(0, ask)
+		w.Run(30 * time.Second)
+		for _, x := range w.Broken() {
+			t.Errorf("back %v after the loss: %s", back, x)
+		}
+	}
+}
