A lease value older than the one known when it was asked for is a loss

Cause: the state was restored from a copy that lacked one revision, that of a lease value. The next change had its number, so no revision went back; every write of the value was based on a version that is gone, and nothing happened any more.

Change: who reads the lease value compares it with what was known when the request went out.

--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -82,7 +82,16 @@
 	var try func(left int)
 	var pages func(left int, after string)
 	try = func(left int) {
+		known := c.view.Version
 		c.loop.Emit(step.StateGet{Key: leaseKey, ID: c.loop.Call(func(d step.Completed) {
+			if c.recovery == nil && d.Pair.Version < known && (d.Status == 200 || d.Status == 404) {
+				// Its only writes make it newer. Where just the last revision is lost, the
+				// next one has the same number and shows nothing; no write of the value
+				// would ever find the version that it is based on.
+				c.lose("the lease value went back", known, d.Pair.Version)
+				done(0)
+				return
+			}
 			if d.Status == 200 {
 				c.applyPut(leaseKey, d.Pair.Value, d.Pair.Version)
 			}
--- a/internal/core/controller/meeting_test.go
+++ b/internal/core/controller/meeting_test.go
@@ -345,3 +345,44 @@
 		}
 	}
 }
+
+// TestLeaseValueWentBack: only the last revision of the state is lost, that of a lease
+// value. The next change has its number, so no answer shows a lower one; but the value
+// that is read is older than the one that was known when it was asked for.
+func TestLeaseValueWentBack(t *testing.T) {
+	for name, c := range map[string]struct {
+		status  int
+		version uint64
+		later   bool // the known one was read only after the request
+		lost    bool
+	}{
+		"as known":                     {200, 5, false, false},
+		"newer":                        {200, 6, false, false},
+		"older":                        {200, 4, false, true},
+		"gone":                         {404, 0, false, true},
+		"no answer":                    {0, 0, false, false},
+		"refused":                      {503, 0, false, false},
+		"newer came while it was read": {200, 5, true, false},
+	} {
+		core, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1"})
+		core.loop.Begin(now)
+		core.fetchLease(func(int) {})
+		var get step.StateGet
+		for _, e := range core.loop.Effects() {
+			if g, ok := e.(step.StateGet); ok {
+				get = g
+			}
+		}
+		if c.later {
+			core.applyLease(wire.LeaseRecord{Term: 3, Leader: "n1", Beat: 1}, 6)
+		}
+		raw, err := wire.Encode(wire.LeaseRecord{Term: 3, Leader: "n1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		core.Step(now.Add(time.Second), step.Completed{ID: get.ID, State: true, Status: c.status, Pair: wire.Pair{Key: leaseKey, Value: raw, Version: c.version}})
+		if lost := core.recovery != nil; lost != c.lost {
+			t.Errorf("%s: takes the state for one that has lost data: %v", name, lost)
+		}
+	}
+}
