--- a/internal/testkit/simtest/night.go
+++ b/internal/testkit/simtest/night.go
@@ -28,7 +28,18 @@
 	calmAt    time.Duration // from when on every job has to be known
 	// late, if set, chooses the transactions that get no answer and are carried out
 	// so much later.
-	late func(node string, t wire.Txn) (by time.Duration, yes bool)
+	late        func(node string, t wire.Txn) (by time.Duration, yes bool)
+	knowersLive bool // see mustTell
+}
+
+// mustTell tells whether a controller may alone know of what the state has lost: with
+// it gone nobody could store that again. Where nobody who knows may end, it ends later.
+func (w *World) mustTell(n *simNode) bool {
+	if !w.night.knowersLive || w.store.lostAt == 0 {
+		return false
+	}
+	underWay, stored := n.core.Rebuilding()
+	return w.now-w.store.lostAt < time.Second || (underWay && !stored)
 }
 
 // lateBy tells whether a transaction is one of those.
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -349,6 +349,10 @@
 	if !n.up {
 		return
 	}
+	if w.mustTell(n) {
+		w.after(200*time.Millisecond, func() { w.Crash(i, d) })
+		return
+	}
 	n.up, n.since = false, w.now
 	n.life++
 	w.after(d, n.start)
