Let jobs that have not begun move to where there is room, and onto machines kept in vain

Change: an owner whose job waits without room, and of which nothing is anywhere or completed, writes its record again with a home of a controller that tells of room, under the record's version, the lease value and the generation. What has waited for a minute may go onto machines that are wanted back, whoever's job it is onto those kept in vain.

--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -50,6 +50,7 @@
 	K2      int           // the look-ahead threshold
 	Pack    int           // fleets smaller than this have all homes in one place
 	Home    int           // fleets larger than this have the jobs of limited teams parted too
+	Move    time.Duration // how long a job waits without room before it moves to another home
 	// Levels is what levels this version can work under, Version its name, and
 	// RaiseAfter how long all must have been able to follow a level before it is
 	// raised without the operator's word; 0: never.
@@ -64,7 +65,7 @@
 
 // Defaults are the starting values.
 func Defaults() Params {
-	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 700,
+	return Params{Lease: 20 * time.Second, Publish: 5 * time.Second, K2: sched.K2, Pack: 100, Home: 700, Move: 30 * time.Second,
 		Levels: gate.Current(), Version: "unknown", RaiseAfter: RaiseAfter}
 }
 
@@ -123,12 +124,24 @@
 	// FollowsRaised says that it goes on with machines whose token was raised
 	// elsewhere.
 	FollowsRaised bool
+	// Slots is the most room that machines of its block have, and FollowsMoves says
+	// that it knows that jobs move.
+	Slots        []Slot
+	FollowsMoves bool
 	// Asked is its newest ask, and Clear the moment up to which it has told of no
 	// cancellation that is not known here, see package controller's clear.go.
 	Asked uint64
 	Clear time.Time
 }
 
+// Slot is the room on one machine, the most of its type, zone and kind.
+type Slot struct {
+	Kind, Zone string
+	Spot       bool
+	Late       bool // only for what has waited for long
+	Free       sched.Amount
+}
+
 // Room is what is free on a controller's machines at a moment, in processors.
 type Room struct {
 	Free   float64
@@ -174,6 +187,15 @@
 	}
 }
 
+// TellSlots notes the room on a controller's machines.
+func (p *Peer) TellSlots(slots []*peerpb.Slot) {
+	p.Slots = p.Slots[:0]
+	for _, s := range slots {
+		p.Slots = append(p.Slots, Slot{Kind: s.GetType(), Zone: s.GetZone(), Spot: s.GetSpot(), Late: s.GetLate(),
+			Free: sched.Amount{CPUs: s.GetCpus(), Cards: s.GetCards(), MemoryGB: s.GetMemoryGb()}})
+	}
+}
+
 // Levels is what the lease value says of levels.
 func (v *View) Levels() gate.State {
 	return gate.State{Level: gate.Level(v.Lease.Level), Confirmed: gate.Level(v.Lease.Confirmed)}
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -255,6 +255,7 @@
 	c.room = c.own.Room()
 	c.room.Size = size
 	f.FreeCpus, f.ImageCpus, f.SizeCpus = c.room.Free, c.room.Images, size
+	f.Slots = c.own.Slots()
 	f.Progress = c.own.News()
 	f.NoReports = c.own.Unreported()
 	f.Guests = c.own.GuestsOf()
@@ -271,7 +272,7 @@
 	c.tellGeneration(f)
 	if c.view.Par.Levels.Gated() {
 		f.Form, f.NewestLevel, f.SeenLevel = frameForm, uint32(c.view.Par.Levels.Newest), c.view.Lease.Level
-		f.FollowsRaised = true
+		f.FollowsRaised, f.FollowsMoves = true, true
 	}
 	return f
 }
@@ -309,7 +310,9 @@
 	if f.GetImageCpus() != nil {
 		p.Room = cluster.Room{Free: f.GetFreeCpus(), Size: f.GetSizeCpus(), Images: f.GetImageCpus()}
 	}
+	p.FollowsMoves = f.GetFollowsMoves()
 	if f.GetRenewal() == nil {
+		p.TellSlots(f.GetSlots())
 		p.NoReports, p.Guests = f.GetNoReports(), int(f.GetGuests()[c.view.Me])
 	}
 	p.Tell(f.GetTeams())
--- a/internal/core/controller/homes.go
+++ b/internal/core/controller/homes.go
@@ -9,7 +9,8 @@
 // fleet all jobs have the same home, as parting it leaves room unused on every
 // part. Once the fleet is large each controller is home to a part of a team's
 // jobs, and the controller that accepts a job files it under the part with
-// most room. The part stands in the job's record and never changes.
+// most room. The part stands in the job's record and changes only when the job moves
+// (owner/move.go).
 //
 // The jobs of a team with a limit or a guarantee are parted later than those
 // of others, when the fleet is too much for one controller or its crash would
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -89,7 +89,7 @@
 			}
 			c.loading, c.loaded, c.kept = false, true, rebuild.Memory{}
 			c.rev = rev
-			c.own.Known(asked)
+			c.own.Known(rev, asked)
 			c.cancelled = max(c.cancelled, rev, 1) // an earlier process may have told of any
 			c.leaseSeen = c.loop.Now
 			if b, ok := c.view.Lease.Blocks[c.view.Me]; ok && b.Incarnation >= c.hold.Incarnation() && !c.hold.Held() {
@@ -129,7 +129,7 @@
 				}
 			}
 			c.rev = max(c.rev, d.Watch.Revision)
-			c.own.Known(sent)
+			c.own.Known(c.rev, sent)
 			c.watch()
 		case 410:
 			c.log.Info("watch too old, reading again")
@@ -241,6 +241,12 @@
 // Key is where a job's record is stored.
 func (c *Core) Key(id string) string { return jobPrefix + id }
 
+// Basis are the conditions under which the lease value is as this controller knows it,
+// of the generation that it knows.
+func (c *Core) Basis() []wire.Cond {
+	return []wire.Cond{{Key: leaseKey, Version: c.view.Version}, {Key: genKey, Version: c.gen.Version}}
+}
+
 // Users tells how many submissions are being stored, and when one last found no
 // room in the write limit.
 func (c *Core) Users() (pending int, short time.Time) { return c.userWrites, c.usersShort }
--- a/internal/core/controller/lease.go
+++ b/internal/core/controller/lease.go
@@ -441,7 +441,7 @@
 		// The generation is part of the compare: when the state has been rebuilt
 		// its revisions count again from below, and a write of before that could
 		// find the version it was based on.
-		Txn: wire.Txn{If: append([]wire.Cond{{Key: leaseKey, Version: c.view.Version}, {Key: genKey, Version: c.gen.Version}}, c.raiseConds(&rec)...), Then: ops},
+		Txn: wire.Txn{If: append(c.Basis(), c.raiseConds(&rec)...), Then: ops},
 		ID: c.loop.Call(func(d step.Completed) {
 			c.leaseBusy = false
 			if d.Status == 200 {
--- a/internal/core/owner/job.go
+++ b/internal/core/owner/job.go
@@ -47,6 +47,9 @@
 	keeps     string    // machine on which room is kept for it
 	keptSince time.Time // there
 	passedAt  time.Time // when it was last said to be overdue
+	hereSince time.Time // since when it is ready here
+	beside    time.Time // since when another controller has had room for it
+	leaving   uint64    // version of the lease value under which it is to move; 0: it is not
 }
 
 // age is how long ago the job was submitted.
@@ -138,7 +141,7 @@
 }
 
 func (o *Owner) jobReady(j *Job) {
-	j.ready = true
+	j.ready, j.hereSince = true, o.loop.Now
 	j.queue = j.queue[:0]
 	for i := range j.Rec.Tasks {
 		if !j.isDone(i) && j.runs[i] == nil {
--- /dev/null
+++ b/internal/core/owner/move.go
@@ -0,0 +1,285 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/gate"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/step"
+	"fawncove/internal/peerpb"
+	"fawncove/internal/wire"
+)
+
+// A home moves only when nothing of it runs (yield.go), so where homes are parted a job
+// could wait for good for room that another controller's machines have. A job of which
+// nothing is anywhere and nothing is completed moves by itself: its owner, who could
+// start it at that moment and so knows that it is nowhere, has its record name a home of
+// the controller with room.
+//
+// The record is written under its version, and under that of the lease value by which
+// the owner has the job and the other one has that home. From then on the owner starts
+// nothing of it until it is sure what became of the write: a late one is void as soon as
+// the lease value has changed. To the new owner it is a job accepted under its ownership,
+// of which nothing can run. Whoever gets either home from its holder, by a lease value
+// that may be read before the watch has shown the record, starts what was there before
+// only once all changes up to that value are known (current).
+//
+// All controllers have to be there and know of this: an earlier version that took over
+// the former home would not wait. It needs no level, as it ends with the first frame
+// that does not say so.
+
+const (
+	// moveEvery spaces the looks for jobs that could move, of which one does.
+	moveEvery = time.Second
+	// steadyFor is for how long others must have told of room: between the end of a
+	// task and the start of the next there is always some.
+	steadyFor = 3 * time.Second
+)
+
+// current tells whether all is known of the job that was stored before its home came
+// here.
+func (o *Owner) current(j *Job) bool {
+	since := o.homes[j.home()]
+	return j.first > since || o.seen >= since
+}
+
+// Slots are, for each type, zone and kind of machine, those of the block with most room
+// of each resource.
+func (o *Owner) Slots() []*peerpb.Slot {
+	type group struct {
+		kind, zone string
+		spot, late bool
+	}
+	of := [...]func(a sched.Amount) float64{
+		func(a sched.Amount) float64 { return a.CPUs },
+		func(a sched.Amount) float64 { return a.Cards },
+		func(a sched.Amount) float64 { return a.MemoryGB },
+	}
+	type roomiest struct {
+		m    *machine
+		free sched.Amount
+	}
+	best := map[group]*[len(of)]roomiest{}
+	kept := o.keptOn()
+	for _, m := range o.machineOrder() {
+		open, late := o.opens(m, kept)
+		if !open || len(m.runs) >= runsMost {
+			continue
+		}
+		g, free := group{m.kind, m.zone, m.spot, late}, m.free()
+		if best[g] == nil {
+			best[g] = &[len(of)]roomiest{}
+		}
+		for i, amount := range of {
+			if b := &best[g][i]; amount(free) > amount(b.free) {
+				*b = roomiest{m, free}
+			}
+		}
+	}
+	var out []*peerpb.Slot
+	for _, m := range o.machineOrder() {
+		_, late := o.opens(m, kept)
+		b := best[group{m.kind, m.zone, m.spot, late}]
+		if b == nil {
+			continue
+		}
+		if i := slices.IndexFunc(b[:], func(r roomiest) bool { return r.m == m }); i >= 0 {
+			free := b[i].free
+			out = append(out, &peerpb.Slot{Type: m.kind, Zone: m.zone, Spot: m.spot, Late: late,
+				Cpus: free.CPUs, Cards: free.Cards, MemoryGb: free.MemoryGB})
+		}
+	}
+	return out
+}
+
+// keptOn are the overdue jobs by the machines on which room is kept for them.
+func (o *Owner) keptOn() map[string]*Job {
+	kept := map[string]*Job{}
+	for _, j := range o.jobs {
+		if j.keeps != "" && o.Owns(j) && o.overdue(j) {
+			kept[j.keeps] = j
+		}
+	}
+	return kept
+}
+
+// opens tells whether a machine takes tasks that room is not kept for there, and whether
+// only those of jobs that have waited for long (takes).
+func (o *Owner) opens(m *machine, kept map[string]*Job) (open, late bool) {
+	k := kept[m.name]
+	return o.works(m) && (k == nil || o.keptLong(k)), m.recall || k != nil
+}
+
+// look is one look for jobs that could move, with what is the same for all of them.
+type look struct {
+	o       *Owner
+	unknown []*machine
+	hidden  sched.Amount // what may be on them
+	kept    map[string]*Job
+	parts   map[string][]string // of each team
+}
+
+// moveJobs moves a job that waits here without room to a controller that has some. It
+// is called with every tick.
+func (o *Owner) moveJobs() {
+	o.settleMoves()
+	if o.loop.Now.Sub(o.movedAt) < moveEvery || !o.hold.MayStart(o.loop.Now) || !o.allFollowMoves() {
+		return
+	}
+	o.movedAt = o.loop.Now
+	l := look{o: o, hidden: o.hidden(), kept: o.keptOn(), parts: map[string][]string{}}
+	for _, m := range o.machineOrder() {
+		if m.unsure() {
+			l.unknown = append(l.unknown, m)
+		}
+	}
+	for _, j := range o.readyJobs() {
+		node, part := "", ""
+		if l.movable(j) {
+			node, part = l.roomElsewhere(j)
+		}
+		switch {
+		case part == "" || l.roomHere(j):
+			j.beside = time.Time{}
+		case j.beside.IsZero():
+			j.beside = o.loop.Now
+		case o.loop.Now.Sub(j.beside) >= steadyFor:
+			o.move(j, node, part)
+			return
+		}
+	}
+}
+
+// allFollowMoves tells whether every other controller of the settings is in reach and
+// knows that jobs move.
+func (o *Owner) allFollowMoves() bool {
+	for name, p := range o.view.Peers {
+		if !p.FollowsMoves || !o.view.LinkUp(name, o.loop.Now) {
+			return false
+		}
+	}
+	return true
+}
+
+// movable tells whether the job has waited here for long though its team's limit allows
+// for a task of it, and nothing of it is anywhere or completed. A gang needs room for
+// all its tasks, of which others do not tell.
+func (l *look) movable(j *Job) bool {
+	o, since := l.o, j.waitSince
+	if j.hereSince.After(since) {
+		since = j.hereSince
+	}
+	return o.loop.Now.Sub(since) > o.view.Par.Move && j.Rec.Shape != wire.Group && !j.Writing && !j.doubtful() &&
+		len(j.runs) == 0 && j.doneCount == 0 && !o.waitsForUnknown(j, l.unknown) &&
+		o.view.LimitOf(j.Rec.Team).Allows(o.usedByAll(j.Rec.Team), j.need()) &&
+		o.ceilingOf(j.Rec.Team).Allows(o.used[j.Rec.Team].Add(l.hidden, 1), j.need())
+}
+
+// roomHere tells whether a machine of the block has room for a task of the job that is
+// not kept for others.
+func (l *look) roomHere(j *Job) bool {
+	return slices.ContainsFunc(l.o.machineOrder(), func(m *machine) bool {
+		if !j.need().Fits(m.free()) || !l.o.allowed(j, m) {
+			return false
+		}
+		open, late := l.o.opens(m, l.kept)
+		return open && (!late || l.o.waitsLong(j)) || l.kept[m.name] == j && l.o.usable(m)
+	})
+}
+
+// roomElsewhere names the controller that has most room on one machine for a task of
+// the job, and its first home of the job's team; or none.
+func (l *look) roomElsewhere(j *Job) (node, part string) {
+	o, team := l.o, j.Rec.Team
+	parts, known := l.parts[team]
+	if !known {
+		parts = cluster.Parts(o.view.Lease.Homes, team)
+		l.parts[team] = parts
+	}
+	most := 0.0
+	for _, home := range parts {
+		to := o.view.Lease.Homes[home]
+		if to == o.view.Me || to == node || o.view.Peers[to] == nil {
+			continue
+		}
+		if s := o.slotFor(j, to); s != nil && s.Free.CPUs > most {
+			node, part, most = to, home, s.Free.CPUs
+		}
+	}
+	return node, part
+}
+
+// slotFor is the roomiest slot of a controller that a task of the job fits, or nil.
+func (o *Owner) slotFor(j *Job, node string) (best *cluster.Slot) {
+	slots := o.view.Peers[node].Slots
+	for i := range slots {
+		s := &slots[i]
+		m := machine{kind: s.Kind, zone: s.Zone, spot: s.Spot}
+		if (!s.Late || o.waitsLong(j)) && j.mayUse(&m) && j.need().Fits(s.Free) && (best == nil || s.Free.CPUs > best.Free.CPUs) {
+			best = s
+		}
+	}
+	return best
+}
+
+// move has the job's record name a home of another controller.
+func (o *Owner) move(j *Job, node, part string) {
+	rec := j.Rec
+	rec.Part, rec.Owner = part, node
+	form := 0
+	value, err := wire.WithFields(rec, rec.Unknown)
+	if err == nil && o.view.Open(gate.Envelope) {
+		var env wire.Envelope
+		env, err = wire.Wrap(value, o.view.Lease.Generation, 0)
+		value, form = env, env.Form
+	}
+	if err != nil {
+		o.log.Error("record of a job that moves", "job", rec.ID, "err", err)
+		return
+	}
+	// Until the other one tells its new figures the job counts against them.
+	s := o.slotFor(j, node)
+	s.Free = s.Free.Add(j.need(), -1)
+	key := o.records.Key(rec.ID)
+	j.leaving, j.beside = o.view.Version, time.Time{}
+	o.loop.Emit(step.StateTxn{
+		Txn: wire.Txn{If: append(o.records.Basis(), wire.Cond{Key: key, Version: j.Version}), Then: []wire.Op{{Put: key, Value: value}}},
+		ID: o.loop.Call(func(d step.Completed) {
+			switch d.Status {
+			case 200:
+				o.log.Info("job moved", "job", rec.ID, "tasks", rec.Tasks, "waits", j.age(o.loop.Now).Round(time.Second), "to", node)
+				if !j.Over {
+					o.Put(rec, Stamp{Version: d.Txn.Revision, Form: form})
+				}
+			case 0: // perhaps it does move, or will: see settleMoves
+			default:
+				j.leaving = 0
+			}
+		}),
+	})
+}
+
+// settleMoves goes on with jobs that were to move and whose write had no answer: it can
+// be carried out no more once the lease value has changed, and if it was, that is known
+// once all changes up to then are.
+func (o *Owner) settleMoves() {
+	for _, j := range o.jobs {
+		if j.leaving != 0 && o.view.Version > j.leaving && o.seen >= o.view.Version {
+			j.leaving = 0
+		}
+	}
+}
+
+// moved takes in that a job's record names another home than before; mine says that it
+// was this controller's. Its former owner knew that nothing of it was anywhere.
+func (o *Owner) moved(j *Job, at Stamp, mine bool) {
+	j.leaving, j.beside, j.keeps = 0, time.Time{}, ""
+	if j.first = at.Born; at.Born == 0 {
+		j.first = at.Version
+	}
+	if mine && !o.Owns(j) {
+		j.disown()
+	}
+}
--- /dev/null
+++ b/internal/core/owner/move_test.go
@@ -0,0 +1,182 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"fawncove/internal/config"
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/sched"
+	"fawncove/internal/core/step"
+	"fawncove/internal/wire"
+)
+
+// crowded returns an owner of one machine, full and heard, whose job has waited for long
+// beside another controller's room. old leaves a second machine unheard.
+func crowded(t *testing.T, old wire.NameSet) (o *Owner, waits *Job, now time.Time) {
+	t.Helper()
+	o, now = newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1", Blocks: map[string]wire.Block{
+		"n0": {Grant: 1 << 18, Incarnation: 7, Machines: wire.NameSet{"host-000001"}, Old: old}, "n1": {Grant: 1<<18 + 1, Incarnation: 7}},
+		Homes: map[string]string{"free": "n0", "free #1": "n0", "free #2": "n1"}})
+	mayStart(o)
+	m := o.machines["host-000001"]
+	report(o, now, step.ReportIn{Req: 1, Report: reportOf(m, 1, 1, m.fence)})
+	o.start(putPart(o, "wk-000001", 6, 4, now), m)
+	waits = putPart(o, "wk-000002", 7, 3, now)
+	*o.view.Peers["n1"] = cluster.Peer{FollowsMoves: true, Slots: []cluster.Slot{{Kind: "s4", Zone: "y", Free: sched.Amount{CPUs: 4, MemoryGB: 16}}}}
+	return o, waits, now
+}
+
+// putPart has a job of one task stored, filed under the first part of its team.
+func putPart(o *Owner, id string, version uint64, cpus float64, at time.Time) *Job {
+	o.Put(wire.JobRecord{Job: wire.Job{ID: id, Team: "free", Shape: wire.Array, Priority: "urgent", Tasks: 1, CPUs: cpus, MemoryGB: 1},
+		Part: "free #1", Owner: "n0", AtMs: at.UnixMilli()}, Stamp{Version: version})
+	return o.jobs[id]
+}
+
+// moves plays the owner for so long and returns the first transaction that moves a job.
+func moves(o *Owner, now time.Time, long time.Duration) *step.StateTxn {
+	for end := now.Add(long); now.Before(end); now = now.Add(500 * time.Millisecond) {
+		o.loop.Begin(now)
+		mayStart(o)
+		o.Known(o.view.Version, now)
+		for _, m := range o.machines {
+			m.heard = now
+		}
+		o.view.Peers["n1"].Heard = now
+		for _, e := range tick(o, now) {
+			if x, ok := e.(step.StateTxn); ok && x.Txn.Then[0].Put == "fc/j/wk-000002" {
+				return &x
+			}
+		}
+	}
+	return nil
+}
+
+// TestJobsMoveOnlyFromNowhere: a job moves from a full block to a controller with room,
+// once it has waited, and not while something of it may be anywhere, while somebody is
+// out of reach or of a version that does not know of it, or where room is not the reason.
+func TestJobsMoveOnlyFromNowhere(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		old    wire.NameSet
+		change func(o *Owner, j *Job)
+		moves  bool
+	}{
+		{"as it should", nil, func(*Owner, *Job) {}, true},
+		{"another machine is not heard, the job came since", wire.NameSet{"host-000002"}, func(*Owner, *Job) {}, true},
+		{"another machine is not heard, the job came before", wire.NameSet{"host-000002"}, func(o *Owner, j *Job) { j.first = 4 }, false},
+		{"a task is completed", nil, func(o *Owner, j *Job) { j.doneCount = 1 }, false},
+		{"a task is somewhere", nil, func(o *Owner, j *Job) { j.runs[0] = &run{j: j, m: o.machines["host-000001"]} }, false},
+		{"a gang", nil, func(o *Owner, j *Job) { j.Rec.Shape = wire.Group }, false},
+		{"a mistaken job", nil, func(o *Owner, j *Job) { j.failedOn = map[string]bool{"a": true, "b": true, "c": true} }, false},
+		{"its end is being stored", nil, func(o *Owner, j *Job) { j.Writing = true }, false},
+		{"room for less", nil, func(o *Owner, j *Job) { o.view.Peers["n1"].Slots[0].Free.CPUs = 2 }, false},
+		{"room in another zone", nil, func(o *Owner, j *Job) { j.Rec.Zone = "x" }, false},
+		{"room on spot machines", nil, func(o *Owner, j *Job) { o.view.Peers["n1"].Slots[0].Spot = true }, false},
+		{"no home there", nil, func(o *Owner, j *Job) { delete(o.view.Lease.Homes, "free #2") }, false},
+		{"an earlier version", nil, func(o *Owner, j *Job) { o.view.Peers["n1"].FollowsMoves = false }, false},
+		{"one is out of reach", nil, func(o *Owner, j *Job) { o.view.Peers["n2"] = &cluster.Peer{FollowsMoves: true} }, false},
+		{"the team is at its limit", nil, func(o *Owner, j *Job) { o.view.Cfg.Cluster.Teams[0].CPUsMax = 5 }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o, j, now := crowded(t, c.old)
+			c.change(o, j)
+			if x := moves(o, now, o.view.Par.Move); x != nil {
+				t.Error("moves before its time")
+			}
+			if x := moves(o, now.Add(o.view.Par.Move), 20*time.Second); (x != nil) != c.moves {
+				t.Errorf("moves: %v, want %v", x != nil, c.moves)
+			}
+		})
+	}
+}
+
+// TestMoveInDoubt: the write that moves a job has no answer. Nothing of the job is started
+// here until the lease value has changed and all is known up to then; what was refused
+// goes on at once.
+func TestMoveInDoubt(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		status         int
+		version, known uint64 // of the lease value, and up to which all changes are
+		goesOn         bool
+	}{
+		{"no answer", 0, 5, 90, false},
+		{"no answer, the value has changed", 0, 9, 8, false},
+		{"no answer, all is known", 0, 9, 9, true},
+		{"refused", 409, 5, 5, true},
+		{"stored", 200, 5, 5, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o, j, now := crowded(t, nil)
+			x := moves(o, now, time.Minute)
+			if x == nil {
+				t.Fatal("does not move")
+			}
+			at := o.loop.Now
+			complete(o, at, step.Completed{ID: x.ID, State: true, Status: c.status, Txn: wire.TxnAnswer{Revision: 8}})
+			rec := o.view.Lease
+			o.view.Take(rec, c.version)
+			o.loop.Begin(at)
+			full := o.jobs["wk-000001"]
+			o.End(full)
+			for _, r := range full.runs { // room at last
+				o.dropRun(r)
+			}
+			o.seen = c.known
+			o.view.Peers["n1"].FollowsMoves = false
+			for range 10 {
+				at = at.Add(200 * time.Millisecond)
+				o.loop.Begin(at)
+				o.Known(0, at)
+				o.machines["host-000001"].heard = at
+				tick(o, at)
+			}
+			if len(j.runs) > 0 != c.goesOn {
+				t.Errorf("%d tasks placed, want %v", len(j.runs), c.goesOn)
+			}
+		})
+	}
+}
+
+// TestTakenOverBeforeTheMoveIsSeen: a home comes here by a lease value that was read before
+// the watch has shown that one of its jobs had moved on before. It is started elsewhere, and
+// not here; one that was not moved is started once all changes up to the value are known.
+func TestTakenOverBeforeTheMoveIsSeen(t *testing.T) {
+	for _, moved := range []bool{false, true} {
+		o, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7, Machines: wire.NameSet{"host-000001"}}},
+			Homes:  map[string]string{"free #1": "n1", "free #2": "n1"}})
+		m := o.machines["host-000001"]
+		report(o, now, step.ReportIn{Req: 1, Report: reportOf(m, 1, 1, m.fence)})
+		j := putPart(o, "wk-000001", 6, 1, now)
+		rec := o.view.Lease.Clone()
+		rec.Homes["free #1"] = "n0"
+		o.view.Take(rec, 20)
+		o.Leased(rec.Blocks["n0"])
+		o.jobReady(j) // what earlier owners stored is read
+		play := func() {
+			for range 10 {
+				now = now.Add(200 * time.Millisecond)
+				o.loop.Begin(now)
+				mayStart(o)
+				o.Known(0, now)
+				m.heard = now
+				tick(o, now)
+			}
+		}
+		if play(); len(j.runs) > 0 {
+			t.Errorf("moved %v: started at revision %d", moved, o.seen)
+		}
+		if moved {
+			later := j.Rec
+			later.Part = "free #2"
+			o.Put(later, Stamp{Version: 15})
+		}
+		o.Known(20, now)
+		if play(); len(j.runs) > 0 == moved {
+			t.Errorf("moved %v: %d tasks are placed", moved, len(j.runs))
+		}
+	}
+}
--- a/internal/core/owner/overdue.go
+++ b/internal/core/owner/overdue.go
@@ -49,16 +49,24 @@
 	// keptAlone is for how long room is kept against everybody: what was overdue when it
 	// began to be kept should have begun by then, see overdueMost.
 	keptAlone = time.Minute
-	// besideMost is how long a job may wait beside room that is kept for longer than that.
+	// besideMost is how long a job may wait beside room that is kept for longer than that,
+	// or on a machine that the leader wants back.
 	besideMost = time.Minute
 )
 
-// takes tells whether the spot is not kept for another job. Where tasks run for long, what
-// it is kept for may not fit for long either: a job that has waited beside it is then let
-// in, a task at a time.
+// waitsLong tells whether nothing of the job has been started for besideMost.
+func (o *Owner) waitsLong(j *Job) bool { return o.loop.Now.Sub(j.waitSince) > besideMost }
+
+// keptLong tells whether room is kept for the job for so long that others may have it.
+func (o *Owner) keptLong(j *Job) bool { return o.loop.Now.Sub(j.keptSince) > keptAlone }
+
+// takes tells whether the spot is not kept for another job, nor wanted back by the leader.
+// Where tasks run for long, what it is kept for may not fit for long either, and a machine
+// that is wanted back stays half empty for as long: a job that has waited beside it is
+// then let in, a task at a time.
 func (o *Owner) takes(s *spot, j *Job) bool {
-	return s.keptFor == nil || s.keptFor == j ||
-		o.loop.Now.Sub(s.keptFor.keptSince) > keptAlone && o.loop.Now.Sub(j.waitSince) > besideMost
+	kept := s.keptFor != nil && s.keptFor != j
+	return (!kept || o.keptLong(s.keptFor)) && (!kept && !s.m.recall || o.waitsLong(j))
 }
 
 // beginOverdue starts the first task of each overdue job, or keeps room for it.
@@ -118,7 +126,7 @@
 		if s.keptFor == j {
 			return 0
 		}
-		if s.keptFor == nil && need.Fits(s.m.roomToCome()) && o.allowed(j, s.m) && (best == nil || s.free.CPUs > best.free.CPUs ||
+		if s.keptFor == nil && !s.m.recall && need.Fits(s.m.roomToCome()) && o.allowed(j, s.m) && (best == nil || s.free.CPUs > best.free.CPUs ||
 			(s.free.CPUs == best.free.CPUs && s.free.MemoryGB > best.free.MemoryGB)) {
 			best = s
 		}
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -33,6 +33,8 @@
 	End(j *Job, state string, tries int, then func(stored bool))
 	// Key is where a job's record is stored.
 	Key(id string) string
+	// Basis are the conditions under which the lease value has not changed since.
+	Basis() []wire.Cond
 	// Users tells how many submissions are being stored, and when one last found
 	// no room in the write limit.
 	Users() (pending int, short time.Time)
@@ -47,6 +49,7 @@
 	log     *slog.Logger
 
 	fresh   time.Time // all changes of jobs before this time are known
+	seen    uint64    // and all up to this revision
 	clear   time.Time // and all cancellations that were told before this one
 	jobs    map[string]*Job
 	homes   map[string]uint64    // home -> version of the lease value with which it became ours
@@ -87,6 +90,7 @@
 	preemptAt time.Time
 	passedAt  time.Time // when an overdue job was last said to be passed over
 	choices   []choice  // reused by placeTasks
+	movedAt   time.Time // when jobs that could move were last looked for, see move.go
 }
 
 // New returns the role of an owner that has no jobs and no machines yet.
@@ -110,8 +114,10 @@
 	}
 }
 
-// Known notes that all changes of jobs made before a moment have been taken in.
-func (o *Owner) Known(at time.Time) {
+// Known notes that all changes of jobs up to a revision, and all made before a moment,
+// have been taken in.
+func (o *Owner) Known(revision uint64, at time.Time) {
+	o.seen = max(o.seen, revision)
 	if at.After(o.fresh) {
 		o.fresh = at
 	}
@@ -156,7 +162,11 @@
 	if at.Version <= j.Version {
 		return
 	}
+	mine, moved := o.Owns(j), j.Version != 0 && j.Rec.Part != rec.Part
 	j.Rec, j.Version, j.form = rec, at.Version, at.Form
+	if moved {
+		o.moved(j, at, mine)
+	}
 	o.adopt(j)
 }
 
@@ -166,6 +176,7 @@
 	o.readPages()
 	o.endJobs()
 	o.rewritePages()
+	o.moveJobs()
 	o.flushPages()
 	o.rewrite()
 }
--- a/internal/core/owner/place.go
+++ b/internal/core/owner/place.go
@@ -25,7 +25,7 @@
 	}
 	var list []entry
 	for _, j := range o.jobs {
-		if !o.Owns(j) || !j.ready || j.Over || len(j.queue) == 0 || o.loop.Now.Before(j.notBefore) || o.hold.Yielded(j.home()) {
+		if !o.Owns(j) || !j.ready || j.Over || len(j.queue) == 0 || o.loop.Now.Before(j.notBefore) || o.hold.Yielded(j.home()) || j.leaving != 0 || !o.current(j) {
 			continue
 		}
 		list = append(list, entry{j, sched.Ready{
@@ -120,9 +120,13 @@
 }
 
 // usable tells whether new tasks may be placed on a machine.
-func (o *Owner) usable(m *machine) bool {
+func (o *Owner) usable(m *machine) bool { return !m.recall && o.works(m) }
+
+// works tells whether a machine could take new tasks, whether or not the leader wants
+// it back.
+func (o *Owner) works(m *machine) bool {
 	silence := config.Seconds(1.3*o.view.Cfg.Cluster.Workers.ReportS) + 700*time.Millisecond
-	return !m.gave && !m.recall && !m.bad && !m.lost && !m.unsure() && m.hears() && m.gone.IsZero() &&
+	return !m.gave && !m.bad && !m.lost && !m.unsure() && m.hears() && m.gone.IsZero() &&
 		m.session != 0 && m.size.CPUs > 0 && !o.loop.Now.Before(m.pauseTo) && o.loop.Now.Sub(m.heard) < silence
 }
 
@@ -191,12 +195,13 @@
 	var hidden sched.Amount
 	var spots []*spot
 	dear := o.dearness()
+	late := slices.ContainsFunc(jobs, o.waitsLong)
 	for _, m := range o.machineOrder() {
 		if m.unsure() {
 			unknown = append(unknown, m)
 			hidden = hidden.Add(o.sizeAtMost(m), 1)
 		}
-		if o.usable(m) {
+		if o.usable(m) || (late && o.works(m)) {
 			s := &spot{m: m, free: m.free(), dear: dear(m)}
 			s.soon = s.free
 			for _, r := range m.runs {
@@ -557,7 +562,7 @@
 	}
 	// A machine on which the job failed is no place for another try, unless
 	// it has failed everywhere, or waits for long: there may be room nowhere else.
-	if j.failedOn[m.name] && !j.doubtful() && o.loop.Now.Sub(j.waitSince) <= besideMost {
+	if j.failedOn[m.name] && !j.doubtful() && !o.waitsLong(j) {
 		return false
 	}
 	if rec.SamePlace || rec.Scatter {
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -55,6 +55,7 @@
 	Starts   int
 	Dones    int
 	moves    int        // of homes between controllers that live
+	jobMoves int        // of jobs to other homes
 	level    gate.Level // of the cluster, as stored
 	edge     Edge       // of a world whose controllers are processes; else nil
 	// Of the last loss of state: when it was noticed, made good, and when the next
