A record that comes while it is read is no loss of state

Cause: a submission without an answer is read by its key.

Change: a record's absence is a loss only if the job was known when the record was asked for.

--- a/internal/core/controller/answers_test.go
+++ b/internal/core/controller/answers_test.go
@@ -87,3 +87,51 @@
 		t.Error("the job is back after its end")
 	}
 }
+
+// TestRecordComesWhileItIsRead: a submission is carried out late. Its user is told what is
+// there, which is nothing yet when it is read, and the watch shows the record before that
+// answer comes. The state has lost nothing.
+func TestRecordComesWhileItIsRead(t *testing.T) {
+	const id = "wk-000001"
+	c, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1", Homes: map[string]string{"free": "n0"},
+		Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}})
+	job := wire.Job{ID: id, Team: "free", Shape: wire.Array, Priority: "standard", Tasks: 2, CPUs: 1}
+	record, err := wire.Encode(wire.JobRecord{Job: job})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var watch, read uint64
+	var handle func(ev step.Event)
+	handle = func(ev step.Event) {
+		for _, e := range c.Step(now, ev) {
+			switch e := e.(type) {
+			case step.StateWatch:
+				watch = e.ID
+			case step.StateTxn:
+				if e.Txn.Then[0].Put == jobPrefix+id {
+					handle(step.Completed{ID: e.ID, State: true}) // no answer
+				}
+			case step.StateGet:
+				if e.Key == jobPrefix+id {
+					read = e.ID
+				} else if e.Key == endPrefix+id {
+					handle(step.Completed{ID: e.ID, State: true, Status: 404, Page: wire.Page{Revision: 8}})
+				}
+			}
+		}
+	}
+	handle(step.Tick{})
+	handle(step.SubmitIn{Req: 1, Job: job})
+	if watch == 0 || read == 0 {
+		t.Fatalf("no watch is open, or no record read: %d, %d", watch, read)
+	}
+	handle(step.Completed{ID: watch, State: true, Status: 200, Watch: wire.Changes{Revision: 9,
+		Log: []wire.Change{{Put: jobPrefix + id, Value: record, Version: 9}}}})
+	handle(step.Completed{ID: read, State: true, Status: 404, Page: wire.Page{Revision: 8}})
+	if c.recovery != nil {
+		t.Error("takes the state for one that has lost data")
+	}
+	if c.own.Job(id) == nil {
+		t.Error("the job is not known")
+	}
+}
--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -319,13 +319,14 @@
 		}
 		// Not over a moment ago. The job's record is read second: should the
 		// job end in between, the record is missing and nothing is concluded.
+		known := c.own.Job(id) != nil
 		c.loop.Emit(step.StateGet{Key: jobPrefix + id, ID: c.loop.Call(func(d step.Completed) {
 			switch d.Status {
 			case 200:
 				c.applyPut(jobPrefix+id, d.Pair.Value, d.Pair.Version)
 				then(true)
 			case 404:
-				c.missing(id, then)
+				c.missing(id, known, then)
 			default:
 				then(false)
 			}
@@ -355,14 +356,15 @@
 
 // missing reads a job's end once more whose record was not there. A record goes in
 // the same transaction in which the end comes: if neither is there, the state has
-// lost data.
-func (c *Core) missing(id string, then func(ok bool)) {
+// lost data. known says that the job was known when its record was asked for: one that
+// has come since, by a submission that was carried out late, proves nothing.
+func (c *Core) missing(id string, known bool, then func(ok bool)) {
 	j := c.own.Job(id)
 	c.loop.Emit(step.StateGet{Key: endPrefix + id, ID: c.loop.Call(func(d step.Completed) {
 		switch {
 		case d.Status == 200:
 			c.applyPut(endPrefix+id, d.Pair.Value, d.Pair.Version)
-		case d.Status == 404 && j != nil && !j.Over && !j.Writing:
+		case d.Status == 404 && known && j != nil && !j.Over && !j.Writing:
 			c.lose("a job is gone from it: "+id, c.high, 0)
 		}
 		then(d.Status == 200)
