Start tasks only by knowledge of cancellations that is five seconds old at most

Change: the right to start ends 5 s after the last moment up to which all cancellations are known, by the watch or by the word of all other controllers. All seeded worlds check the starts that are sent; the checker's own test plants a late one.

--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -184,17 +184,32 @@
 	}
 }
 
-// startUntil is until when tasks may be started: as long as the block lease lasts,
-// and no longer than reports may be answered, as a job cancelled elsewhere since
-// must not be started here either.
+// startUntil is until when tasks may be started: as long as the block lease lasts, reports
+// may be answered, and what is known of cancellations is news. One that is cut off would
+// otherwise go on starting what was cancelled elsewhere for most of its lease.
 func (o *Owner) startUntil() time.Time {
 	until := o.hold.Until()
 	if fresh := o.answerUntil(); fresh.Before(until) {
 		until = fresh
 	}
+	if fresh := o.known().Add(StartFresh); fresh.Before(until) {
+		until = fresh
+	}
 	return until
 }
 
+// StartFresh is for how long what is known of cancellations is enough to start tasks by:
+// a watch that shows no change, the next one after it, and a second.
+const StartFresh = 2*cluster.WatchHold + time.Second
+
+// known is the moment before which all cancellations told to their users are known.
+func (o *Owner) known() time.Time {
+	if o.clear.After(o.fresh) {
+		return o.clear
+	}
+	return o.fresh
+}
+
 // mayStart tells whether tasks may be started now.
 func (o *Owner) mayStart() bool {
 	return o.hold.MayStart(o.loop.Now) && o.loop.Now.Before(o.startUntil())
@@ -206,11 +221,7 @@
 // here would keep alive for another lease_s.
 func (o *Owner) answerUntil() time.Time {
 	w := o.view.Cfg.Cluster.Workers
-	known := o.fresh
-	if o.clear.After(known) {
-		known = o.clear
-	}
-	return known.Add(cluster.Shrink(config.Seconds(w.CancelS-w.LeaseS) - 2*time.Second))
+	return o.known().Add(cluster.Shrink(config.Seconds(w.CancelS-w.LeaseS) - 2*time.Second))
 }
 
 // Report handles a worker's report.
--- a/internal/testkit/simtest/fleet_meeting_test.go
+++ b/internal/testkit/simtest/fleet_meeting_test.go
@@ -209,7 +209,7 @@
 }
 
 // TestFleetCheckersBite plants a fault for each added checker: a job that nobody knows
-// waits beside room; shares of more than the limit; a machine that hung past its lease,
+// waits beside room; shares of more than the limit; a start of what was cancelled; a machine that hung past its lease,
 // and then goes on with a cancelled task as if it had not.
 func TestFleetCheckersBite(t *testing.T) {
 	for name, x := range map[string]struct {
@@ -240,6 +240,20 @@
 	if w.seeShares(map[string][]int{"red": {100, 61}}); len(w.Broken()) == 0 {
 		t.Error("shares of 161 of 160, and nothing was said")
 	}
+	for _, late := range []time.Duration{0, newsFor, newsFor + time.Second} {
+		w := NewNight(2)
+		u := w.SubmitNight(1, 0)
+		w.Run(100 * time.Second)
+		u.told, u.toldAt = wire.Cancelled, w.now-late
+		w.seeStarts([]wire.Command{{Op: wire.OpHalt, Task: u.job.ID + "/0"}})
+		if len(w.Broken()) > 0 {
+			t.Error(w.Broken())
+		}
+		w.seeStarts([]wire.Command{{Op: wire.OpStart, Task: u.job.ID + "/0"}})
+		if cried := len(w.Broken()) > 0; cried != (late > newsFor) {
+			t.Errorf("started %v after its user was told: %v", late, w.Broken())
+		}
+	}
 	for _, goesOn := range []bool{false, true} {
 		w, _ := serviceNight(t, 1)
 		u := w.users["wk-000001"]
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -24,6 +24,7 @@
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/controller"
 	"fawncove/internal/core/gate"
+	"fawncove/internal/core/owner"
 	"fawncove/internal/core/step"
 	"fawncove/internal/wire"
 )
@@ -494,6 +495,9 @@
 				if !e.Until.IsZero() && !n.clock().Before(e.Until) {
 					e = step.Reply{Req: e.Req, Status: 503}
 				}
+				if a, ok := e.Body.(wire.ReportAnswer); ok {
+					w.seeStarts(a.Commands)
+				}
 				f(e)
 			})
 		}
@@ -572,11 +576,7 @@
 			w.after(0, func() { n.back(life, step.Completed{ID: e.ID, Status: -1}) })
 			return
 		}
-		for _, c := range e.Body.Commands {
-			if c.Op == wire.OpStart {
-				w.sent++
-			}
-		}
+		w.seeStarts(e.Body.Commands)
 		done := false
 		finish := func(c step.Completed) {
 			if !done {
@@ -603,6 +603,26 @@
 	}
 }
 
+// seeStarts counts starts that are sent, and breaks a rule when one of a job is sent
+// whose user was told for longer that it is cancelled than a controller may start tasks
+// without news of that.
+func (w *World) seeStarts(commands []wire.Command) {
+	for _, c := range commands {
+		if c.Op != wire.OpStart {
+			continue
+		}
+		w.sent++
+		id, _, _ := strings.Cut(c.Task, "/")
+		if u := w.users[id]; u != nil && u.told == wire.Cancelled && w.now-u.toldAt > newsFor {
+			w.breakRule("started what was cancelled: %s, %v after its user was told", c.Task, w.now-u.toldAt)
+		}
+	}
+}
+
+// newsFor is for how long a controller may start tasks without news of cancellations, by
+// a clock that is slow, and what it has decided be on its way.
+const newsFor = owner.StartFresh + 100*time.Millisecond
+
 // Begin installs a version on all controllers of a world that has not begun, and
 // sets after what time the level is raised.
 func (w *World) Begin(levels gate.Range, raiseAfter time.Duration) {
