The count of an end is the job's count, which knows what was told

Counts already takes the larger of what is known here and what the owner has told; the end of a cancellation took it once more. No change of behaviour; the package's tests pass.

--- a/internal/core/controller/jobs.go
+++ b/internal/core/controller/jobs.go
@@ -258,9 +258,6 @@
 	id := j.Rec.ID
 	done, _ := j.Counts()
 	rec := wire.EndRecord{State: state, Tasks: j.Rec.Tasks, Done: done}
-	if state == wire.Cancelled {
-		rec.Done = max(done, j.Told[0])
-	}
 	if c.view.Open(gate.Envelope) {
 		rec.Form = wire.EndForm
 	}
