Jobs with completed tasks move as well, once these are stored

Change: such a job moves once its completions are stored and envelopes are open, and counts as older than any home, so that the new owner reads them before it starts.

--- a/internal/core/owner/move.go
+++ b/internal/core/owner/move.go
@@ -14,15 +14,15 @@
 
 // A home moves only when nothing of it runs (yield.go), so where homes are parted a job
 // could wait for good for room that another controller's machines have. A job of which
-// nothing is anywhere and nothing is completed moves by itself: its owner, who could
-// start it at that moment and so knows that it is nowhere, has its record name a home of
-// the controller with room.
+// nothing is anywhere moves by itself: its owner, who could start it at that moment and so
+// knows that it is nowhere, has its record name a home of the controller with room.
 //
 // The record is written under its version, and under that of the lease value by which
 // the owner has the job and the other one has that home. From then on the owner starts
 // nothing of it until it is sure what became of the write: a late one is void as soon as
 // the lease value has changed. To the new owner it is a job accepted under its ownership,
-// of which nothing can run. Whoever gets either home from its holder, by a lease value
+// of which nothing can run; or, if tasks of it are completed, which must be stored and only
+// an envelope can say, one older than any home, whose pages it reads first. Whoever gets either home from its holder, by a lease value
 // that may be read before the watch has shown the record, starts what was there before
 // only once all changes up to that value are known (current).
 //
@@ -164,7 +164,7 @@
 }
 
 // movable tells whether the job has waited here for long though its team's limit allows
-// for a task of it, and nothing of it is anywhere or completed. A gang needs room for
+// for a task of it, nothing of it is anywhere and all that is completed is stored. A gang needs room for
 // all its tasks, of which others do not tell.
 func (l *look) movable(j *Job) bool {
 	o, since := l.o, j.waitSince
@@ -172,7 +172,7 @@
 		since = j.hereSince
 	}
 	return o.loop.Now.Sub(since) > o.view.Par.Move && j.Rec.Shape != wire.Group && !j.Writing && !j.doubtful() &&
-		len(j.runs) == 0 && j.doneCount == 0 && !o.waitsForUnknown(j, l.unknown) &&
+		len(j.runs) == 0 && (j.doneCount == 0 || o.view.Open(gate.Envelope) && j.allStored()) && !o.waitsForUnknown(j, l.unknown) &&
 		o.view.LimitOf(j.Rec.Team).Allows(o.usedByAll(j.Rec.Team), j.need()) &&
 		o.ceilingOf(j.Rec.Team).Allows(o.used[j.Rec.Team].Add(l.hidden, 1), j.need())
 }
@@ -228,12 +228,15 @@
 func (o *Owner) move(j *Job, node, part string) {
 	rec := j.Rec
 	rec.Part, rec.Owner = part, node
-	form := 0
+	at := Stamp{}
+	if j.doneCount > 0 {
+		at.Born = 1 // older than any home: the new owner reads what is completed
+	}
 	value, err := wire.WithFields(rec, rec.Unknown)
 	if err == nil && o.view.Open(gate.Envelope) {
 		var env wire.Envelope
-		env, err = wire.Wrap(value, o.view.Lease.Generation, 0)
-		value, form = env, env.Form
+		env, err = wire.Wrap(value, o.view.Lease.Generation, at.Born)
+		value, at.Form = env, env.Form
 	}
 	if err != nil {
 		o.log.Error("record of a job that moves", "job", rec.ID, "err", err)
@@ -250,8 +253,8 @@
 			switch d.Status {
 			case 200:
 				o.log.Info("job moved", "job", rec.ID, "tasks", rec.Tasks, "waits", j.age(o.loop.Now).Round(time.Second), "to", node)
-				if !j.Over {
-					o.Put(rec, Stamp{Version: d.Txn.Revision, Form: form})
+				if at.Version = d.Txn.Revision; !j.Over {
+					o.Put(rec, at)
 				}
 			case 0: // perhaps it does move, or will: see settleMoves
 			default:
--- a/internal/core/owner/move_test.go
+++ b/internal/core/owner/move_test.go
@@ -66,7 +66,15 @@
 		{"as it should", nil, func(*Owner, *Job) {}, true},
 		{"another machine is not heard, the job came since", wire.NameSet{"host-000002"}, func(*Owner, *Job) {}, true},
 		{"another machine is not heard, the job came before", wire.NameSet{"host-000002"}, func(o *Owner, j *Job) { j.first = 4 }, false},
-		{"a task is completed", nil, func(o *Owner, j *Job) { j.doneCount = 1 }, false},
+		{"a task is completed, no envelopes yet", nil, func(o *Owner, j *Job) { j.doneCount = 1 }, false},
+		{"a task is completed and stored", nil, func(o *Owner, j *Job) {
+			o.view.Lease.Level, o.view.Lease.Confirmed = 2, 2
+			j.form, j.doneCount, j.done[0], j.stored[0] = wire.EnvelopeForm, 1, 1, 1
+		}, true},
+		{"a task is completed and not stored", nil, func(o *Owner, j *Job) {
+			o.view.Lease.Level, o.view.Lease.Confirmed = 2, 2
+			j.form, j.doneCount, j.done[0] = wire.EnvelopeForm, 1, 1
+		}, false},
 		{"a task is somewhere", nil, func(o *Owner, j *Job) { j.runs[0] = &run{j: j, m: o.machines["host-000001"]} }, false},
 		{"a gang", nil, func(o *Owner, j *Job) { j.Rec.Shape = wire.Group }, false},
 		{"a mistaken job", nil, func(o *Owner, j *Job) { j.failedOn = map[string]bool{"a": true, "b": true, "c": true} }, false},
@@ -180,3 +188,18 @@
 		}
 	}
 }
+
+// TestCompletedTasksAreReadFirst: a job that moves here with completed tasks is started only
+// once they have been read; one without is ready at once.
+func TestCompletedTasksAreReadFirst(t *testing.T) {
+	for _, born := range []uint64{0, 1} {
+		o, now := newOwner(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1",
+			Blocks: map[string]wire.Block{"n0": {Grant: 1 << 18, Incarnation: 7}}, Homes: map[string]string{"free #1": "n1", "free #2": "n0"}})
+		j := putPart(o, "wk-000001", 6, 1, now)
+		later := j.Rec
+		later.Part = "free #2"
+		if o.Put(later, Stamp{Version: 8, Born: born}); j.ready == (born == 1) || j.reading != (born == 1) {
+			t.Errorf("first stored under %d: ready %v, being read %v", born, j.ready, j.reading)
+		}
+	}
+}
--- a/internal/testkit/simtest/move_meeting_test.go
+++ b/internal/testkit/simtest/move_meeting_test.go
@@ -16,14 +16,14 @@
 var moving = flag.Uint64("moving", 18, "number of seeded worlds to play in which jobs move at every chance")
 
 // TestNobodyWaitsBesideAnothersRoom: homes are parted over controllers and there is more
-// work than room. No job of which nothing has begun waits for 90 s beside a machine with
-// room for it, be it another controller's (seeds 6, 12, 17, 26), one that is kept for an
+// work than room. No job of which nothing runs waits for 90 s beside a machine with room
+// for it, be it another controller's (seeds 6, 12, 17, 26, with tasks completed 25, 59), one that is kept for an
 // overdue job that does not fit for long (30), or one that the leader wants back and
 // that a task of minutes keeps (16, 20).
 func TestNobodyWaitsBesideAnothersRoom(t *testing.T) {
 	par := cluster.Defaults()
 	par.Pack = 0
-	for _, seed := range []uint64{6, 12, 16, 17, 20, 26, 30} {
+	for _, seed := range []uint64{6, 12, 16, 17, 20, 25, 26, 30, 59} {
 		w := fullFleet(seed, par)
 		w.night.calmAt = 30 * time.Second
 		w.WatchNeglect()
