--- a/internal/core/owner/move.go
+++ b/internal/core/owner/move.go
@@ -22,9 +22,10 @@
 // nothing of it until it is sure what became of the write: a late one is void as soon as
 // the lease value has changed. To the new owner it is a job accepted under its ownership,
 // of which nothing can run; or, if tasks of it are completed, which must be stored and only
-// an envelope can say, one older than any home, whose pages it reads first. Whoever gets either home from its holder, by a lease value
-// that may be read before the watch has shown the record, starts what was there before
-// only once all changes up to that value are known (current).
+// an envelope can say, one older than any home, whose pages it reads first. Whoever gets
+// either home from its holder, by a lease value that may be read before the watch has shown
+// the record, starts what was there before only once all changes up to that value are
+// known (current).
 //
 // All controllers have to be there and know of this: an earlier version that took over
 // the former home would not wait. It needs no level, as it ends with the first frame
