--- a/internal/core/owner/guards_test.go
+++ b/internal/core/owner/guards_test.go
@@ -416,3 +416,32 @@
 		t.Errorf("asked %d times in 12 s", asked)
 	}
 }
+
+// TestStartsCarryAShownToken: the block gets a new grant while a machine of it has shown a
+// token of the one before only. Whoever keeps the machine raises what it has shown, so a
+// start that is held on its way must not carry more than that.
+func TestStartsCarryAShownToken(t *testing.T) {
+	o, m, now := oneMachine(t, false)
+	report(o, now, step.ReportIn{Req: 1, Report: reportOf(m, 1, 1, m.fence)})
+	b := o.view.Lease.Blocks["n0"]
+	b.Grant++
+	o.view.Lease.Blocks["n0"] = b
+	mayStart(o)
+	o.Leased(b)
+	if o.tokenFor(m) <= m.token {
+		t.Fatalf("the new grant's token is %d, shown is %d", o.tokenFor(m), m.token)
+	}
+	putArray(o, "wk-000001", "urgent", 1, 1, now)
+	starts := 0
+	for _, e := range tick(o, now.Add(time.Second)) {
+		if d, ok := e.(step.Direct); ok {
+			starts++
+			if d.Body.Token > m.token {
+				t.Errorf("a start with token %d, shown is %d", d.Body.Token, m.token)
+			}
+		}
+	}
+	if starts == 0 {
+		t.Error("nothing is started")
+	}
+}
--- a/internal/core/owner/workers.go
+++ b/internal/core/owner/workers.go
@@ -889,8 +889,15 @@
 				sent = append(sent, r)
 			}
 		}
+		token := o.tokenFor(m)
+		if len(sent) > 0 {
+			// After a new grant the worker has shown a token of the one before. Whoever
+			// keeps it while this is held on its way raises what it has shown: a start
+			// with a token above that would outlive all raises.
+			token = min(token, m.token)
+		}
 		o.loop.Emit(step.Direct{Endpoint: m.endpoint, Until: o.startUntil(),
-			Body: wire.Commands{Token: o.tokenFor(m), Session: m.session, Commands: cmds},
+			Body: wire.Commands{Token: token, Session: m.session, Commands: cmds},
 			ID:   o.loop.Call(func(d step.Completed) { o.directDone(m, sent, d) })})
 	}
 }
