Check in all seeded worlds that starts carry a token that was shown

Change: the stand-in of a worker remembers the highest token that any process of it has seen, and a world breaks when a start is sent with more.

--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -61,6 +61,7 @@
 	born, died     time.Duration
 	session, seq   uint64
 	token          uint64
+	most           uint64        // highest token that any process of it has seen
 	lease          time.Duration // sending time of the last answered report
 	tasks          []*simTask
 	node           int
@@ -246,7 +247,7 @@
 // accept takes commands that carry a valid token.
 func (k *worker) accept(token uint64, cmds []wire.Command) {
 	if token > k.token {
-		k.token, k.changed = token, true
+		k.token, k.most, k.changed = token, max(k.most, token), true
 	}
 	for _, c := range cmds {
 		i := slices.IndexFunc(k.tasks, func(t *simTask) bool { return t.name == c.Task && t.attempt == c.Attempt })
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -15,6 +15,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -577,6 +578,7 @@
 			return
 		}
 		w.seeStarts(e.Body.Commands)
+		w.seeToken(n.name, e)
 		done := false
 		finish := func(c step.Completed) {
 			if !done {
@@ -586,10 +588,7 @@
 			}
 		}
 		w.after(short, func() { finish(step.Completed{}) })
-		var name string
-		if _, err := fmt.Sscanf(e.Endpoint, "worker-%s", &name); err == nil {
-			name = strings.TrimSuffix(name, ":9000")
-		}
+		name := workerAt(e.Endpoint)
 		w.send(n.name, name, func() {
 			k := w.workers[name]
 			if k == nil || k.gone || w.now < k.deaf {
@@ -603,6 +602,23 @@
 	}
 }
 
+// workerAt names the worker with this address; "" if there is none.
+func workerAt(endpoint string) (name string) {
+	if _, err := fmt.Sscanf(endpoint, "worker-%s", &name); err == nil {
+		name = strings.TrimSuffix(name, ":9000")
+	}
+	return name
+}
+
+// seeToken breaks a rule when a start is sent with a token above all that its worker has
+// seen: no raise of what the worker has shown makes it void while it is held on its way.
+func (w *World) seeToken(from string, e step.Direct) {
+	starts := slices.ContainsFunc(e.Body.Commands, func(c wire.Command) bool { return c.Op == wire.OpStart })
+	if k := w.workers[workerAt(e.Endpoint)]; starts && k != nil && e.Body.Token > k.most {
+		w.breakRule("%s sends a start to %s with token %d, which has seen %d", from, k.name, e.Body.Token, k.most)
+	}
+}
+
 // seeStarts counts starts that are sent, and breaks a rule when one of a job is sent
 // whose user was told for longer that it is cancelled than a controller may start tasks
 // without news of that.
