--- a/internal/testkit/simtest/lost_test.go
+++ b/internal/testkit/simtest/lost_test.go
@@ -66,13 +66,7 @@
 				}
 			}
 			w.after(at, func() {
-				oldest := w.now
-				for _, n := range w.nodes {
-					if n.up {
-						oldest = min(oldest, n.since)
-					}
-				}
-				lost = w.LoseState(min(back, max(time.Second, w.now-oldest-5*time.Second)))
+				lost = w.LoseState(w.sinceOldest(back))
 			})
 			w.night.calmAt = end + 3*time.Duration(w.cfg.Workers.LeaseS)*time.Second
 			w.Run(480 * time.Second)
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -52,8 +52,21 @@
 	lost              map[string]time.Duration // the same, but it gets no answer at all
 	times             []time.Duration          // of each revision
 	lostAt            time.Duration            // when data was last lost; 0: never
+	// served, if set, is told of each call right after it was carried out, and chooses
+	// what becomes of its answer.
+	served   func(node string) answerFate
+	pageSize int // keys in a page, if set
 }
 
+// answerFate is what becomes of an answer of the state service.
+type answerFate int
+
+const (
+	answerGiven answerFate = iota
+	answerLost
+	answerLate // it comes just before its caller would give it up
+)
+
 // LoseState puts an older copy of the state in place of it, from d ago, as
 // whoever restores a backup does. It tells how many revisions were lost by that.
 func (w *World) LoseState(d time.Duration) wire.Revision {
@@ -63,21 +76,39 @@
 	if n == 0 {
 		return 0
 	}
-	log := s.log
-	s.lostAt = w.now
-	s.rev, s.times, s.values, s.log, s.puts, s.ends = wire.Revision(rev), s.times[:rev], map[string]stored{}, nil, nil, nil
-	for _, e := range log {
+	s.restore(s.copyAt(wire.Revision(rev)))
+	return n
+}
+
+// storeCopy is a copy of what the state service held.
+type storeCopy struct {
+	rev    wire.Revision
+	times  []time.Duration
+	values map[string]stored
+	log    []logged
+}
+
+// copyAt returns a copy of what the state service held at a revision, 0 for nothing.
+func (s *store) copyAt(rev wire.Revision) storeCopy {
+	c := storeCopy{rev: rev, times: slices.Clone(s.times[:rev]), values: map[string]stored{}}
+	for _, e := range s.log {
 		switch {
-		case e.Version > s.rev:
+		case e.Version > rev:
 			continue
 		case e.Put != "":
-			s.values[e.key] = stored{e.Value, e.Version}
+			c.values[e.key] = stored{e.Value, e.Version}
 		default:
-			delete(s.values, e.key)
+			delete(c.values, e.key)
 		}
-		s.log = append(s.log, e)
+		c.log = append(c.log, e)
 	}
-	return n
+	return c
+}
+
+// restore puts a copy in place of what the state service holds: data is lost.
+func (s *store) restore(c storeCopy) {
+	s.lostAt, s.puts, s.ends = s.w.now, nil, nil
+	s.rev, s.times, s.values, s.log = c.rev, slices.Clone(c.times), maps.Clone(c.values), slices.Clone(c.log)
 }
 
 // down tells whether the service refuses a controller.
@@ -169,7 +200,7 @@
 		if !strings.HasPrefix(key, prefix) || key <= after {
 			continue
 		}
-		if len(p.Pairs) == 5+s.w.most/5 { // small, so that paging is exercised
+		if len(p.Pairs) == cmp.Or(s.pageSize, 5+s.w.most/5) { // small, so that paging is exercised
 			p.More = true
 			break
 		}
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -442,6 +442,9 @@
 	n.step(build(n.next))
 }
 
+// lateAnswer is by how much an answer is late that its caller still waits for.
+const lateAnswer = 450 * time.Millisecond
+
 func (n *simNode) carryOut(e eventloop.Effect) {
 	w, life := n.w, n.life
 	// call sends a request to a regional service; without an answer in time the
@@ -472,6 +475,14 @@
 					return // the answer is lost
 				}
 				back := time.Duration(1+w.rng.IntN(5))*time.Millisecond + n.lag()
+				if state && w.store.served != nil {
+					switch w.store.served(n.name) {
+					case answerLost:
+						return
+					case answerLate:
+						back += lateAnswer
+					}
+				}
 				if slow := w.night.answersSlow[n.name]; state && slow > 0 {
 					back += time.Duration(w.rng.Float64() * float64(slow))
 				}
