A second loss of state begins another attempt of the recovery

Symptom: TestLossDuringRestoreIsNoticed: the state service loses data again between two pages of the reading that ends a restore; the recovery counts as complete and the job's record is gone.

Cause: a second loss only reset two booleans of the recovery. Readings and writes in flight went on over it, with pages of before and after; what other controllers had said of the state before it went on to count; so did marks that an older copy still had.

Change: a recovery has numbered attempts. Each step belongs to the attempt in which it began (onRecoveryAnswer), and an answer to an earlier one changes nothing. Its phases are one type, recoveryPhase; the field restored stays for the test that reads it and is kept by enter. Attempts are told apart by the revision of the mark in fc/gen: whoever has seen a loss writes a new mark, whoever finds another mark than its own joins that, and frames carry it in a field that was unused during a recovery, so that versions before this one read what they did. One that does not say its mark has to say in this attempt that it has yet to restore.

The same fault elsewhere, each found by the new tests and mended here: an answer asked for before a loss was noticed no longer counts as another loss, nor raises revisions; a reading of the whole state that meets a loss is dropped, and one after a compacted watch keeps what was known; a controller that starts anew after a recovery can recover again, keeps the ends it had stored, and does not stop others from recovering; a generation that is older than before or gone is a loss, also where revisions have risen; so is a record that a conflict had shown to be outdated; before the last write of a recovery its reading must have all that is known here.

Rejected: dropping all open calls at a loss (answers to submissions tell what is known); a key of its own for each attempt (a new stored form, for what the mark's revision tells); a count in recover status (it changes the stored bytes of the generation).

Result: TestLossDuringRestoreIsNoticed passes unchanged. The tests of core and edge pass.

--- a/internal/core/cluster/peer.go
+++ b/internal/core/cluster/peer.go
@@ -46,7 +46,12 @@
 	StateLost     bool
 	StateRestored bool
 	RecoveryView  *recovery.View
-	Revision      wire.Revision // the highest that the state service has shown it
+	Revision      wire.Revision // the highest that the state service has shown it; 0 during a recovery
+	// RecoveryMark is the revision of the mark of the recovery's attempt that all this
+	// belongs to, 0 if it does not say; UnrestoredAt when it last said that it had yet to
+	// store what it knew.
+	RecoveryMark wire.Revision
+	UnrestoredAt time.Time
 
 	// FreshnessRequest is its newest request, and CancellationsKnownUntil the moment up to
 	// which it has answered no cancellation that is not known here; see cancellations.go
--- a/internal/core/controller/ended.go
+++ b/internal/core/controller/ended.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"fawncove/internal/core/eventloop"
@@ -40,6 +41,13 @@
 	}
 }
 
+// addAll notes the ends of several jobs.
+func (e *endedJobs) addAll(records map[string]wire.EndRecord) {
+	for _, id := range slices.Sorted(maps.Keys(records)) {
+		e.add(id, records[id])
+	}
+}
+
 // clone returns a copy of the ends by job.
 func (e *endedJobs) clone() map[string]wire.EndRecord { return maps.Clone(e.records) }
 
@@ -62,6 +70,8 @@
 	end     wire.EndRecord
 	retries int
 	done    func(stored bool)
+
+	expected wire.Revision // version of the record that the write is conditional on
 }
 
 // StoreEnd stores the end of a job by a compare on the version of its record, so that
@@ -83,7 +93,7 @@
 		If:   []wire.Condition{{Key: jobPrefix + id, Version: w.job.Version}, {Key: endPrefix + id}},
 		Then: []wire.Op{{Delete: jobPrefix + id}, {Put: endPrefix + id, Value: w.end}},
 	}
-	w.job.EndInFlight = true
+	w.job.EndInFlight, w.expected = true, w.job.Version
 	w.core.loop.Emit(eventloop.StateTxn{Txn: txn, ID: w.core.loop.OnCompletion(w.completed)})
 }
 
@@ -99,7 +109,7 @@
 	case eventloop.NoAnswer:
 		w.readBack()
 	case eventloop.Conflict:
-		c.refresh(id, w.retry)
+		c.refresh(id, conflictOf(id, d.Txn.Failed, w.expected), w.retry)
 	default:
 		w.done(false)
 	}
@@ -109,7 +119,7 @@
 // have been executed. An end that is not there may still come, and is asked for again.
 func (w *endWrite) readBack() {
 	c, job, started := w.core, w.job.Record.Job, mayHaveStarted(w.job)
-	c.refresh(job.ID, func(bool) {
+	c.refresh(job.ID, conflict{}, func(bool) {
 		if end, ok := c.ended.get(job.ID); ok && end.State == w.end.State {
 			c.owner.Served.Ended(&job, end.State == wire.Cancelled, started)
 		}
--- a/internal/core/controller/freshness.go
+++ b/internal/core/controller/freshness.go
@@ -153,38 +153,39 @@
 		return
 	}
 	c.freshness.nextCheckAt = c.loop.Now.Add(c.freshnessInterval())
-	conds, known := c.freshnessConditions(batch)
+	conds, expected := c.freshnessConditions(batch)
 	c.loop.Emit(eventloop.StateTxn{Txn: wire.Txn{If: conds}, ID: c.loop.OnCompletion(func(d eventloop.Completion) {
-		c.handleFreshnessCheck(batch, known, &d)
+		c.handleFreshnessCheck(batch, expected, &d)
 		c.sendFreshnessCheck()
 	})})
 }
 
 // freshnessConditions returns what is known here of the jobs of a batch as conditions,
-// and which of the jobs are known.
-func (c *Core) freshnessConditions(batch []pendingLookup) (conds []wire.Condition, known map[string]bool) {
-	conds, known = make([]wire.Condition, 0, 2*len(batch)+1), make(map[string]bool, len(batch))
+// and the versions of the jobs' records in them, 0 for a job that is not known.
+func (c *Core) freshnessConditions(batch []pendingLookup) (conds []wire.Condition, expected map[string]wire.Revision) {
+	conds, expected = make([]wire.Condition, 0, 2*len(batch)+1), make(map[string]wire.Revision, len(batch))
 	// The generation is part of the compare: a controller that was cut off while the
 	// state lost data need not notice by the revision, which has risen again since.
 	if c.view.Params.Levels.KnowsLevels() {
 		conds = append(conds, wire.Condition{Key: generationKey, Version: c.storedGeneration.Version})
 	}
 	for _, q := range batch {
-		if _, ok := known[q.id]; ok {
+		if _, ok := expected[q.id]; ok {
 			continue
 		}
-		j := c.owner.Job(q.id)
-		if known[q.id] = j != nil && !j.Ended; known[q.id] {
+		if j := c.owner.Job(q.id); j != nil && !j.Ended {
+			expected[q.id] = j.Version
 			conds = append(conds, wire.Condition{Key: jobPrefix + q.id, Version: j.Version})
 		} else {
+			expected[q.id] = 0
 			conds = append(conds, wire.Condition{Key: jobPrefix + q.id}, wire.Condition{Key: endPrefix + q.id})
 		}
 	}
-	return conds, known
+	return conds, expected
 }
 
 // handleFreshnessCheck answers the lookups of a check, or has them go out again.
-func (c *Core) handleFreshnessCheck(batch []pendingLookup, known map[string]bool, d *eventloop.Completion) {
+func (c *Core) handleFreshnessCheck(batch []pendingLookup, expected map[string]wire.Revision, d *eventloop.Completion) {
 	if d.Outcome == eventloop.Conflict && slices.Contains(d.Txn.Failed, generationKey) {
 		d.Outcome = eventloop.Unavailable // no answer can be drawn from a state of another generation
 		c.readGeneration(func(eventloop.Outcome) {})
@@ -192,10 +193,10 @@
 	switch d.Outcome {
 	case eventloop.Succeeded:
 		for _, q := range batch {
-			c.answerLookup(q, true, !known[q.id])
+			c.answerLookup(q, true, expected[q.id] == 0)
 		}
 	case eventloop.Conflict:
-		c.handleFreshnessConflict(batch, d.Txn.Failed)
+		c.handleFreshnessConflict(batch, expected, d.Txn.Failed)
 	case eventloop.NoAnswer:
 		for _, q := range batch {
 			c.retryOrFail(q)
@@ -209,7 +210,7 @@
 
 // handleFreshnessConflict reads the jobs again by which a check failed. Only they are
 // sure to differ, and nothing is known of the others: those go into another check.
-func (c *Core) handleFreshnessConflict(batch []pendingLookup, failedKeys []string) {
+func (c *Core) handleFreshnessConflict(batch []pendingLookup, expected map[string]wire.Revision, failedKeys []string) {
 	failed := map[string]bool{}
 	for _, key := range failedKeys {
 		if len(key) > len(jobPrefix) {
@@ -226,7 +227,7 @@
 		if len(changed[q.id]) > 1 {
 			continue // one reading serves all lookups of the job
 		}
-		c.refreshAfterConflict(q.id, failedKeys, func(read bool) {
+		c.refreshAfterConflict(q.id, conflictOf(q.id, failedKeys, expected[q.id]), func(read bool) {
 			for _, q := range changed[q.id] {
 				c.answerLookup(q, read, false)
 			}
--- a/internal/core/controller/generation.go
+++ b/internal/core/controller/generation.go
@@ -19,7 +19,13 @@
 
 // readGeneration reads the generation of the state.
 func (c *Core) readGeneration(done func(outcome eventloop.Outcome)) {
+	known := c.storedGeneration.Version
 	c.loop.Emit(eventloop.StateGet{Key: generationKey, ID: c.loop.OnCompletion(func(d eventloop.Completion) {
+		if c.recovery == nil && readOrAbsent(d.Outcome) && d.Pair.Version < known {
+			// A copy of before the last recovery may be newer than what that began with:
+			// its revisions are then higher, and only the generation shows the loss.
+			c.startRecovery(stateLoss{reason: lossGeneration, revisionSeen: known, revisionFound: d.Pair.Version})
+		}
 		if d.Outcome == eventloop.Succeeded {
 			c.applyGeneration(d.Pair.Value, d.Pair.Version)
 		}
@@ -39,12 +45,12 @@
 		c.log.Error("cannot decode generation", "err", err)
 		return
 	}
-	if c.state.loaded() && c.recovery == nil {
+	if c.recovery == nil {
 		switch {
-		case g.Generation > c.generation():
+		case c.state.loaded() && g.Generation > c.generation():
 			c.startRecovery(stateLoss{reason: lossRecovered, revisionSeen: c.loop.HighestRevision(), revisionFound: version})
-		case g.Rebuilding:
-			c.startRecovery(stateLoss{reason: lossMarked, revisionSeen: c.loop.HighestRevision(), revisionFound: version})
+		case c.knowsState() && g.Rebuilding:
+			c.startRecovery(stateLoss{reason: lossMarked, revisionSeen: c.loop.HighestRevision(), revisionFound: version, generation: g.Generation})
 		}
 	}
 	if c.recovery == nil { // during a recovery the one that lost data is compared with
@@ -53,17 +59,20 @@
 }
 
 // addGeneration writes into a frame what this controller knows of the state: its
-// generation and revision, or how far its recovery has come.
+// generation and revision, or how far its recovery has come and in which attempt.
 func (c *Core) addGeneration(f *peerpb.Frame) {
-	if !c.view.Params.Levels.KnowsLevels() || (!c.state.loaded() && c.recovery == nil) {
+	if !c.view.Params.Levels.KnowsLevels() {
 		return
 	}
 	r := c.recovery
 	if r == nil {
-		f.Generation, f.Revision = c.generation(), uint64(c.loop.HighestRevision())
+		f.Generation = c.generation() // also while the state is read: this controller can recover it
+		if c.state.loaded() {
+			f.Revision = uint64(c.loop.HighestRevision())
+		}
 		return
 	}
-	f.Generation, f.StateLost, f.StateRestored = r.generation, true, r.restored
+	f.Generation, f.StateLost, f.StateRestored, f.Revision = r.generation, true, r.restored, uint64(r.attempt.mark)
 	raw, err := wire.Encode(c.leaseView())
 	if err != nil {
 		c.log.Error("cannot encode recovery view", "err", err)
@@ -87,9 +96,10 @@
 		c.loop.RaiseHighestRevision(p.Revision) // calls made from now on are answered with it at least
 	}
 	switch {
-	case c.recovery != nil || !c.state.loaded() || p.Generation == 0:
-	case p.StateLost && p.Generation == c.generation():
-		c.startRecovery(stateLoss{reason: lossPeer, revisionSeen: c.loop.HighestRevision()})
+	case c.recovery != nil || !c.knowsState() || p.Generation == 0:
+	case p.StateLost && (p.Generation == c.generation() || !c.state.loaded() && p.Generation > c.generation()):
+		c.startRecovery(stateLoss{reason: lossPeer, revisionSeen: c.loop.HighestRevision(), generation: p.Generation})
+	case !c.state.loaded():
 	case !p.StateLost && p.Generation > c.generation():
 		c.startRecovery(stateLoss{reason: lossRecovered, revisionSeen: c.loop.HighestRevision()})
 	}
--- a/internal/core/controller/loss.go
+++ b/internal/core/controller/loss.go
@@ -14,17 +14,28 @@
 	lossRevision  lossReason = "revision decreased"
 	lossLease     lossReason = "lease value older than before"
 	lossJob       lossReason = "a job has neither record nor end"
+	lossOlder     lossReason = "a job's record is older than before"
 	lossPeer      lossReason = "reported by another controller"
 	lossRecovered lossReason = "recovered without this controller"
-	lossMarked    lossReason = "recovery under way"
+	// lossGeneration: every write of the generation makes it newer.
+	lossGeneration lossReason = "generation older than before"
+	lossMarked     lossReason = "recovery under way"
+	lossMark       lossReason = "the recovery is not marked as before"
 )
 
+// isEvidence reports whether the reason is something that this controller itself has read
+// in the state. Otherwise another controller has noticed the loss.
+func (r lossReason) isEvidence() bool {
+	return r != lossPeer && r != lossRecovered && r != lossMarked
+}
+
 // stateLoss is a loss of data that this controller has noticed.
 type stateLoss struct {
 	reason        lossReason
 	job           string        // whose record is gone, for lossJob
 	revisionSeen  wire.Revision // the highest of before
 	revisionFound wire.Revision // instead; 0 if none was seen
+	generation    uint64        // that has lost data; 0: the one that this controller works with
 }
 
 // checkRevision looks for a loss of data in the revision of an answer. The state
@@ -35,12 +46,16 @@
 	if !d.FromStateService || (d.Outcome != eventloop.Succeeded && d.Outcome != eventloop.Conflict) {
 		return
 	}
+	expected, current := c.loop.CallRevision(d.ID)
+	if !current {
+		return // asked before the last loss was noticed: it says nothing of the state since
+	}
 	if d.Pair.Key != "" { // its version says when it was written, not when it was read
 		c.loop.RaiseHighestRevision(d.Pair.Version)
 		return
 	}
 	revision := max(d.Txn.Revision, d.Page.Revision, d.Changes.Revision)
-	if expected := c.loop.CallRevision(d.ID); revision < expected {
+	if revision < expected {
 		if !c.state.loaded() && c.recovery == nil {
 			c.startup.noteStaleAnswer(c.loop.Now)
 			c.loop.ResetHighestRevision()
@@ -55,28 +70,50 @@
 // over when it has lost data once more meanwhile.
 func (c *Core) startRecovery(loss stateLoss) {
 	if c.recovery != nil {
-		c.recovery.lostAgain(c.loop.Now)
-		c.loop.ResetHighestRevision()
+		c.lostAgain(loss, loss.reason.isEvidence())
 		return
 	}
 	if !c.canRecover() {
 		return
 	}
+	generation := max(c.generation(), loss.generation)
 	c.log.Error("the state has lost data", "reason", loss.reason, "job", loss.job, "revision_seen", loss.revisionSeen, "revision_found", loss.revisionFound,
-		"generation", c.generation(), "jobs", len(c.owner.Jobs()), "ends", len(c.ended.records))
-	c.recovery = &recoveryRun{generation: c.generation(), revisionSeen: loss.revisionSeen, revisionFound: loss.revisionFound, startedAt: c.loop.Now}
-	c.loop.ResetHighestRevision()
+		"generation", generation, "jobs", len(c.owner.Jobs()), "ends", len(c.ended.records))
+	c.recovery = newRecoveryRun(generation, c.loop.Now, loss)
 	c.stepDown()
 	c.freshness.failQueued()
+	c.announceRecovery()
+}
+
+// lostAgain begins another attempt of the recovery under way, as the state has lost data
+// once more. hasEvidence says that this controller has seen that itself; otherwise another
+// one has.
+func (c *Core) lostAgain(loss stateLoss, hasEvidence bool) {
+	r := c.recovery
+	c.log.Error("the state has lost data during its recovery", "reason", loss.reason, "revision_seen", loss.revisionSeen, "revision_found", loss.revisionFound,
+		"generation", r.generation, "attempt", r.attempt.number, "phase", r.phase)
+	r.startOver(c.loop.Now, hasEvidence)
+	c.announceRecovery()
+}
+
+// announceRecovery has the others know at once how far the recovery is. What was seen of
+// the state before says nothing of it any more.
+func (c *Core) announceRecovery() {
+	c.loop.ResetHighestRevision()
 	c.nextFramesAt = time.Time{}
 	c.sendFrames()
 }
 
+// knowsState reports whether this controller has read the state, or knows of it from
+// before it began to read anew.
+func (c *Core) knowsState() bool {
+	return c.state.loaded() || len(c.previousState.Jobs)+len(c.previousState.Ends) > 0
+}
+
 // canRecover reports whether this controller knows the state, and all others in reach
 // can follow; one of an earlier version would go on with what is gone.
 func (c *Core) canRecover() bool {
-	knowsState := c.state.loaded() || len(c.previousState.Jobs)+len(c.previousState.Ends) > 0
-	if !c.view.Params.Levels.KnowsLevels() || c.incompatible != nil || c.shuttingDown || !knowsState {
+	if !c.view.Params.Levels.KnowsLevels() || c.incompatible != nil || c.shuttingDown || !c.knowsState() {
 		return false
 	}
 	for name, p := range c.view.Peers {
--- a/internal/core/controller/peers.go
+++ b/internal/core/controller/peers.go
@@ -105,7 +105,14 @@
 // its machines.
 func (c *Core) updatePeer(p *cluster.Peer, f *peerpb.Frame) {
 	p.Incarnation, p.SeenLevel = wire.Incarnation(f.GetIncarnation()), feature.Level(f.GetSeenLevel())
-	p.Generation, p.StateLost, p.StateRestored, p.Revision = f.GetGeneration(), f.GetStateLost(), f.GetStateRestored(), wire.Revision(f.GetRevision())
+	p.Generation, p.StateLost, p.StateRestored = f.GetGeneration(), f.GetStateLost(), f.GetStateRestored()
+	p.Revision, p.RecoveryMark = wire.Revision(f.GetRevision()), 0
+	if p.StateLost {
+		p.Revision, p.RecoveryMark = 0, wire.Revision(f.GetRevision())
+	}
+	if p.StateLost && !p.StateRestored {
+		p.UnrestoredAt = c.loop.Now
+	}
 	if f.GetStateOk() && (!p.StateReachable || c.loop.Now.Sub(p.LastFrame) > cluster.PeerTimeout) {
 		p.StateReachableSince = c.loop.Now
 	}
--- a/internal/core/controller/read.go
+++ b/internal/core/controller/read.go
@@ -40,7 +40,7 @@
 		r.fail("generation", outcome)
 		return
 	}
-	if c.stateUnsettled() {
+	if c.recovery != nil || c.stateUnsettled() {
 		r.fail("recovery under way", outcome)
 		return
 	}
@@ -61,6 +61,10 @@
 		r.fail("jobs", d.Outcome)
 		return
 	}
+	if r.hasMetLoss() {
+		r.fail("state lost meanwhile", d.Outcome)
+		return
+	}
 	// Changes made while the pages are read come again with the watch, which starts
 	// at the revision of the first page.
 	if r.revision == 0 {
@@ -95,13 +99,19 @@
 		r.fail("leases", outcome)
 		return
 	}
-	if c.stateUnsettled() {
+	if r.hasMetLoss() || c.stateUnsettled() {
 		r.fail("recovery under way", outcome)
 		return
 	}
 	r.complete()
 }
 
+// hasMetLoss reports whether the state has lost data since the reading began: its pages
+// may be of before and after, and it is not to end with what was known before forgotten.
+func (r *stateReading) hasMetLoss() bool {
+	return r.core.recovery != nil || r.core.startup.hasStaleAnswerSince(r.startedAt)
+}
+
 // complete makes what was read the current state, and starts what waited for it.
 func (r *stateReading) complete() {
 	c := r.core
--- a/internal/core/controller/recovery.go
+++ b/internal/core/controller/recovery.go
@@ -22,60 +22,14 @@
 	recoveryJoinTime = cluster.WatchHold + time.Second
 	// recoveryRetryInterval spaces the steps of a recovery.
 	recoveryRetryInterval = 300 * time.Millisecond
+	// earlierVersionTimeout is how long a recovery waits for a controller of an earlier
+	// version to say that it stores again what it knew, after another loss.
+	earlierVersionTimeout = 15 * time.Second
 	// maxRestoreTxnBytes is how much a transaction of a recovery may have, of the 64
 	// KiB that the state service takes.
 	maxRestoreTxnBytes = 40 << 10
 )
 
-// recoveryRun is a recovery of the state under way: it has the state say that it is being
-// recovered, lets the others join, restores what was known here and waits for the
-// recovered state. Another loss starts it over.
-//
-// markedRebuilding and restored are not phases of one state: a step in flight goes on
-// through another loss, so restored may be set before the others have joined again.
-type recoveryRun struct {
-	generation    uint64        // that has lost data
-	revisionSeen  wire.Revision // the highest of it
-	revisionFound wire.Revision
-	startedAt     time.Time // or when the state last lost data once more
-	nextAt        time.Time // no step begins before
-	inFlight      bool      // a step waits for the state service
-
-	markedRebuilding bool // the state says that it is being recovered
-	restored         bool // all that was known here is stored
-	jobs, ends       int  // stored again
-}
-
-// stepDue reports whether the next step may begin now.
-func (r *recoveryRun) stepDue(now time.Time) bool {
-	return !r.inFlight && !now.Before(r.nextAt) && !(r.markedRebuilding && r.joining(now))
-}
-
-// beginStep notes that a step waits for the state service.
-func (r *recoveryRun) beginStep() { r.inFlight = true }
-
-// stepDone ends a step; the next one comes after a pause.
-func (r *recoveryRun) stepDone(now time.Time) {
-	r.inFlight, r.nextAt = false, now.Add(recoveryRetryInterval)
-}
-
-// noteMarked notes that the state says that it is being recovered: no step is due while
-// the others join.
-func (r *recoveryRun) noteMarked() { r.markedRebuilding = true }
-
-// noteRestored notes that all that was known here is stored.
-func (r *recoveryRun) noteRestored() { r.restored = true }
-
-// joining reports whether the others still get time to notice the loss.
-func (r *recoveryRun) joining(now time.Time) bool { return now.Sub(r.startedAt) < recoveryJoinTime }
-
-// lostAgain starts the recovery over, as the state has lost data once more.
-func (r *recoveryRun) lostAgain(now time.Time) {
-	if !r.startedAt.Equal(now) {
-		r.restored, r.markedRebuilding, r.startedAt = false, false, now
-	}
-}
-
 // Recovering reports whether this controller recovers the state, and whether all that
 // it knew is stored.
 func (c *Core) Recovering() (underWay, stored bool) {
@@ -110,7 +64,24 @@
 	}
 	r.beginStep()
 	// By a range, as that shows the revision too: another loss is noticed.
-	c.loop.Emit(eventloop.StateRange{Prefix: generationKey, ID: c.loop.OnCompletion(func(d eventloop.Completion) { c.continueRecovery(r, d) })})
+	c.loop.Emit(eventloop.StateRange{Prefix: generationKey, ID: c.onRecoveryAnswer(func(d eventloop.Completion) { c.continueRecovery(r, d) })})
+}
+
+// onRecoveryAnswer registers what is to be done with an answer to a step of the recovery
+// under way, and returns the ID that the effect is to carry. An answer that comes after
+// another loss was noticed is of a state that is gone, and changes nothing.
+func (c *Core) onRecoveryAnswer(handle func(d eventloop.Completion)) uint64 {
+	run, attempt := c.recovery, c.recovery.attempt.number
+	return c.loop.OnCompletion(func(d eventloop.Completion) {
+		if c.recovery != run {
+			return
+		}
+		if run.attempt.number != attempt {
+			c.log.Info("answer to an earlier attempt of the recovery ignored", "attempt", attempt, "current_attempt", run.attempt.number, "outcome", d.Outcome)
+			return
+		}
+		handle(d)
+	})
 }
 
 // continueRecovery decides by the generation that is stored what to do next, and does
@@ -127,17 +98,23 @@
 			return
 		}
 	}
-	switch c.nextRecoveryStep(r, &g, d.Outcome) {
-	case stepWait:
+	step := c.nextRecoveryStep(r, &g, version, d.Outcome)
+	if step != stepRestore && step != stepWriteLease {
 		r.stepDone(c.loop.Now)
+	}
+	switch step {
 	case stepMark:
 		c.markRebuilding(version, r)
 	case stepJoin:
-		r.noteMarked()
-		r.stepDone(c.loop.Now)
+		c.joinRecovery(r, &g, version)
+	case stepStartOver:
+		// It is marked for another attempt, or for none: by an older copy.
+		c.lostAgain(stateLoss{reason: lossMark, revisionSeen: r.attempt.mark, revisionFound: version}, !r.isMarked(&g))
+	case stepFollow:
+		c.followRecovery(r, &g)
 	case stepRestart:
 		if !r.restored { // logged, and not made up for: see mayAddRecords
-			c.log.Error("state recovered without this controller", "generation", g.Generation, "jobs", len(c.owner.Jobs()))
+			c.log.Error("state recovered without this controller", "generation", g.Generation, "attempt", r.attempt.number, "jobs", len(c.owner.Jobs()))
 		}
 		c.restart()
 	case stepRestore:
@@ -153,25 +130,35 @@
 const (
 	stepWait       recoveryStep = iota
 	stepMark                    // the state is to say that it is being recovered
-	stepJoin                    // the others get time to notice the loss
+	stepJoin                    // it says so: the others get time to notice the loss
+	stepStartOver               // what it says is not of this attempt: it has lost data once more
+	stepFollow                  // a newer generation has lost data: it is recovered instead
 	stepRestart                 // the state is recovered: start anew with it
 	stepRestore                 // what is known here and not there is to be stored
 	stepWriteLease              // all have stored what they knew: the lease value follows
 )
 
-// nextRecoveryStep decides by the generation that is stored.
-func (c *Core) nextRecoveryStep(r *recoveryRun, stored *recovery.Generation, read eventloop.Outcome) recoveryStep {
-	recovered := stored.Generation > r.generation
+// isMarked reports whether what is stored says that the generation is being recovered.
+func (r *recoveryRun) isMarked(stored *recovery.Generation) bool {
+	return stored.Rebuilding && stored.Generation == r.generation
+}
+
+// nextRecoveryStep decides by the generation that is stored, and its version.
+func (c *Core) nextRecoveryStep(r *recoveryRun, stored *recovery.Generation, version wire.Revision, read eventloop.Outcome) recoveryStep {
 	switch {
 	case read != eventloop.Succeeded:
 		return stepWait
-	case !recovered && !stored.Rebuilding:
+	case stored.Generation > r.generation:
+		return c.stepAfterRecovery(r, stored)
+	case r.phase != recoveryMarking && (!r.isMarked(stored) || version != r.attempt.mark):
+		return stepStartOver
+	case r.phase == recoveryMarking && r.isMarked(stored) && r.acceptsMark(version):
+		return stepJoin
+	case r.phase == recoveryMarking:
 		return stepMark
 	case r.joining(c.loop.Now):
-		return stepJoin
-	case recovered && (r.restored || !c.mayAddRecords()):
-		return stepRestart
-	case !r.restored && (recovered || c.isTurnToRestore()):
+		return stepWait
+	case !r.restored && c.isTurnToRestore():
 		return stepRestore
 	case r.restored && c.isFirstOfRecovering():
 		return stepWriteLease
@@ -180,12 +167,50 @@
 	}
 }
 
+// stepAfterRecovery decides what to do when a generation is stored that is newer than the
+// one recovered here.
+func (c *Core) stepAfterRecovery(r *recoveryRun, stored *recovery.Generation) recoveryStep {
+	lostSince := r.phase == recoveryMarking && r.attempt.number > 1 && r.attempt.hasEvidence
+	switch {
+	case stored.Rebuilding, lostSince:
+		// The newer one has lost data too: it was written by an attempt that another loss
+		// has ended, and whose mark was not replaced yet.
+		return stepFollow
+	case r.joining(c.loop.Now):
+		return stepWait
+	case r.restored || !c.mayAddRecords():
+		return stepRestart
+	default:
+		return stepRestore
+	}
+}
+
+// joinRecovery begins an attempt by its mark in the state.
+func (c *Core) joinRecovery(r *recoveryRun, stored *recovery.Generation, version wire.Revision) {
+	r.noteMarked(version)
+	c.log.Info("recovery marked in the state", "generation", r.generation, "attempt", r.attempt.number, "revision", version, "controller", stored.Controller)
+}
+
+// followRecovery goes on with a newer generation, which has lost data too.
+func (c *Core) followRecovery(r *recoveryRun, stored *recovery.Generation) {
+	c.log.Warn("recovering a newer generation", "generation", stored.Generation, "earlier_generation", r.generation, "attempt", r.attempt.number)
+	r.generation = stored.Generation
+	r.startOver(c.loop.Now, !stored.Rebuilding)
+	c.announceRecovery()
+}
+
 // markRebuilding stores that the state is being recovered.
 func (c *Core) markRebuilding(version wire.Revision, r *recoveryRun) {
-	g := recovery.Generation{Form: recovery.GenerationForm, Generation: c.recovery.generation, Rebuilding: true, Controller: c.view.Self,
+	g := recovery.Generation{Form: recovery.GenerationForm, Generation: r.generation, Rebuilding: true, Controller: c.view.Self,
 		RecoveredAtMs: c.loop.Now.UnixMilli()}
 	txn := wire.Txn{If: []wire.Condition{{Key: generationKey, Version: version}}, Then: []wire.Op{{Put: generationKey, Value: g}}}
-	c.loop.Emit(eventloop.StateTxn{LeaseBudget: true, Txn: txn, ID: c.loop.OnCompletion(func(eventloop.Completion) { r.stepDone(c.loop.Now) })})
+	r.beginStep()
+	c.loop.Emit(eventloop.StateTxn{LeaseBudget: true, Txn: txn, ID: c.onRecoveryAnswer(func(d eventloop.Completion) {
+		r.stepDone(c.loop.Now)
+		if d.Outcome == eventloop.Succeeded && !r.usedMarks[d.Txn.Revision] {
+			c.joinRecovery(r, &g, d.Txn.Revision)
+		}
+	})})
 }
 
 // mayAddRecords reports whether records may come into a state that others work with
@@ -206,7 +231,9 @@
 // stored what they knew.
 func (c *Core) isTurnToRestore() bool {
 	turn := true
-	c.recoveringPeers(func(name string, p *cluster.Peer) { turn = turn && (name > c.view.Self || p.StateRestored) })
+	c.recoveringPeers(func(name string, p *cluster.Peer) {
+		turn = turn && (name > c.view.Self || c.recovery.hasRestored(p, c.loop.Now))
+	})
 	return turn
 }
 
@@ -215,6 +242,8 @@
 // service decides.
 func (c *Core) isFirstOfRecovering() bool {
 	first := true
-	c.recoveringPeers(func(name string, p *cluster.Peer) { first = first && name > c.view.Self && p.StateRestored })
+	c.recoveringPeers(func(name string, p *cluster.Peer) {
+		first = first && name > c.view.Self && c.recovery.hasRestored(p, c.loop.Now)
+	})
 	return first
 }
--- a/internal/core/controller/recovery_read.go
+++ b/internal/core/controller/recovery_read.go
@@ -14,6 +14,9 @@
 type storedState struct {
 	records           recovery.StoredState
 	completedPages    map[string]bool // keys of the pages of completed tasks
+	firstRevision     wire.Revision   // of the first page that was read
+	revision          wire.Revision   // of the last one
+	pages             int             // read
 	lease             wire.LeaseRecord
 	leaseVersion      wire.Revision // 0: there is no lease value
 	leasePages        leasevalue.PageTable
@@ -43,7 +46,7 @@
 // readPage reads the page behind a key.
 func (r *storedStateReading) readPage(after string) {
 	c := r.core
-	c.loop.Emit(eventloop.StateRange{Prefix: r.prefixes[0], After: after, ID: c.loop.OnCompletion(r.pageRead)})
+	c.loop.Emit(eventloop.StateRange{Prefix: r.prefixes[0], After: after, ID: c.onRecoveryAnswer(r.pageRead)})
 }
 
 func (r *storedStateReading) pageRead(d eventloop.Completion) {
@@ -52,6 +55,7 @@
 		r.run.stepDone(c.loop.Now)
 		return
 	}
+	r.countPage(d.Page.Revision)
 	for _, p := range d.Page.Pairs {
 		r.add(p)
 	}
@@ -65,9 +69,26 @@
 	}
 	r.decodeLease()
 	r.run.stepDone(c.loop.Now)
+	r.logResult()
 	r.done(r.state)
 }
 
+// countPage notes that a page was read at a revision.
+func (r *storedStateReading) countPage(revision wire.Revision) {
+	if r.state.pages == 0 {
+		r.state.firstRevision = revision
+	}
+	r.state.pages++
+	r.state.revision = revision
+}
+
+// logResult logs what the reading covers.
+func (r *storedStateReading) logResult() {
+	s, records := r.state, &r.state.records
+	r.core.log.Info("stored state read", "attempt", r.run.attempt.number, "phase", r.run.phase, "pages", s.pages, "first_revision", s.firstRevision, "revision", s.revision,
+		"jobs", len(records.Jobs), "ends", len(records.Ends), "completed_pages", len(s.completedPages), "lease_version", s.leaseVersion, "generation_version", s.generationVersion)
+}
+
 // add notes one key. What cannot be decoded counts as not there.
 func (r *storedStateReading) add(p wire.Pair) {
 	s := r.state
--- a/internal/core/controller/recovery_test.go
+++ b/internal/core/controller/recovery_test.go
@@ -39,6 +39,14 @@
 // TestLossDuringRestoreIsNoticed guards against a recovery that counts as restored what the
 // state service lost again between two pages of the reading that checks it: the job would
 // be forgotten.
+//
+// What happened: the second loss reset the recovery, but the reading that was under way
+// went on to its end. Its first page was of before the loss and had the record, so nothing
+// seemed to be missing. Why: an answer was not compared with the attempt it belonged to.
+// What showed it: "the state has lost data during its recovery" with attempt=1
+// revision_seen=90 revision_found=30, and after it, in the same step, "stored state read"
+// first_revision=90 revision=30 and "known state is stored". Now the second is "answer to
+// an earlier attempt of the recovery ignored" attempt=1 current_attempt=2.
 func TestLossDuringRestoreIsNoticed(t *testing.T) {
 	core, now := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{})
 	job := wire.Job{ID: "wk-000001", Team: "free", Shape: wire.Array, Priority: "standard", Tasks: 1, CPUs: 1}
--- a/internal/core/controller/recovery_write.go
+++ b/internal/core/controller/recovery_write.go
@@ -27,6 +27,7 @@
 	}
 	if len(txns) == 0 {
 		r.noteRestored()
+		c.log.Info("known state is stored", "generation", r.generation, "attempt", r.attempt.number, "revision", s.revision)
 		c.nextFramesAt = time.Time{} // the next one waits for it
 		c.sendFrames()
 		return
@@ -46,7 +47,7 @@
 	txns := append(missing.Txns, c.missingPages(s, &known)...)
 	if r := c.recovery; len(txns) > 0 {
 		r.jobs, r.ends = max(r.jobs, missing.Jobs), max(r.ends, missing.Ends)
-		c.log.Info("restoring state", "jobs", missing.Jobs, "ends", missing.Ends, "transactions", len(txns))
+		c.log.Info("restoring state", "attempt", r.attempt.number, "jobs", missing.Jobs, "ends", missing.Ends, "transactions", len(txns))
 	}
 	return txns, nil
 }
@@ -80,13 +81,10 @@
 }
 
 func (w *restoreWrites) sendNext() {
-	w.core.loop.Emit(eventloop.StateTxn{Txn: w.txns[0], ID: w.core.loop.OnCompletion(w.completed)})
+	w.core.loop.Emit(eventloop.StateTxn{Txn: w.txns[0], ID: w.core.onRecoveryAnswer(w.completed)})
 }
 
 func (w *restoreWrites) completed(d eventloop.Completion) {
-	if w.core.recovery != w.run {
-		return
-	}
 	if d.Outcome == eventloop.Succeeded && len(w.txns) > 1 {
 		w.txns = w.txns[1:]
 		w.sendNext()
@@ -100,8 +98,14 @@
 // with.
 func (c *Core) writeRecoveredLease(s *storedState) {
 	r := c.recovery
-	if s.generation.Generation > r.generation {
-		return // another controller has; the next step sees it
+	if s.generationVersion != r.attempt.mark {
+		return // another controller has, or has begun another attempt; the next step sees it
+	}
+	if c.lacksKnown(s) {
+		c.log.Warn("state to go on with lacks what was stored", "attempt", r.attempt.number, "revision", s.revision)
+		r.resumeRestoring()
+		c.announceRecovery()
+		return
 	}
 	c.blockLease.RaiseIncarnationAbove(max(s.lease.Incarnation, s.lease.Blocks[c.view.Self].Incarnation, c.view.Lease.Blocks[c.view.Self].Incarnation))
 	rec := c.mergeLease(s)
@@ -118,16 +122,22 @@
 	ops = append(ops, wire.Op{Put: generationKey, Value: g})
 	conds := []wire.Condition{{Key: leaseKey, Version: s.leaseVersion}, {Key: generationKey, Version: s.generationVersion}}
 	r.beginStep()
-	c.loop.Emit(eventloop.StateTxn{LeaseBudget: true, Txn: wire.Txn{If: conds, Then: ops}, ID: c.loop.OnCompletion(func(d eventloop.Completion) {
+	c.loop.Emit(eventloop.StateTxn{LeaseBudget: true, Txn: wire.Txn{If: conds, Then: ops}, ID: c.onRecoveryAnswer(func(d eventloop.Completion) {
 		r.stepDone(c.loop.Now)
-		if d.Outcome == eventloop.Succeeded && c.recovery == r {
+		if d.Outcome == eventloop.Succeeded {
 			c.log.Info("state recovered", "generation", g.Generation, "jobs", g.Jobs, "ends", g.Ends, "machines", g.Machines,
-				"term", rec.Term, "duration", c.loop.Now.Sub(r.startedAt))
+				"attempts", r.attempt.number, "term", rec.Term, "duration", c.loop.Now.Sub(r.startedAt))
 			c.restart()
 		}
 	})})
 }
 
+// lacksKnown reports whether something that is known here, and was stored, is not there.
+func (c *Core) lacksKnown(s *storedState) bool {
+	known := c.knownState()
+	return recovery.Lacks(&known, &s.records)
+}
+
 // mergeLease returns the lease value that the state goes on with, of what every
 // recovering controller knows and what is stored. A machine that only the newest value
 // names may run tasks already, and whoever has read that value need not be the one that
--- a/internal/core/controller/startup.go
+++ b/internal/core/controller/startup.go
@@ -60,6 +60,9 @@
 	return !s.staleAnswerAt.IsZero() && now.Sub(s.staleAnswerAt) < staleAnswerWait
 }
 
+// hasStaleAnswerSince reports whether an answer has fallen short since a moment.
+func (s *startupCheck) hasStaleAnswerSince(at time.Time) bool { return !s.staleAnswerAt.Before(at) }
+
 // noteUnattended notes whether a recovery is under way at which nobody in reach works,
 // and reports whether that has lasted so long that the recovery counts as abandoned.
 func (s *startupCheck) noteUnattended(now time.Time, unattended bool) (abandoned bool) {
@@ -104,7 +107,7 @@
 	elsewhere, rebuilding := c.peerRecovering(), c.storedGeneration.Value.Rebuilding
 	if c.startup.noteUnattended(c.loop.Now, rebuilding && !elsewhere) {
 		c.log.Warn("taking over abandoned recovery", "generation", c.generation())
-		c.recovery = &recoveryRun{generation: c.generation(), startedAt: c.loop.Now}
+		c.recovery = newRecoveryRun(c.generation(), c.loop.Now, stateLoss{reason: lossMarked})
 	}
 	return elsewhere || rebuilding || c.startup.awaitsNotice(c.loop.Now)
 }
@@ -121,5 +124,10 @@
 	view.MachineTypes = old.view.MachineTypes
 	c.reset(view, old.log, old.blockLease.Incarnation()+1)
 	c.owner.Served = old.owner.Served
+	if old.recovery.restored {
+		// All these ends are stored. Nothing reads them again, and should the state lose
+		// them, their jobs would be unknown.
+		c.ended.addAll(known.Ends)
+	}
 	c.readState()
 }
--- a/internal/core/controller/submit.go
+++ b/internal/core/controller/submit.go
@@ -221,7 +221,7 @@
 // readBack answers the user by what the state service has of the job now.
 func (s *submission) readBack(outcome eventloop.Outcome, failed []string) {
 	c, id := s.core, s.rec.ID
-	c.refreshAfterConflict(id, failed, func(read bool) {
+	c.refreshAfterConflict(id, conflictOf(id, failed, 0), func(read bool) {
 		j := c.owner.Job(id)
 		if outcome == eventloop.NoAnswer && (c.HasEnded(id) || (read && j != nil)) {
 			c.owner.Served.Accepted(&s.rec.Job)
--- a/internal/core/controller/watch.go
+++ b/internal/core/controller/watch.go
@@ -28,6 +28,7 @@
 			c.watchState()
 		case eventloop.Compacted:
 			c.log.Info("watch compacted, reading the state again")
+			c.previousState = c.knownState() // should the state lose data before it is read
 			c.state.invalidate()
 			c.readState()
 		default:
--- a/internal/core/eventloop/eventloop.go
+++ b/internal/core/eventloop/eventloop.go
@@ -20,6 +20,7 @@
 
 	highestRevision wire.Revision // see HighestRevision
 	effects         []Effect
+	resets          uint64 // how often the highest revision was reset
 	lastCall        uint64 // id of the newest call
 	calls           map[uint64]call
 }
@@ -28,6 +29,7 @@
 type call struct {
 	completed func(Completion)
 	revision  wire.Revision // the highest when it was made
+	resets    uint64        // how often that had been reset then
 }
 
 // Begin starts a step at now.
@@ -46,7 +48,7 @@
 		l.calls = map[uint64]call{}
 	}
 	l.lastCall++
-	l.calls[l.lastCall] = call{completed, l.highestRevision}
+	l.calls[l.lastCall] = call{completed, l.highestRevision, l.resets}
 	return l.lastCall
 }
 
@@ -74,12 +76,19 @@
 	l.highestRevision = max(l.highestRevision, revision)
 }
 
-// ResetHighestRevision forgets all revisions seen, which say nothing about the state any more.
-func (l *Loop) ResetHighestRevision() { l.highestRevision = 0 }
+// ResetHighestRevision forgets all revisions seen, which say nothing about the state any
+// more; nor do the answers to the calls that are open.
+func (l *Loop) ResetHighestRevision() {
+	l.highestRevision = 0
+	l.resets++
+}
 
-// CallRevision returns the highest revision of when an open call was made; 0 when there is
-// no such call.
-func (l *Loop) CallRevision(id uint64) wire.Revision { return l.calls[id].revision }
+// CallRevision returns the highest revision of when an open call was made. current is false
+// when there is no such call, or revisions were reset since.
+func (l *Loop) CallRevision(id uint64) (revision wire.Revision, current bool) {
+	open, ok := l.calls[id]
+	return open.revision, ok && open.resets == l.resets
+}
 
 // Reply answers a request.
 func (l *Loop) Reply(req uint64, code ReplyCode, body any) {
--- a/internal/core/recovery/recovery.go
+++ b/internal/core/recovery/recovery.go
@@ -79,6 +79,30 @@
 	return Writes{Txns: w.batch.txns, Jobs: len(jobs), Ends: len(ends)}, nil
 }
 
+// Lacks reports whether the state lacks something that is known: a job's record or end, or
+// completed tasks. Another end than the known one is no lack.
+func Lacks(known *KnownState, stored *StoredState) bool {
+	for id := range known.Ends {
+		if _, ok := stored.Ends[id]; !ok {
+			return true
+		}
+	}
+	for id := range known.Jobs {
+		_, ended := known.Ends[id]
+		_, endStored := stored.Ends[id]
+		_, jobStored := stored.Jobs[id]
+		if !ended && !endStored && !jobStored {
+			return true
+		}
+	}
+	for key, tasks := range known.CompletedTasks {
+		if !covers(stored.CompletedTasks[key], tasks) {
+			return true
+		}
+	}
+	return false
+}
+
 // missingWriter builds the transactions that store what is known and not stored.
 type missingWriter struct {
 	known  *KnownState
--- a/internal/testkit/simtest/lost_again_test.go
+++ b/internal/testkit/simtest/lost_again_test.go
@@ -90,8 +90,11 @@
 	return fmt.Sprintf("%d controllers, call %d, %v, answer %d, crash %v, envelopes %v", x.nodes, x.at, x.copy, x.fate, x.crash, x.opened)
 }
 
-// play plays a course, and returns how many calls were carried out from the first loss to
-// the end of its recovery.
+// restartTime is how long after a recovery the controllers may take to read the state.
+const restartTime = 1500 * time.Millisecond
+
+// play plays a course, and returns how many calls were carried out from the first loss
+// until its recovery had ended and every controller had started anew.
 func (x secondLoss) play() (w *World, calls int) {
 	w = build(3, x.nodes, 8, cluster.Defaults(), config.Cluster{
 		InitialSize: x.nodes, Zones: []string{"x", "y"}, ClockErrorMs: 50, Teams: []config.Team{{Name: "free"}},
@@ -111,10 +114,10 @@
 	l := lossWorld{World: w}
 	l.loseFirst(6 * time.Second)
 	w.store.served = func(node string) answerFate {
-		if w.rebuiltAt == 0 {
+		if w.rebuiltAt == 0 || w.now < w.rebuiltAt+restartTime {
 			calls++
 		}
-		if x.at == 0 || calls != x.at || w.rebuiltAt > 0 {
+		if x.at == 0 || calls != x.at {
 			return answerGiven
 		}
 		x.at = 0
