--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -56,6 +56,7 @@
 	// what becomes of its answer.
 	served   func(node string) answerFate
 	pageSize int // keys in a page, if set
+	lowered  *loweredLimits
 }
 
 // answerFate is what becomes of an answer of the state service.
@@ -375,6 +376,7 @@
 	}
 	var v struct {
 		Level  uint32           `msgpack:"level"`
+		Term   wire.Term        `msgpack:"term"`
 		Leader string           `msgpack:"leader"`
 		Grants wire.Grant       `msgpack:"grants"`
 		CPUs   map[string][]int `msgpack:"cpus"` // the controllers' shares of each team's limit
@@ -382,6 +384,9 @@
 	if err := wire.Decode(data, &v); err != nil {
 		w.breakRule("lease value: %v", err)
 	}
+	if v.Term != w.storedTerm {
+		w.storedTerm, w.terms = v.Term, w.terms+1
+	}
 	w.seeShares(v.CPUs)
 	w.ledBy(v.Leader, v.Grants)
 	if feature.Level(v.Level) < w.level {
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -32,34 +32,36 @@
 
 // World is one deployment.
 type World struct {
-	rng      *rand.Rand
-	now      time.Duration
-	queue    events
-	order    uint64
-	cfg      config.Cluster
-	par      cluster.Params
-	nodes    []*simNode
-	store    *store
-	cloud    *simCloud
-	workers  map[string]*worker
-	users    map[string]*user
-	cuts     map[[2]string]time.Duration // until when two hosts are apart
-	heldUp   bool                        // cuts hold messages back instead of losing them
-	deserted map[string]time.Duration    // until when a controller reaches no worker
-	night    night
-	broken   []string
-	most     int                // machines that the cloud has
-	writes   float64            // changes the state service still takes this second
-	filled   time.Duration      // when writes was last filled up
-	where    map[string]*worker // where each task runs
-	used     map[string]float64 // by team
-	doomed   []*user            // cancelled, and perhaps still running somewhere
-	Starts   int
-	Dones    int
-	moves    int           // of homes between controllers that live
-	jobMoves int           // of jobs to other homes
-	level    feature.Level // of the cluster, as stored
-	edge     Edge          // of a world whose controllers are processes; else nil
+	rng        *rand.Rand
+	now        time.Duration
+	queue      events
+	order      uint64
+	cfg        config.Cluster
+	par        cluster.Params
+	nodes      []*simNode
+	store      *store
+	cloud      *simCloud
+	workers    map[string]*worker
+	users      map[string]*user
+	cuts       map[[2]string]time.Duration // until when two hosts are apart
+	heldUp     bool                        // cuts hold messages back instead of losing them
+	deserted   map[string]time.Duration    // until when a controller reaches no worker
+	night      night
+	broken     []string
+	most       int                // machines that the cloud has
+	writes     float64            // changes the state service still takes this second
+	filled     time.Duration      // when writes was last filled up
+	where      map[string]*worker // where each task runs
+	used       map[string]float64 // by team
+	doomed     []*user            // cancelled, and perhaps still running somewhere
+	Starts     int
+	Dones      int
+	moves      int           // of homes between controllers that live
+	jobMoves   int           // of jobs to other homes
+	level      feature.Level // of the cluster, as stored
+	storedTerm wire.Term     // the last one
+	terms      int           // how many there were
+	edge       Edge          // of a world whose controllers are processes; else nil
 	// Of the last loss of state: when it was noticed, made good, and when the next
 	// task started.
 	noticedAt, rebuiltAt, startedAt time.Duration
@@ -527,6 +529,8 @@
 		call(e.ID, true, stateShort, func(answer func(eventloop.Completion)) {
 			if w.store.down(n.name) {
 				answer(eventloop.Completion{Outcome: eventloop.Unavailable})
+			} else if w.store.lowered.refuses(w, n, e.Txn) {
+				answer(eventloop.Completion{Outcome: eventloop.Rejected})
 			} else if by, late := w.night.lateBy(n.name, e.Txn); late {
 				w.after(by, func() { w.store.txn(e.Txn) })
 			} else if w.night.loses != nil && w.night.loses(n.name, e.Txn) {
