A refused write is not sent again as it was, and costs no term

Cause: a refusal was handled as a lost answer: read back, publish again, by the limits of the settings.

Change: cluster.WriteLimits holds the limits as far as they are known. A refusal lowers them: the number of changes first, where there were more than every state service takes, else the size of values, by a quarter; what does not fit then halves the guess. The leader's next write leaves out what can wait, as after one that was too large, and waits longer after each refusal in a row. So do pages of completed tasks, which are split, freshness checks, which are halved, stored renewals, and what a recovery stores. Each refusal is logged with what was refused and its size.

The test plays large worlds now: with 150 machines the lease value had nothing that could be left out, so the limits it set could not be lived with by any write (its log: the value of nine controllers without any machine takes more).

--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -99,6 +99,9 @@
 	// without pages.
 	LeaseValueBytes int
 
+	// Limits are those of the state service on one write.
+	Limits WriteLimits
+
 	// Controllers is what each controller has stored of itself, and OperatorRequest what
 	// the operator has asked for.
 	Controllers     map[string]Stored[wire.ControllerRecord]
@@ -117,7 +120,7 @@
 // anything.
 func New(cfg *config.Settings, par Params) *View {
 	v := &View{Settings: cfg, Params: par, Self: cfg.HostName, MachineTypes: map[string]wire.MachineType{},
-		Peers: map[string]*Peer{}, Controllers: map[string]Stored[wire.ControllerRecord]{}, holders: map[string]string{}}
+		Peers: map[string]*Peer{}, Controllers: map[string]Stored[wire.ControllerRecord]{}, holders: map[string]string{}, Limits: newWriteLimits(cfg)}
 	for _, p := range cfg.Peers {
 		v.Peers[p.HostName] = &Peer{Zone: p.Area}
 	}
--- a/internal/core/controller/election.go
+++ b/internal/core/controller/election.go
@@ -41,7 +41,7 @@
 // campaign takes the lead when there is no leader, when this controller led before its
 // restart, or when the lease value has not changed for long.
 func (c *Core) campaign() {
-	if c.leader != nil || c.leaseWriter.inFlight || c.shuttingDown || c.loop.Now.Before(c.noBlockUntil) {
+	if c.leader != nil || !c.leaseWriter.ready(c.loop.Now) || c.shuttingDown || c.loop.Now.Before(c.noBlockUntil) {
 		return
 	}
 	if c.leaseReader.unreadableVersion > c.view.LeaseVersion {
--- a/internal/core/controller/freshness.go
+++ b/internal/core/controller/freshness.go
@@ -66,6 +66,7 @@
 	// by the jobs that those ask about.
 	retries      []pendingLookup
 	lastWasRetry bool
+	refusedBatch int // lookups of the smallest check that was refused as it stood; 0: none was
 }
 
 // countAhead returns how many lookups go out before a new one of a priority.
@@ -111,7 +112,13 @@
 
 // maxFreshnessBatch is how many lookups a check may have. A transaction takes four
 // times txn_ops conditions: two for each lookup, and one for the generation.
-func (c *Core) maxFreshnessBatch() int { return max(1, 2*c.view.Settings.Cluster.State.TxnOps-1) }
+func (c *Core) maxFreshnessBatch() int {
+	batch := 2*c.view.Settings.Cluster.State.TxnOps - 1
+	if refused := c.freshness.refusedBatch; refused > 0 {
+		batch = min(batch, refused/2)
+	}
+	return max(1, batch)
+}
 
 // lookUpJob looks a job up, and answers from what is known to be current. It
 // answers at once when the job has ended, as an end is final, and when no answer can be
@@ -201,6 +208,8 @@
 		for _, q := range batch {
 			c.retryOrFail(q)
 		}
+	case eventloop.Rejected:
+		c.handleRefusedCheck(batch)
 	default:
 		for _, q := range batch {
 			q.answer(lookup{})
@@ -208,6 +217,20 @@
 	}
 }
 
+// handleRefusedCheck has the lookups of a check that was refused as it stood go out again in
+// smaller ones. One of a single lookup cannot be smaller.
+func (c *Core) handleRefusedCheck(batch []pendingLookup) {
+	c.log.Warn("freshness check refused by the state service", "lookups", len(batch))
+	c.freshness.refusedBatch = len(batch)
+	for _, q := range batch {
+		if len(batch) > 1 {
+			c.retryOrFail(q)
+		} else {
+			q.answer(lookup{})
+		}
+	}
+}
+
 // handleFreshnessConflict reads the jobs again by which a check failed. Only they are
 // sure to differ, and nothing is known of the others: those go into another check.
 func (c *Core) handleFreshnessConflict(batch []pendingLookup, expected map[string]wire.Revision, failedKeys []string) {
--- a/internal/core/controller/leader.go
+++ b/internal/core/controller/leader.go
@@ -65,7 +65,7 @@
 		c.blockLease.ClearRenewalRequest()
 		c.leader.RequestPublish()
 	}
-	if !c.leaseWriter.inFlight && c.leader.TakePublishDue() {
+	if c.leaseWriter.ready(c.loop.Now) && c.leader.TakePublishDue() {
 		c.publishLease()
 	}
 	c.leader.RunAutoscaler()
--- a/internal/core/controller/lease_write.go
+++ b/internal/core/controller/lease_write.go
@@ -13,6 +13,26 @@
 type leaseWriter struct {
 	inFlight bool      // a write, or the reading after one that failed
 	sentAt   time.Time // when the last write went out
+	refusals int       // writes refused in a row
+	retryAt  time.Time // no write goes out before
+}
+
+const (
+	// refusedWriteBackoff is the pause after a first refused write; it doubles with each
+	// one after that, up to maxRefusedWriteBackoff.
+	refusedWriteBackoff    = 100 * time.Millisecond
+	maxRefusedWriteBackoff = 3200 * time.Millisecond
+)
+
+// ready reports whether the lease value may be written now.
+func (w *leaseWriter) ready(now time.Time) bool { return !w.inFlight && !now.Before(w.retryAt) }
+
+// refused notes that a write was refused as it stands. The next one is smaller, and waits
+// the longer the more were refused: should nothing that can be written be accepted, it
+// still must not take the state service's requests from all others.
+func (w *leaseWriter) refused(now time.Time) {
+	w.retryAt = now.Add(min(maxRefusedWriteBackoff, refusedWriteBackoff<<min(w.refusals, 10)))
+	w.refusals++
 }
 
 // LeaseUnchanged returns the conditions under which the lease value and the generation
@@ -30,6 +50,7 @@
 	core    *Core
 	rec     wire.LeaseRecord
 	pending *leasevalue.PendingWrite // nil for a form without pages
+	ops     []wire.Op
 	sentAt  time.Time
 	stored  func()
 }
@@ -45,11 +66,14 @@
 		// What is published fits a write, except after several takeovers at once.
 		c.log.Error("cannot encode lease value", "err", err)
 		c.leaseWriter.inFlight = false
+		c.leaseWriter.refused(c.loop.Now)
+		c.view.Limits.Relax()
 		if c.leader != nil {
 			c.leader.ValueTooLarge()
 		}
 		return
 	}
+	w.ops = ops
 	conds := append(c.LeaseUnchanged(), c.levelRaiseConditions(&w.rec)...)
 	c.loop.Emit(eventloop.StateTxn{LeaseBudget: true, Txn: wire.Txn{If: conds, Then: ops}, ID: c.loop.OnCompletion(w.completed)})
 }
@@ -69,7 +93,7 @@
 	if w.rec.Form < leasevalue.FormPages {
 		return []wire.Op{{Put: leaseKey, Value: w.rec}}, nil
 	}
-	pending, err := c.leaseReader.pages.Write(&w.rec, c.view.Settings.ValueLimits())
+	pending, err := c.leaseReader.pages.Write(&w.rec, c.view.Limits.Values())
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +105,11 @@
 func (w *leaseWrite) completed(d eventloop.Completion) {
 	c := w.core
 	c.leaseWriter.inFlight = false
+	if d.Outcome == eventloop.Rejected {
+		w.refused()
+		return
+	}
+	c.leaseWriter.refusals = 0
 	if d.Outcome != eventloop.Succeeded {
 		w.readBack()
 		return
@@ -96,6 +125,34 @@
 	}
 }
 
+// refused has the next write be smaller than this one, which was refused as it stands: sent
+// again it would be refused again, until the leader's term was lost.
+func (w *leaseWrite) refused() {
+	c := w.core
+	c.noteRefusedWrite("lease value", w.ops)
+	c.leaseWriter.refused(c.loop.Now)
+	if c.leader != nil {
+		c.leader.ValueTooLarge()
+	}
+}
+
+// noteRefusedWrite notes that a write was refused as it stands: the state service takes less
+// than was known.
+func (c *Core) noteRefusedWrite(what string, ops []wire.Op) {
+	largest := 0
+	for _, op := range ops {
+		encoded, err := wire.Encode(op.Value)
+		if err != nil {
+			c.log.Error("cannot encode refused value", "key", op.Put, "err", err)
+			continue
+		}
+		largest = max(largest, wire.JSONBytes(encoded))
+	}
+	c.view.Limits.Refuse(len(ops), largest)
+	c.log.Warn("write refused by the state service", "write", what, "changes", len(ops), "largest_bytes", largest,
+		"assumed_changes", c.view.Limits.TxnOps(), "assumed_bytes", c.view.Limits.ValueBytes())
+}
+
 // readBack reads the lease value after a write that failed, or perhaps was executed,
 // before anything is decided by it.
 func (w *leaseWrite) readBack() {
--- a/internal/core/controller/recovery_write.go
+++ b/internal/core/controller/recovery_write.go
@@ -39,7 +39,7 @@
 
 // missingWrites returns the transactions that store what is known here and not there.
 func (c *Core) missingWrites(s *storedState) ([]wire.Txn, error) {
-	known, limits := c.knownState(), recovery.Limits{Ops: c.view.Settings.Cluster.State.TxnOps, Bytes: maxRestoreTxnBytes}
+	known, limits := c.knownState(), recovery.Limits{Ops: c.view.Limits.TxnOps(), Bytes: maxRestoreTxnBytes}
 	missing, err := recovery.MissingWrites(&known, &s.records, recovery.Keys{Job: jobPrefix, End: endPrefix}, limits)
 	if err != nil {
 		return nil, err
@@ -90,6 +90,9 @@
 		w.sendNext()
 		return
 	}
+	if d.Outcome == eventloop.Rejected {
+		w.core.noteRefusedWrite("restored state", w.txns[0].Then)
+	}
 	// All stored, or something is not as it was found: the next step reads again.
 	w.run.stepDone(w.core.loop.Now)
 }
@@ -112,9 +115,10 @@
 	rec := c.mergeLease(&stored)
 	ops := []wire.Op{{Put: leaseKey, Value: rec}}
 	if rec.Form >= leasevalue.FormPages {
-		pending, err := s.leasePages.Write(&rec, c.view.Settings.ValueLimits())
+		pending, err := s.leasePages.Write(&rec, c.view.Limits.Values())
 		if err != nil {
 			c.log.Error("cannot encode lease value", "err", err)
+			c.view.Limits.Relax()
 			return
 		}
 		ops = pending.Ops
@@ -125,6 +129,9 @@
 	r.beginStep()
 	c.loop.Emit(eventloop.StateTxn{LeaseBudget: true, Txn: wire.Txn{If: conds, Then: ops}, ID: c.onRecoveryAnswer(func(d eventloop.Completion) {
 		r.stepDone(c.loop.Now)
+		if d.Outcome == eventloop.Rejected {
+			c.noteRefusedWrite("lease value", ops)
+		}
 		if d.Outcome == eventloop.Succeeded {
 			c.log.Info("state recovered", "generation", g.Generation, "jobs", g.Jobs, "ends", g.Ends, "machines", g.Machines,
 				"attempts", r.attempt.number, "term", rec.Term, "duration", c.loop.Now.Sub(r.startedAt))
--- a/internal/core/controller/renewal.go
+++ b/internal/core/controller/renewal.go
@@ -98,15 +98,19 @@
 // storeRenewal sends a renewal through the state service, as base64 in a value of
 // limited size.
 func (c *Core) storeRenewal(r *peerpb.Renewal) {
-	trimRenewal(r, int(storedRenewalShare*1024*c.view.Settings.Cluster.State.ValueKB*3/4)-storedRenewalOverhead)
+	trimRenewal(r, int(storedRenewalShare*float64(c.view.Limits.ValueBytes())*3/4)-storedRenewalOverhead)
 	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
 	if err != nil {
 		c.log.Error("cannot encode renewal", "err", err)
 		return
 	}
 	value := map[string]string{"pb": base64.StdEncoding.EncodeToString(raw)}
-	c.loop.Emit(eventloop.StateTxn{LeaseBudget: true, ID: c.loop.OnCompletion(func(eventloop.Completion) {}),
-		Txn: wire.Txn{Then: []wire.Op{{Put: renewalPrefix + c.view.Self, Value: value}}}})
+	ops := []wire.Op{{Put: renewalPrefix + c.view.Self, Value: value}}
+	c.loop.Emit(eventloop.StateTxn{LeaseBudget: true, Txn: wire.Txn{Then: ops}, ID: c.loop.OnCompletion(func(d eventloop.Completion) {
+		if d.Outcome == eventloop.Rejected {
+			c.noteRefusedWrite("renewal", ops)
+		}
+	})})
 }
 
 // trimRenewal shortens a renewal to a size. What is left out comes with a later one,
--- a/internal/core/leader/fleetlimit.go
+++ b/internal/core/leader/fleetlimit.go
@@ -23,7 +23,7 @@
 			return true // pages come in time
 		}
 	}
-	return l.belowLimit("names in the lease value", float64(size), leasevalue.MaxFill*1024*l.view.Settings.Cluster.State.ValueKB)
+	return l.belowLimit("names in the lease value", float64(size), leasevalue.MaxFill*float64(l.view.Limits.ValueBytes()))
 }
 
 // belowLimit reports whether the fleet is below a limit, and logs it when that changes.
--- a/internal/core/leader/leaseform.go
+++ b/internal/core/leader/leaseform.go
@@ -18,7 +18,7 @@
 	if l.view.Lease.Form >= leasevalue.FormPages {
 		return true
 	}
-	if l.view.Settings.Cluster.State.TxnOps < leasevalue.MinTxnOpsForPages {
+	if l.view.Limits.TxnOps() < leasevalue.MinTxnOpsForPages {
 		return false
 	}
 	for _, peer := range l.view.Peers {
@@ -36,7 +36,7 @@
 	if rec.Form >= leasevalue.FormPages || !l.canStorePages() {
 		return
 	}
-	if float64(l.inlineValueSize()) > pagedValuePart*1024*l.view.Settings.Cluster.State.ValueKB {
+	if float64(l.inlineValueSize()) > pagedValuePart*float64(l.view.Limits.ValueBytes()) {
 		rec.Form = leasevalue.FormPages
 		l.log.Info("lease value stored with pages from now on")
 	}
--- a/internal/core/leader/membership.go
+++ b/internal/core/leader/membership.go
@@ -30,7 +30,7 @@
 	if p.record.Form < leasevalue.FormPages {
 		return
 	}
-	budget := l.pageTable.WriteBudget(l.view.Settings.ValueLimits())
+	budget := l.pageTable.WriteBudget(l.view.Limits.Values())
 	if l.minimalWrite {
 		budget.Exhaust()
 	}
@@ -74,7 +74,7 @@
 func (l *Leader) drainingByHolder(p *proposal) map[string][]string {
 	draining := map[string][]string{}
 	for i, name := range cluster.SortedKeys(l.draining) {
-		if l.minimalWrite || p.record.Form >= leasevalue.FormPages && i >= leasevalue.MaxDraining(l.view.Settings.ValueLimits()) {
+		if l.minimalWrite || p.record.Form >= leasevalue.FormPages && i >= leasevalue.MaxDraining(l.view.Limits.Values()) {
 			break
 		}
 		holder := l.view.HolderOf(name)
--- a/internal/core/leasevalue/write.go
+++ b/internal/core/leasevalue/write.go
@@ -291,8 +291,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("lease value: %w", err)
 	}
-	// Sizes are counted as JSON, which takes a little more.
-	return len(encoded) * 5 / 4, nil
+	return wire.JSONBytes(encoded), nil
 }
 
 // value returns the value with the fields that this version does not know.
--- a/internal/core/owner/completion_log.go
+++ b/internal/core/owner/completion_log.go
@@ -39,6 +39,9 @@
 	flushInterval = 4 * time.Second
 	// pageWriteBackoff is how long a page is not written after a write has failed.
 	pageWriteBackoff = time.Second
+	// refusedPageBackoff is how long a page that was refused is not written where it cannot
+	// be made smaller.
+	refusedPageBackoff = 30 * time.Second
 	// pageFill is how full a page is made, as a part of the limit for values.
 	pageFill = 0.7
 )
@@ -174,7 +177,7 @@
 }
 
 // PageBytes returns about how much a page should hold.
-func (o *Owner) PageBytes() int { return int(pageFill * 1024 * o.view.Settings.Cluster.State.ValueKB) }
+func (o *Owner) PageBytes() int { return int(pageFill * float64(o.view.Limits.ValueBytes())) }
 
 // dropEntries takes a job that has ended off its pages. They are not written for that: the
 // next write leaves the job out.
@@ -223,6 +226,9 @@
 				return
 			}
 			p.retryAt = o.loop.Now.Add(pageWriteBackoff)
+			if d.Outcome == eventloop.Rejected {
+				o.splitRefusedPage(key, p, value)
+			}
 			if d.Outcome != eventloop.Conflict && d.Outcome != eventloop.NoAnswer {
 				p.pendingAtOnce(o.loop.Now)
 				return
@@ -232,6 +238,34 @@
 	})
 }
 
+// splitRefusedPage moves entries of a page that was refused as it stood to other pages, until
+// it is within the limit as it is known then. A page of one entry cannot be smaller.
+func (o *Owner) splitRefusedPage(key string, p *page, value any) {
+	encoded, err := wire.Encode(value)
+	if err != nil {
+		o.log.Error("cannot encode page of completed tasks", "err", err)
+		return
+	}
+	o.view.Limits.Refuse(1, wire.JSONBytes(encoded))
+	o.log.Warn("page of completed tasks refused by the state service", "key", key, "bytes", wire.JSONBytes(encoded), "entries", len(p.entries), "assumed_bytes", o.view.Limits.ValueBytes())
+	if len(p.entries) <= 1 {
+		p.retryAt = o.loop.Now.Add(refusedPageBackoff)
+	}
+	for _, entry := range cluster.SortedKeys(p.entries) {
+		if p.size <= o.PageBytes() || len(p.entries) <= 1 {
+			return
+		}
+		size := p.entries[entry]
+		p.remove(entry)
+		other := o.pageFor(size)
+		other.add(entry, size)
+		o.completions.pageByEntry[entry] = other
+		if other.pendingSince.IsZero() {
+			other.pendingAtOnce(o.loop.Now)
+		}
+	}
+}
+
 // pageEntries brings the entries of a page up to date and returns them.
 func (o *Owner) pageEntries(p *page) map[string][]byte {
 	entries := make(map[string][]byte, len(p.entries))
--- a/internal/core/owner/record_upgrade.go
+++ b/internal/core/owner/record_upgrade.go
@@ -199,7 +199,7 @@
 		return nil, 0, err
 	}
 	env, err := wire.Wrap(rec, o.view.Lease.Generation, j.firstVersion)
-	return env, len(env.Value)*5/4 + envelopeOverhead, err
+	return env, wire.JSONBytes(env.Value) + envelopeOverhead, err
 }
 
 // upgradePages has pages of an earlier form stored again, once.
--- a/internal/testkit/simtest/limits_test.go
+++ b/internal/testkit/simtest/limits_test.go
@@ -6,12 +6,17 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"fawncove/internal/core/feature"
 	"fawncove/internal/core/leasevalue"
 )
 
 var limits = flag.Uint64("limits", 6, "number of seeded worlds to play in which the limits of the state service fall")
 
+// leastValue is what the lease value of nine controllers takes without any machine.
+const leastValue = 1600
+
 // TestLimitsFall has the state service take smaller values and fewer changes a transaction
 // than the settings say, from some moment on and without notice; what is stored stays. A
 // write that is refused must not come again as large as it was, and must not cost the leader
@@ -26,23 +31,24 @@
 	for seed := *first; seed < *first+*limits; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := NewNight(seed)
+			w := NewLarge(seed)
 			if seed%2 == 0 {
 				w.Begin(feature.Current(), 10*time.Second)
 			}
-			for i := range 75 {
-				w.SubmitNight(i, time.Duration(w.rng.IntN(120))*time.Second)
+			for i := range 60 {
+				w.SubmitWide(i, time.Duration(w.rng.IntN(60000))*time.Millisecond)
 			}
-			at := time.Duration(50+w.rng.IntN(40)) * time.Second
+			at := time.Duration(40+w.rng.IntN(30)) * time.Second
 			terms := 0
 			w.after(at, func() {
-				// What the lease value takes now must still be possible, with pages.
-				lowered := &loweredLimits{txnOps: 4, valueBytes: 2048, refused: map[writeName]writeSize{}}
-				if seed%3 > 0 { // as many changes as before, or values as large
-					lowered.txnOps = w.cfg.State.TxnOps
+				// What there is can still be stored, on more pages or with more writes.
+				value := jsonBytes(msgpack.RawMessage(w.store.values[leasevalue.Key].data))
+				lowered := &loweredLimits{txnOps: w.cfg.State.TxnOps, valueBytes: int(1024 * w.cfg.State.ValueKB), refused: map[writeName]writeSize{}}
+				if seed%3 != 1 {
+					lowered.txnOps = max(leasevalue.MinTxnOpsForPages, lowered.txnOps*2/3)
 				}
-				if seed%3 == 2 {
-					lowered.valueBytes = len(w.store.values[leasevalue.Key].data) - 20
+				if seed%3 != 0 {
+					lowered.valueBytes = max(leastValue, value*4/5)
 				}
 				w.store.lowered = lowered
 				terms = w.terms
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,6 +14,10 @@
 // ContentType is the type of all bodies.
 const ContentType = "application/msgpack"
 
+// JSONBytes returns about the size that an encoded value has as JSON, in which the limits of
+// the state service are counted.
+func JSONBytes(encoded []byte) int { return len(encoded) * 5 / 4 }
+
 // Encode writes v as MessagePack with integers as short as they can be.
 func Encode(v any) ([]byte, error) {
 	var buf bytes.Buffer
