Tests of sums over maps, failing: the order of a map shows in their last bit

Cause: sums of fractions are not associative, and a map has another order each time. Two loops are functions of their own now, so that they can be tested.

--- a/internal/core/leader/scaleout.go
+++ b/internal/core/leader/scaleout.go
@@ -149,16 +149,23 @@
 	return out
 }
 
+// busyOnDemand returns the processors that tasks use or wait for which may not be on spot
+// machines.
+func (l *Leader) busyOnDemand() float64 {
+	sum := 0.0
+	for _, renewal := range l.renewals {
+		sum += renewal.GetBusyCpus() - renewal.GetBusySpotCpus()
+	}
+	return sum
+}
+
 // backlogForOnDemand returns the part of the waiting tasks that on-demand machines are
 // wanted for. A fleet of size processors has to keep up with what arrives, and only what
 // it has beyond that works off the backlog. Early or late, a backlog costs the same
 // machine time, so it is worked off as early as its objectives ask for.
 func (l *Leader) backlogForOnDemand(waiting []sched.Demand, size float64) []sched.Demand {
 	backlogTimeS := maxWaitOnDemand * l.shortestBootS()
-	short, cpus := l.local.ArrivalRate()-size, 0.0
-	for _, renewal := range l.renewals {
-		short += renewal.GetBusyCpus() - renewal.GetBusySpotCpus()
-	}
+	short, cpus := l.local.ArrivalRate()-size+l.busyOnDemand(), 0.0
 	out := slices.Clone(waiting)
 	for i := range out {
 		demand := &out[i]
--- a/internal/core/owner/handover.go
+++ b/internal/core/owner/handover.go
@@ -85,15 +85,22 @@
 // waiting tasks need.
 func (o *Owner) partitionMovable(partition string) (waitingCPUs float64, movable bool) {
 	for _, j := range o.jobs {
-		if j.partition() != partition {
-			continue
-		}
-		if !j.movable() {
+		if j.partition() == partition && !j.movable() {
 			return 0, false
 		}
-		waitingCPUs += float64(len(j.queue)) * j.Record.CPUs
 	}
-	return waitingCPUs, true
+	return o.waitingCPUs(partition), true
+}
+
+// waitingCPUs returns the processors that the waiting tasks of a partition need.
+func (o *Owner) waitingCPUs(partition string) float64 {
+	sum := 0.0
+	for _, j := range o.jobs {
+		if j.partition() == partition {
+			sum += float64(len(j.queue)) * j.Record.CPUs
+		}
+	}
+	return sum
 }
 
 // movable reports whether no attempt of the job exists, and everything that is completed
