Tests of the service report and of reservations, failing

A submission that is stored again without its envelope counts as came=2; a job that holds a reserved machine logs that the limit of reservations is reached.

--- a/internal/core/controller/submit_test.go
+++ b/internal/core/controller/submit_test.go
@@ -1,13 +1,18 @@
 package controller
 
 import (
+	"bytes"
 	"errors"
 	"io"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"fawncove/internal/config"
 	"fawncove/internal/core/eventloop"
+	"fawncove/internal/core/feature"
+	"fawncove/internal/core/servicereport"
 	"fawncove/internal/wire"
 )
 
@@ -169,3 +174,28 @@
 		t.Errorf("without machine types: %v", err)
 	}
 }
+
+// TestSubmissionStoredAgainCountsOnce: a record that does not fit with its envelope is stored
+// again without it. The service report counted the submission as came=2, as each try to store
+// it was counted.
+func TestSubmissionStoredAgainCountsOnce(t *testing.T) {
+	a := newLookupHarness(t)
+	a.view.Lease.Level, a.view.Lease.Confirmed = uint32(a.view.Params.Levels.Newest), uint32(a.view.Params.Levels.Newest)
+	if !a.view.FeatureOpen(feature.Envelope) {
+		t.Fatal("the envelope gate is not open")
+	}
+	var lines bytes.Buffer
+	job := wire.Job{ID: "wk-000001", Class: "c", Team: "free", Shape: wire.Array, Priority: "standard", Tasks: 2, CPUs: 2}
+	txns, _ := a.step(eventloop.SubmitRequest{Req: 1, Job: job})
+	txns, _ = a.step(eventloop.Completion{ID: txns[0].ID, FromStateService: true, Outcome: eventloop.Rejected})
+	a.step(eventloop.Completion{ID: txns[0].ID, FromStateService: true, Outcome: eventloop.Succeeded, Txn: wire.TxnAnswer{Revision: 9}})
+	if a.replies[1].Code != eventloop.ReplyCreated {
+		t.Fatalf("answered %+v, want created without the envelope", a.replies[1])
+	}
+	log, none := slog.New(slog.NewTextHandler(&lines, nil)), func() map[servicereport.Group]servicereport.Waiting { return nil }
+	a.owner.Served.Log(a.now, log, none)
+	a.owner.Served.Log(a.now.Add(2*servicereport.LogInterval), log, none)
+	if text := lines.String(); !strings.Contains(text, "came=1") || strings.Contains(text, "came=2") {
+		t.Errorf("service report:\n%swant came=1", text)
+	}
+}
--- a/internal/core/owner/reservation_test.go
+++ b/internal/core/owner/reservation_test.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"bytes"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +120,21 @@
 		t.Fatalf("kept after %v; wk-000003 came after %v, waited %v (0s: for ever) beside room on %s, and %d tasks of it were let in", kept, came, waits, m.name, len(small.attempts))
 	}
 }
+
+// TestHolderOfAReservationIsNotRefusedOne: a job that holds a reserved machine logged
+// "reservation limit reached" once no more could be reserved: the limit was looked at before
+// its own machine. What it waits for is the room on that.
+func TestHolderOfAReservationIsNotRefusedOne(t *testing.T) {
+	o, all, now := newBlock(t, 1)
+	var lines bytes.Buffer
+	o.log = slog.New(slog.NewTextHandler(&lines, nil))
+	wide := submitArray(o, "wk-000001", "idle", 1, 4, now)
+	r := &round{candidates: []*candidate{{machine: all[0], reservedFor: wide}}}
+	if o.reserveMachine(r, wide, false) || lines.Len() > 0 {
+		t.Errorf("logged %q, want nothing: it holds a machine", lines.String())
+	}
+	other := submitArray(o, "wk-000002", "idle", 1, 4, now)
+	if o.reserveMachine(r, other, false) || !strings.Contains(lines.String(), "reservation limit reached") {
+		t.Errorf("logged %q, want that another job reaches the limit", lines.String())
+	}
+}
