Sums over maps are exact to a millionth, whatever the order

The last bit decides now and then whether a machine is rented or drained.

Change: sched.Sum adds in millionths. Sorting the jobs or machines for each sum was rejected: thousands of them, several times a second.

--- a/internal/core/leader/load.go
+++ b/internal/core/leader/load.go
@@ -59,9 +59,10 @@
 // may be on spot machines, whether work is overdue, and the machines that the cloud is
 // about to take, whose replacements can be rented now.
 func (l *Leader) reportedLoad() (busy float64, overdue bool, departing map[string]bool) {
+	var sum sched.Sum
 	departing = map[string]bool{}
 	for _, renewal := range l.renewals {
-		busy += renewal.GetBusySpotCpus()
+		sum.Add(renewal.GetBusySpotCpus())
 		for _, demand := range renewal.GetDemand() {
 			overdue = overdue || demand.GetOverdue()
 		}
@@ -71,7 +72,7 @@
 			}
 		}
 	}
-	return busy, overdue, departing
+	return sum.Value(), overdue, departing
 }
 
 // coverLoadWithSpot rents spot machines until they alone cover the load, if the markets
--- a/internal/core/leader/review.go
+++ b/internal/core/leader/review.go
@@ -190,19 +190,20 @@
 // drainCandidates returns the on-demand machines that could be drained, and what of the
 // free processors is left beside the reserve and the work of those that drain already.
 func (l *Leader) drainCandidates(free float64, onDemandOnly map[string]bool) (left float64, candidates []string) {
+	var taken sched.Sum
 	for name, known := range l.autoscaler.instances {
 		cpus := l.view.MachineTypes[known.machineType].CPUs
 		if l.view.HolderOf(name) == "" || l.autoscaler.deleting[name] {
 			continue
 		}
-		free -= spotReserve * cpus
+		taken.Add(spotReserve * cpus)
 		if l.draining[name] && !known.spot {
-			free -= cpus / 2 // about what it still runs, on average until it is empty
+			taken.Add(cpus / 2) // about what it still runs, on average until it is empty
 		} else if !known.spot && !onDemandOnly[name] {
 			candidates = append(candidates, name)
 		}
 	}
-	return free, candidates
+	return free - taken.Value(), candidates
 }
 
 // rebalance drains idle machines so that they can go to controllers whose waiting tasks
--- a/internal/core/leader/scaleout.go
+++ b/internal/core/leader/scaleout.go
@@ -152,11 +152,11 @@
 // busyOnDemand returns the processors that tasks use or wait for which may not be on spot
 // machines.
 func (l *Leader) busyOnDemand() float64 {
-	sum := 0.0
+	var sum sched.Sum
 	for _, renewal := range l.renewals {
-		sum += renewal.GetBusyCpus() - renewal.GetBusySpotCpus()
+		sum.Add(renewal.GetBusyCpus() - renewal.GetBusySpotCpus())
 	}
-	return sum
+	return sum.Value()
 }
 
 // backlogForOnDemand returns the part of the waiting tasks that on-demand machines are
--- a/internal/core/owner/handover.go
+++ b/internal/core/owner/handover.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/sched"
 )
 
 // A controller that was away long enough to be taken over finds its partitions with others
@@ -94,13 +95,13 @@
 
 // waitingCPUs returns the processors that the waiting tasks of a partition need.
 func (o *Owner) waitingCPUs(partition string) float64 {
-	sum := 0.0
+	var sum sched.Sum
 	for _, j := range o.jobs {
 		if j.partition() == partition {
-			sum += float64(len(j.queue)) * j.Record.CPUs
+			sum.Add(float64(len(j.queue)) * j.Record.CPUs)
 		}
 	}
-	return sum
+	return sum.Value()
 }
 
 // movable reports whether no attempt of the job exists, and everything that is completed
--- a/internal/core/owner/published.go
+++ b/internal/core/owner/published.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/sched"
 	"fawncove/internal/core/servicereport"
 	"fawncove/internal/peerpb"
 )
@@ -20,19 +21,29 @@
 
 // Capacity returns what is free on this controller's machines.
 func (o *Owner) Capacity() cluster.Capacity {
-	capacity := cluster.Capacity{Images: map[string]float64{}}
+	var total sched.Sum
+	images := map[string]*sched.Sum{}
 	for _, m := range o.workers.machines {
 		if !o.usable(m) {
 			continue
 		}
 		free := max(0, m.free().CPUs)
-		capacity.Free += free
+		total.Add(free)
 		for i := range m.images {
-			if m.images[i].cached && free > 0 {
-				capacity.Images[m.images[i].name] += free
+			if !m.images[i].cached || free <= 0 {
+				continue
 			}
+			name := m.images[i].name
+			if images[name] == nil {
+				images[name] = &sched.Sum{}
+			}
+			images[name].Add(free)
 		}
 	}
+	capacity := cluster.Capacity{Free: total.Value(), Images: make(map[string]float64, len(images))}
+	for name, sum := range images {
+		capacity.Images[name] = sum.Value()
+	}
 	if len(capacity.Images) > maxPublishedImages {
 		names := cluster.SortedKeys(capacity.Images)
 		slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(capacity.Images[b], capacity.Images[a]) })
@@ -46,22 +57,23 @@
 // ProcessorUse returns the processors that this controller's tasks use or wait for, the part
 // of them that may be on spot machines, and those of its block.
 func (o *Owner) ProcessorUse() (busy, spot, size float64) {
+	var busySum, spotSum, sizeSum sched.Sum
 	for _, m := range o.workers.machines {
 		if m.unreachable() || m.quarantined || m.released() {
 			continue
 		}
-		size += m.size.CPUs
+		sizeSum.Add(m.size.CPUs)
 	}
 	for _, j := range o.jobs {
 		if o.Owns(j) && !j.Ended {
 			cpus := float64(len(j.attempts)+j.startableTasks()) * j.Record.CPUs
-			busy += cpus
+			busySum.Add(cpus)
 			if j.Record.Spot {
-				spot += cpus
+				spotSum.Add(cpus)
 			}
 		}
 	}
-	return busy, spot, size
+	return busySum.Value(), spotSum.Value(), sizeSum.Value()
 }
 
 // ChangedCounts returns the counts of jobs that have changed since they were last sent to
--- a/internal/core/owner/quota_use.go
+++ b/internal/core/owner/quota_use.go
@@ -58,14 +58,17 @@
 
 // clusterUse returns what a team's tasks use on all controllers, as far as known.
 func (o *Owner) clusterUse(team string) sched.Resources {
-	sum := o.quota.used[team]
+	var cpus, gpus sched.Sum
 	for _, p := range o.view.Peers {
 		if u := p.TeamUse[team]; u != nil && o.loop.Now.Sub(p.LastFrame) < cluster.UsageMaxAge {
-			sum.CPUs += u.GetCpus()
-			sum.GPUs += u.GetGpus()
+			cpus.Add(u.GetCpus())
+			gpus.Add(u.GetGpus())
 		}
 	}
-	return sum
+	use := o.quota.used[team]
+	use.CPUs += cpus.Value()
+	use.GPUs += gpus.Value()
+	return use
 }
 
 // maxUse returns the most that tasks may use which run on some machines.
@@ -109,14 +112,19 @@
 	return min(n, int(max(0, (limit-used+rounding)/need)))
 }
 
+// teamWants is what a team's waiting tasks need.
+type teamWants struct{ cpus, gpus sched.Sum }
+
 // TeamUse returns what this controller's tasks use and want, for each team with a limit or a
 // guarantee.
 func (o *Owner) TeamUse() map[string]*peerpb.TeamUse {
 	uses := map[string]*peerpb.TeamUse{}
+	wanted := map[string]*teamWants{}
 	for _, t := range o.view.Settings.Cluster.Teams {
 		if !cluster.Unlimited(t) {
 			used := o.quota.used[t.Name]
 			uses[t.Name] = &peerpb.TeamUse{Team: t.Name, Cpus: used.CPUs, Gpus: used.GPUs, WantCpus: used.CPUs, WantGpus: used.GPUs}
+			wanted[t.Name] = &teamWants{}
 		}
 	}
 	for _, j := range o.jobs {
@@ -125,8 +133,8 @@
 			continue
 		}
 		n := float64(len(j.queue))
-		use.WantCpus += n * j.Record.CPUs
-		use.WantGpus += n * j.Record.GPUs
+		wanted[j.Record.Team].cpus.Add(n * j.Record.CPUs)
+		wanted[j.Record.Team].gpus.Add(n * j.Record.GPUs)
 		// A share has to have room for the largest task, and for all of a gang beside what
 		// runs.
 		least := j.need()
@@ -135,6 +143,10 @@
 		}
 		use.MinCpus, use.MinGpus = max(use.MinCpus, least.CPUs), max(use.MinGpus, least.GPUs)
 	}
+	for team, wants := range wanted {
+		uses[team].WantCpus += wants.cpus.Value()
+		uses[team].WantGpus += wants.gpus.Value()
+	}
 	return uses
 }
 
--- a/internal/core/sched/arrivals.go
+++ b/internal/core/sched/arrivals.go
@@ -22,16 +22,16 @@
 // Rate returns the work that arrived within arrivalWindow, in processors that it keeps
 // busy.
 func (c *ArrivalCounter) Rate(now time.Time) float64 {
-	sum := 0.0
+	var sum Sum
 	oldest := stepOf(now.Add(-arrivalWindow))
 	for step, work := range c.steps {
 		if step <= oldest {
 			delete(c.steps, step)
 		} else {
-			sum += work
+			sum.Add(work)
 		}
 	}
-	return sum / arrivalWindow.Seconds()
+	return sum.Value() / arrivalWindow.Seconds()
 }
 
 // stepOf returns the number of the step that a time is in.
