One submission counts once; who holds a reservation is not told of the limit

Cause: each try to store a submission was counted as came; the limit of reservations was looked at before a job's own machine.

--- a/internal/core/controller/submit.go
+++ b/internal/core/controller/submit.go
@@ -73,6 +73,7 @@
 		return
 	}
 	s := &submission{core: c, req: e.Req, rec: c.newRecord(e.Job)}
+	c.owner.Served.Submitted(&s.rec.Job) // once, however often it is stored
 	s.store(c.view.FeatureOpen(feature.Envelope))
 }
 
@@ -176,7 +177,6 @@
 		value, s.form = env, env.Form
 	}
 	c.userWrites.begin()
-	c.owner.Served.Submitted(&s.rec.Job)
 	c.loop.Emit(eventloop.StateTxn{
 		Txn: wire.Txn{
 			If:   []wire.Condition{{Key: jobPrefix + id}, {Key: endPrefix + id}},
--- a/internal/core/owner/reservation.go
+++ b/internal/core/owner/reservation.go
@@ -134,10 +134,6 @@
 // once everything that ends has ended it is the one with most room: on another the job would
 // wait for ever, and nobody else get that room. It reports whether a machine was reserved.
 func (o *Owner) reserveMachine(r *round, j *Job, allowed bool) bool {
-	if !allowed {
-		o.logOverdue(j, "reservation limit reached")
-		return false
-	}
 	var best *candidate
 	for _, c := range r.candidates {
 		if c.reservedFor == j {
@@ -147,6 +143,10 @@
 			best = c
 		}
 	}
+	if !allowed {
+		o.logOverdue(j, "reservation limit reached")
+		return false
+	}
 	if best == nil {
 		o.logOverdue(j, "no machine of the block is large enough")
 		return false
