--- a/cmd/fawncove/try.go
+++ b/cmd/fawncove/try.go
@@ -26,6 +26,10 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := interrupted(cmd.Context())
 			defer cancel()
+			if err := checkLosses(&p); err != nil {
+				fmt.Fprintln(cmd.ErrOrStderr(), "try:", err)
+				return exitUsage
+			}
 			p.Run, p.Out = args, cmd.OutOrStdout()
 			return try(ctx, p, stay)
 		},
@@ -37,10 +41,28 @@
 	f.BoolVar(&stay, "stay", false, "keep the cluster running until it is interrupted")
 	f.StringVar(&p.From, "upgrade-from", "", "an earlier build to start with, and to roll out this one from")
 	f.DurationVar(&p.Lose, "lose-state", 0, "put a copy of the state that is so old in its place, and see it made whole")
+	f.DurationVar(&p.Again, "lose-state-again", 0, "with --lose-state: put the same copy in its place again so long after that, during the recovery")
 	f.BoolVar(&p.Back, "back", false, "roll back to the earlier build before the level is raised")
 	return cmd
 }
 
+// exitUsage is the exit status of a command whose flags make no sense together.
+const exitUsage = exitStatus(2)
+
+// checkLosses returns what is wrong with the losses of state that a plan asks for, or nil.
+func checkLosses(plan *drill.Plan) error {
+	switch {
+	case plan.Lose < 0:
+		return fmt.Errorf("--lose-state: %v is negative", plan.Lose)
+	case plan.Again < 0:
+		return fmt.Errorf("--lose-state-again: %v is negative", plan.Again)
+	case plan.Again > 0 && plan.Lose == 0:
+		return errors.New("--lose-state-again needs --lose-state")
+	default:
+		return nil
+	}
+}
+
 // try runs a drill in a folder of its own, which is removed unless something fails.
 func try(ctx context.Context, p drill.Plan, stay bool) (err error) {
 	if p.Back && p.From == "" {
--- a/internal/testkit/drill/drill.go
+++ b/internal/testkit/drill/drill.go
@@ -37,6 +37,7 @@
 	From   string        // an earlier build to start with; empty: none
 	Back   bool          // roll back to it before the level is raised
 	Lose   time.Duration // put a copy of the state so old in its place; 0: do not
+	Again  time.Duration // put the same copy in its place again so long after that; 0: do not
 	Jobs   int           // sample jobs
 	Over   time.Duration // in which they are submitted
 	Run    []string      // command of every task; empty: tasks only take their time
@@ -319,6 +320,9 @@
 	d.host.Look(func(w *simtest.Driven) { w.LoseState(d.plan.Lose) })
 	s, _ := d.Summary()
 	d.say("the state service has now what it had %v ago: %d records", d.plan.Lose, s.Records)
+	if err := d.loseAgain(); err != nil {
+		return err
+	}
 	var g recovery.Generation
 	if err := d.until("the state is rebuilt", 90*time.Second, func() bool {
 		var err error
@@ -332,6 +336,23 @@
 	return nil
 }
 
+// loseAgain puts the copy of the first loss in place of the state once more, if the plan says
+// so, while that loss is recovered.
+func (d *Drill) loseAgain() error {
+	if d.plan.Again == 0 {
+		return nil
+	}
+	first := time.Now()
+	if err := d.sleep(d.plan.Again); err != nil {
+		return err
+	}
+	before, _ := d.Summary()
+	d.host.Look(func(w *simtest.Driven) { w.LoseState(time.Since(first)) })
+	after, _ := d.Summary()
+	d.say("the same copy is in its place again, %v after that: %d records in place of %d", d.plan.Again, after.Records, before.Records)
+	return nil
+}
+
 // Settings is the settings file of the first controller, for the commands of an
 // operator.
 func (d *Drill) Settings() string { return d.procs[0].settings }
