--- a/internal/core/controller/recovery_run_test.go
+++ b/internal/core/controller/recovery_run_test.go
@@ -267,3 +267,17 @@
 		}
 	}
 }
+
+// TestLeaseOfAnEarlierTermIsALoss: a copy of before the last recovery has higher revisions
+// than there were since. Its lease value was applied, as it was newer by its version, and the
+// partitions of jobs accepted since were gone: nobody owned them, and they stayed pending for
+// ever. In the log of seed 20346 of TestSeveralLosses: "leadership lost" with term=1 after
+// "leadership won" with term=771, and only then "the state has lost data".
+func TestLeaseOfAnEarlierTermIsALoss(t *testing.T) {
+	s, _ := newScriptedStore(t, 100)
+	older := wire.LeaseRecord{Term: 2, Leader: "n1", Partitions: map[string]string{"free": "n1"}}
+	s.core.applyLease(older, 200)
+	if s.core.recovery == nil || s.core.view.Lease.Term != 3 {
+		t.Errorf("recovery: %v, term %d, want a recovery and term 3 still", s.core.recovery != nil, s.core.view.Lease.Term)
+	}
+}
