A lease value of an earlier term is a loss of state

Cause: a copy of before the last recovery had higher revisions than there were since. Its lease value came with the watch, counted as newer, and took back the partitions of that generation before anybody noticed; the next recovery merged views that no longer had them.

Change: terms only rise; a value of an earlier term is not applied and starts a recovery.

--- a/internal/core/controller/lease_apply.go
+++ b/internal/core/controller/lease_apply.go
@@ -10,6 +10,12 @@
 	if version <= c.view.LeaseVersion || c.recovery != nil {
 		return
 	}
+	if rec.Term < c.view.Lease.Term {
+		// Terms only rise. A copy of before the last recovery may have higher revisions
+		// than there were since; its value would take back partitions, terms and the level.
+		c.startRecovery(stateLoss{reason: lossLease, revisionSeen: c.view.LeaseVersion, revisionFound: version})
+		return
+	}
 	before := c.view.Lease.Blocks
 	c.view.ApplyLease(rec, version)
 	if c.leader != nil {
