--- a/internal/testkit/drill/drill.go
+++ b/internal/testkit/drill/drill.go
@@ -55,6 +55,8 @@
 	store *statestore.Store
 	cfg   *config.Settings // of the first controller
 	begun time.Time
+
+	earlierLevel feature.Level // the newest that the earlier build can follow
 }
 
 // process is one controller.
@@ -364,6 +366,9 @@
 		return err
 	}
 	d.status()
+	if err := d.noteEarlierLevel(); err != nil {
+		return err
+	}
 	if err := d.roll(d.plan.Binary); err != nil {
 		return err
 	}
@@ -381,6 +386,19 @@
 	return d.raise()
 }
 
+// noteEarlierLevel notes the newest level that the earlier build says it can follow; one from
+// before levels says none.
+func (d *Drill) noteEarlierLevel() error {
+	status, err := upgrade.Read(d.ctx, d.store, d.cfg)
+	if err != nil {
+		return err
+	}
+	for _, c := range status.Controllers {
+		d.earlierLevel = max(d.earlierLevel, feature.Level(c.NewestLevel))
+	}
+	return nil
+}
+
 // roll replaces one controller after the other, in the order and at the pace
 // that an operator's plan says, every other one without a warning.
 func (d *Drill) roll(binary string) error {
@@ -482,11 +500,24 @@
 		return fmt.Errorf("%w: %d jobs and %d pages are left", err, s.PlainJobs, s.PlainPages)
 	}
 	d.say("all records are in their newest form")
+	return d.tryEarlierBuild(pic.Confirmed)
+}
+
+// tryEarlierBuild puts the earlier build in place of one controller after the level was
+// raised: it takes no users, unless it can follow that level.
+func (d *Drill) tryEarlierBuild(level feature.Level) error {
 	p := d.procs[1]
 	p.signal(syscall.SIGTERM)
 	if err := p.replace(d.plan.From); err != nil {
 		return err
 	}
+	if d.earlierLevel >= level {
+		if err := d.until(p.name+" takes users in the earlier build", 40*time.Second, func() bool { return p.healthy(d.ctx) }); err != nil {
+			return err
+		}
+		d.say("%s came back in the earlier build, which can follow level %d, and takes users", p.name, level)
+		return d.backToNewest(p)
+	}
 	for range 20 {
 		if err := d.sleep(400 * time.Millisecond); err != nil {
 			return err
@@ -496,6 +527,11 @@
 		}
 	}
 	d.say("%s came back in the earlier build and takes no users", p.name)
+	return d.backToNewest(p)
+}
+
+// backToNewest puts this build in place of a controller again.
+func (d *Drill) backToNewest(p *process) error {
 	p.signal(syscall.SIGKILL)
 	if err := p.replace(d.plan.Binary); err != nil {
 		return err
--- a/internal/testkit/simtest/lost_test.go
+++ b/internal/testkit/simtest/lost_test.go
@@ -171,3 +171,35 @@
 		}
 	}
 }
+
+// TestAcceptedJustBeforeALoss: a job is accepted, and the state loses it before another
+// controller has read it, which is then asked. That has seen no revision as high, so its check
+// finds neither record nor end, and the generation that it knows: it answers 404. Whoever has
+// accepted the job notices the loss by its next call, and says so within a second.
+func TestAcceptedJustBeforeALoss(t *testing.T) {
+	w := NewNight(1)
+	w.Begin(feature.Current(), time.Hour)
+	for i := range 10 {
+		w.SubmitNight(i, time.Duration(i)*time.Second)
+	}
+	w.Run(40 * time.Second)
+	victim := w.nodes[(w.index(w.leader())+1)%len(w.nodes)]
+	w.night.watchLag = map[string]time.Duration{victim.name: 1500 * time.Millisecond}
+	w.Run(2 * time.Second)
+	u := w.SubmitNight(500, 0)
+	for !u.accepted {
+		w.Run(10 * time.Millisecond)
+	}
+	w.LoseState(w.now - u.acceptedAt + 50*time.Millisecond)
+	for range 150 {
+		victim.ask(func(req uint64) eventloop.Event { return eventloop.QueryRequest{Req: req, ID: u.job.ID} }, func(r eventloop.Reply) {
+			if r.Code == eventloop.ReplyNotFound {
+				w.breakRule("forgotten: %s gets 404 %v after it was accepted", u.job.ID, w.now-u.acceptedAt)
+			}
+		})
+		w.Run(20 * time.Millisecond)
+	}
+	for _, x := range w.Broken() {
+		t.Error(x)
+	}
+}
--- a/internal/testkit/simtest/neglect_meeting_test.go
+++ b/internal/testkit/simtest/neglect_meeting_test.go
@@ -60,3 +60,23 @@
 		}
 	}
 }
+
+// TestNobodyWaitsBesideFreeCapacity is TestFullFleetNeglectsNobody where the partitions are
+// spread over all controllers, as only large fleets have them: whoever has the room may be
+// another controller than the one that owns the job.
+func TestNobodyWaitsBesideFreeCapacity(t *testing.T) {
+	for seed := uint64(1); seed <= 60; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			par := cluster.Defaults()
+			par.SinglePartitionBelow = 0
+			w := fullFleet(seed, par)
+			w.night.calmAt = 30 * time.Second
+			w.WatchNeglect()
+			w.Run(400 * time.Second)
+			for _, x := range w.Broken() {
+				t.Error(x)
+			}
+		})
+	}
+}
