--- a/internal/core/controller/recovery_run_test.go
+++ b/internal/core/controller/recovery_run_test.go
@@ -281,3 +281,51 @@
 		t.Errorf("recovery: %v, term %d, want a recovery and term 3 still", s.core.recovery != nil, s.core.view.Lease.Term)
 	}
 }
+
+// TestEvidenceNeedsAMarkOfItsOwn: a controller that has seen a loss finds the state marked
+// already. That mark may be older than the loss, and others may have restored under it what
+// is gone again.
+func TestEvidenceNeedsAMarkOfItsOwn(t *testing.T) {
+	for name, c := range map[string]struct {
+		reason lossReason
+		marks  bool
+	}{"seen here": {lossRevision, true}, "said by another controller": {lossPeer, false}} {
+		t.Run(name, func(t *testing.T) {
+			s, _ := newScriptedStore(t, 100)
+			mark := wire.Pair{Key: generationKey, Version: 45, Value: encode(t, recovery.Generation{Generation: 1, Rebuilding: true, Controller: "n1"})}
+			s.page = func(eventloop.StateRange) (wire.Page, bool) {
+				return wire.Page{Revision: 45, Pairs: []wire.Pair{mark}}, true
+			}
+			marked := false
+			s.txn = func(txn wire.Txn) (wire.Revision, bool) {
+				marked = marked || txn.Then[0].Put == generationKey
+				return 46, true
+			}
+			s.core.startRecovery(stateLoss{reason: c.reason, revisionSeen: 100})
+			s.tick(time.Second / 4)
+			if marked != c.marks {
+				t.Errorf("writes a mark: %v, want %v", marked, c.marks)
+			}
+		})
+	}
+}
+
+// TestReadingThatMeetsALossIsDropped: a process that knows nothing reads the state, which loses
+// data between two pages. What it has read is of two states: it does not read on, as a last
+// page that comes late would end the reading after everybody has long noticed the loss.
+func TestReadingThatMeetsALossIsDropped(t *testing.T) {
+	s, _ := newScriptedStore(t, 100)
+	*s.core = *New(s.core.view.Settings, s.core.view.Params, s.core.log, 8)
+	pages := 0
+	s.page = func(r eventloop.StateRange) (wire.Page, bool) {
+		if pages++; pages > 2 {
+			return wire.Page{}, false
+		}
+		record := wire.JobRecord{Job: wire.Job{ID: "wk-000009"}}
+		return wire.Page{Revision: []wire.Revision{110, 30}[pages-1], More: true, Pairs: []wire.Pair{{Key: jobPrefix + record.ID, Value: encode(t, record), Version: 20}}}, true
+	}
+	s.tick(400 * time.Millisecond)
+	if pages != 2 {
+		t.Errorf("%d pages were read, want two: the second shows the loss", pages)
+	}
+}
