A test of a limit beside a restart without machine types, failing

Symptom: a team had 1,274 processors on machines where its limit is 1,272, some two seconds after a controller had restarted whose links came back a second after its start.

The test has all teams at their limits, a controller that ends and is back after 4 s, and machines that reach it 3 s later, while others accept work.

The stand-in of the cloud has a file of its own now. It refuses and delays each of its calls by itself, for all controllers or one; an outage refuses the machine types, too, which it did not. No behaviour is changed.

--- a/internal/testkit/simtest/meeting_test.go
+++ b/internal/testkit/simtest/meeting_test.go
@@ -87,11 +87,6 @@
 	}
 }
 
-// within is a moment in the next d.
-func (w *World) within(d time.Duration) time.Duration {
-	return time.Duration(w.rng.Float64() * float64(d))
-}
-
 // lateWrites has transactions that change a key below one of the prefixes carried
 // out 2 to 12 s late, without an answer, for d.
 func (w *World) lateWrites(d time.Duration, share int, prefixes ...string) {
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -359,6 +359,11 @@
 	return nil
 }
 
+// within is a moment in the next d.
+func (w *World) within(d time.Duration) time.Duration {
+	return time.Duration(w.rng.Float64() * float64(d))
+}
+
 // Crash ends controller i; it is back after d.
 func (w *World) Crash(i int, d time.Duration) {
 	n := w.nodes[i]
@@ -551,42 +556,13 @@
 			w.store.watch(n.name, e.Prefix, e.After, w.now+e.Hold, w.lagging(n.name, answer))
 		})
 	case eventloop.CloudTypes:
-		call(e.ID, false, short, func(answer func(eventloop.Completion)) {
-			answer(eventloop.Completion{Outcome: eventloop.Succeeded, Types: wire.MachineTypes{Types: machineTypes}})
-		})
+		call(e.ID, false, short, w.cloud.serve(n.name, callTypes, w.cloud.types))
 	case eventloop.CloudCreate:
-		call(e.ID, false, short, func(answer func(eventloop.Completion)) {
-			if w.now < w.cloud.outage {
-				answer(eventloop.Completion{Outcome: eventloop.Unavailable})
-				return
-			}
-			if w.rng.IntN(30) == 0 {
-				w.after(time.Duration(w.rng.IntN(20))*time.Second, func() { w.cloud.rent(e.Request) })
-				return
-			}
-			answer(w.cloud.rent(e.Request))
-		})
+		call(e.ID, false, short, w.cloud.serve(n.name, callCreate, func() eventloop.Completion { return w.cloud.rent(e.Request) }))
 	case eventloop.CloudDelete:
-		call(e.ID, false, short, func(answer func(eventloop.Completion)) {
-			if w.now < w.cloud.outage {
-				answer(eventloop.Completion{Outcome: eventloop.Unavailable})
-				return
-			}
-			w.seeReturned(e.Names)
-			for _, name := range e.Names {
-				w.kill(name)
-				delete(w.workers, name)
-			}
-			answer(eventloop.Completion{Outcome: eventloop.Succeeded})
-		})
+		call(e.ID, false, short, w.cloud.serve(n.name, callDelete, func() eventloop.Completion { return w.cloud.remove(e.Names) }))
 	case eventloop.CloudList:
-		call(e.ID, false, short, func(answer func(eventloop.Completion)) {
-			if w.now < w.cloud.outage {
-				answer(eventloop.Completion{Outcome: eventloop.Unavailable})
-				return
-			}
-			answer(w.cloud.list())
-		})
+		call(e.ID, false, short, w.cloud.serve(n.name, callList, w.cloud.list))
 	case eventloop.WorkerCommands:
 		if !n.clock().Before(e.Until) {
 			w.after(0, func() { n.back(life, eventloop.Completion{ID: e.ID, Outcome: eventloop.NotSent}) })
--- a/internal/testkit/simtest/world_test.go
+++ b/internal/testkit/simtest/world_test.go
@@ -18,6 +18,7 @@
 	large = flag.Uint64("large", 2, "number of seeded days of a large fleet to play")
 
 	services = flag.Uint64("services", 6, "number of seeded days of services and wide arrays to play")
+	restarts = flag.Uint64("restarts", 8, "number of seeded worlds in which a controller restarts")
 )
 
 // trouble lets something go wrong every now and then.
