Logs of leases, quota shares and reservations, and of how a process begins

Cause: the logs of a team that went over its limit could not tell who led, which shares the controllers held and what a restarted process knew when it gave up a part of one.

Change: "lease status" at each change of leader, term or grant and once a minute; "quota share changed" with the reason; "quota reserved" with counted and assumed use, unreconciled machines and known machine types; "machine types read" and "block reconciled" with their time since the start. Simulated worlds can keep the logs. No behaviour is changed.

--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -48,6 +48,7 @@
 	leaseWriter leaseWriter
 	election    election
 	renewal     renewalTimer
+	leaseStatus leaseStatusLog
 
 	// The state's generation, and its recovery.
 	storedGeneration cluster.Stored[recovery.Generation]
@@ -72,6 +73,7 @@
 	incompatible error     // why this version cannot serve this cluster
 	noBlockUntil time.Time // no block is asked for before, see stepDownIfIsolated
 
+	startedAt  time.Time // of this process, or of its new beginning after a recovery
 	lastStepAt time.Time
 	resumedAt  time.Time // end of the last suspension, or time without the state service
 }
@@ -96,6 +98,9 @@
 // Step handles one event and returns what is to be done.
 func (c *Core) Step(now time.Time, ev eventloop.Event) []eventloop.Effect {
 	c.loop.Begin(now)
+	if c.startedAt.IsZero() {
+		c.startedAt = now
+	}
 	c.noteSuspension()
 	switch e := ev.(type) {
 	case eventloop.Tick:
@@ -118,6 +123,7 @@
 		c.log.Error("unknown event", "type", fmt.Sprintf("%T", ev))
 	}
 	c.owner.PlaceAndSend()
+	c.logLeaseStatus()
 	return c.loop.Effects()
 }
 
--- a/internal/core/controller/lease_apply.go
+++ b/internal/core/controller/lease_apply.go
@@ -16,8 +16,9 @@
 		c.startRecovery(stateLoss{reason: lossLease, revisionSeen: c.view.LeaseVersion, revisionFound: version})
 		return
 	}
-	before := c.view.Lease.Blocks
+	before, held := c.view.Lease.Blocks, c.holding()
 	c.view.ApplyLease(rec, version)
+	c.logShareChanges(held)
 	if c.leader != nil {
 		c.leader.LeaseApplied(before)
 	}
--- a/internal/core/controller/machinetypes.go
+++ b/internal/core/controller/machinetypes.go
@@ -45,9 +45,13 @@
 	if d.Outcome != eventloop.Succeeded {
 		return
 	}
+	first := len(c.view.MachineTypes) == 0
 	for _, t := range d.Types.Types {
 		if t.Name != "" && t.CPUs > 0 {
 			c.view.MachineTypes[t.Name] = t
 		}
 	}
+	if first {
+		c.log.Info("machine types read", "types", len(c.view.MachineTypes), "duration", c.sinceStart())
+	}
 }
--- a/internal/core/controller/read.go
+++ b/internal/core/controller/read.go
@@ -124,7 +124,7 @@
 	c.election.leaderSeenAt = c.loop.Now
 	c.raiseIncarnationAboveStored()
 	c.renewal.nextAt = c.loop.Now
-	c.log.Info("state read", "jobs", len(c.owner.Jobs()), "revision", r.revision)
+	c.log.Info("state read", "jobs", len(c.owner.Jobs()), "revision", r.revision, "lease_revision", c.view.LeaseVersion, "duration", c.sinceStart())
 	c.watchState()
 	c.campaign()
 	c.renewBlockLease()
--- a/internal/core/controller/startup.go
+++ b/internal/core/controller/startup.go
@@ -89,6 +89,9 @@
 	c.readState()
 }
 
+// sinceStart returns for how long this process has run.
+func (c *Core) sinceStart() time.Duration { return c.loop.Now.Sub(c.startedAt).Round(time.Millisecond) }
+
 // sendHello has every other controller say what it knows of the state.
 func (c *Core) sendHello() {
 	f := c.newFrame()
--- a/internal/core/owner/block.go
+++ b/internal/core/owner/block.go
@@ -54,7 +54,7 @@
 // ReleaseBlock drops all state that depends on holding a block lease.
 func (o *Owner) ReleaseBlock() {
 	clear(o.workers.machines)
-	o.workers.sortStale = true
+	o.workers.sortStale, o.workers.unheardSince = true, time.Time{}
 	clear(o.quota.used)
 	clear(o.partitions.owned)
 	for id, j := range o.jobs {
@@ -84,6 +84,7 @@
 	}
 	o.workers.add(m)
 	if needsReconciliation {
+		o.workers.noteUnreconciled(o.loop.Now)
 		o.blockLease.RequestRenewal() // the leader may know the endpoint
 	}
 	w := o.workers.foreign[name]
--- a/internal/core/owner/observe.go
+++ b/internal/core/owner/observe.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"time"
+
 	"fawncove/internal/config"
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/wire"
@@ -46,6 +48,9 @@
 		// holder any more, and its list of tasks is complete.
 		m.needsReconciliation = false
 		o.placement.due = true
+		if took, all := o.workers.takeAllReconciled(o.loop.Now); all {
+			o.log.Info("block reconciled", "machines", len(o.workers.machines), "grant", o.blockLease.Grant(), "duration", took.Round(time.Millisecond))
+		}
 	}
 	listed := o.observeTasks(m, hb)
 	o.dropUnlisted(m, hb, listed, source, epochEnded)
--- a/internal/core/owner/quota_share.go
+++ b/internal/core/owner/quota_share.go
@@ -153,6 +153,17 @@
 	}
 }
 
+// logReservation logs what a renewal reserves of a team's quota share, and on what ground.
+func (o *Owner) logReservation(renewal uint64, team string, reserved wire.Share) {
+	assigned, used := o.view.Lease.Shares[team][o.view.Self], o.quota.used[team]
+	unreconciled := o.workers.unreconciled()
+	assumed := o.maxUse(unreconciled)
+	o.log.Info("quota reserved", "team", team, "renewal", renewal, "grant", o.blockLease.Grant(),
+		"cpus", reserved.CPUs, "gpus", reserved.GPUs, "share_cpus", assigned.CPUs, "share_gpus", assigned.GPUs,
+		"use_cpus", used.CPUs, "use_gpus", used.GPUs, "assumed_cpus", assumed.CPUs, "assumed_gpus", assumed.GPUs,
+		"unreconciled", len(unreconciled), "machine_types", len(o.view.MachineTypes))
+}
+
 // AddOffers adds quota reservations and partition offers to a renewal. Both bind this
 // controller from now on, whether or not the leader ever reads them.
 func (o *Owner) AddOffers(r *peerpb.Renewal) {
@@ -161,6 +172,7 @@
 	for _, team := range cluster.SortedKeys(sparable) {
 		s := sparable[team]
 		o.blockLease.Reserve(r.GetNumber(), team, s)
+		o.logReservation(r.GetNumber(), team, s)
 		r.Reservations = append(r.Reservations, &peerpb.QuotaReservation{Team: team, Cpus: int64(s.CPUs), Gpus: int64(s.GPUs)})
 	}
 	for _, partition := range o.partitionsToHandOver() {
--- a/internal/core/owner/registry.go
+++ b/internal/core/owner/registry.go
@@ -17,6 +17,7 @@
 	foreign   map[string]*foreignWorker
 
 	lastHeartbeat time.Time         // of any machine of the block
+	unheardSince  time.Time         // since when machines of the block need reconciliation; zero: none does
 	highestToken  wire.FencingToken // that any worker has shown
 
 	urgent          map[string]bool      // machines with commands that should not wait for a heartbeat
@@ -41,6 +42,28 @@
 	w.sortStale = true
 }
 
+// noteUnreconciled notes that a machine of the block needs reconciliation.
+func (w *workerRegistry) noteUnreconciled(now time.Time) {
+	if w.unheardSince.IsZero() {
+		w.unheardSince = now
+	}
+}
+
+// takeAllReconciled reports, once, that no machine of the block needs reconciliation any
+// more, and how long that took.
+func (w *workerRegistry) takeAllReconciled(now time.Time) (took time.Duration, all bool) {
+	if w.unheardSince.IsZero() {
+		return 0, false
+	}
+	for _, m := range w.machines {
+		if m.needsReconciliation {
+			return 0, false
+		}
+	}
+	took, w.unheardSince = now.Sub(w.unheardSince), time.Time{}
+	return took, true
+}
+
 // remove takes a machine out of the block.
 func (w *workerRegistry) remove(name string) {
 	delete(w.machines, name)
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -71,7 +71,8 @@
 	commands                        int      // start commands that reached a worker
 	sent                            int      // that were sent straight to one
 
-	trace hash.Hash64 // of all that the cores asked for, if it is kept
+	trace hash.Hash64  // of all that the cores asked for, if it is kept
+	logs  slog.Handler // of what the controllers log, if it is kept
 }
 
 // epoch is the time of day at which every world begins.
@@ -332,7 +333,7 @@
 	n.waits = map[uint64]func(eventloop.Reply){}
 	par := n.w.par
 	par.Levels, par.Version = n.rolls, fmt.Sprintf("up to level %d", n.rolls.Newest)
-	n.core = controller.New(s, par, slog.New(moveCounter{slog.DiscardHandler, n.w}), wire.Incarnation(n.clock().UnixMilli()))
+	n.core = controller.New(s, par, slog.New(moveCounter{slog.DiscardHandler, n.w, n.name}), wire.Incarnation(n.clock().UnixMilli()))
 	life := n.life
 	var tick func()
 	tick = func() {
@@ -347,12 +348,19 @@
 // moveCounter is a log that counts the homes which controllers gave up.
 type moveCounter struct {
 	slog.Handler
-	w *World
+	w    *World
+	node string
 }
 
 func (h moveCounter) Enabled(context.Context, slog.Level) bool { return true }
 
-func (h moveCounter) Handle(_ context.Context, r slog.Record) error {
+func (h moveCounter) Handle(ctx context.Context, r slog.Record) error {
+	if h.w.logs != nil {
+		r.AddAttrs(slog.String("node", h.node), slog.Duration("at", h.w.now))
+		if err := h.w.logs.Handle(ctx, r); err != nil {
+			return err
+		}
+	}
 	if r.Message == "partition handed over" {
 		h.w.moves++
 	}
