The size of a fleet is not guessed from limits while no machine type is known

What callers saw: on a cluster of a few machines that began while its cloud did not answer for some seconds, jobs of teams with limits were spread over all controllers, and a task larger than a controller's share of the limit waited beside free machines.

Cause: a new leader waits 3 s for the machine types and then assigns partitions without them. It estimates the fleet by the teams' limits divided by the largest type, which of none was 0 and then taken for 1; and whether a limit is large enough to be sharded by a loop over the types, which with none found nothing against it. Sharding is never taken back.

Change: the largest machine is known or not (View.LargestMachine, which the bound on unknown use takes, too). While it is not, the fleet counts as the machines that are there, and no team's limit is sharded. Teams get their owners as before. Waiting with the whole assignment was the alternative: a leader alone cut off from the cloud would then keep jobs that other controllers accept from ever starting.

Why it holds: partitions are sharded only by canShard, which now needs the types; a fleet that is large is sharded by the first value after they are read.

--- a/internal/core/cluster/cluster.go
+++ b/internal/core/cluster/cluster.go
@@ -165,6 +165,15 @@
 // LeasedMachines returns how many machines are in blocks.
 func (v *View) LeasedMachines() int { return len(v.holders) }
 
+// LargestMachine returns the most that a machine of any type has of each resource. known is
+// false while no type has been read: the largest of none is not 0.
+func (v *View) LargestMachine() (size sched.Resources, known bool) {
+	for _, t := range v.MachineTypes {
+		size = sched.Resources{CPUs: max(size.CPUs, t.CPUs), GPUs: max(size.GPUs, t.GPUs), MemoryGB: max(size.MemoryGB, t.MemoryGB)}
+	}
+	return size, len(v.MachineTypes) > 0
+}
+
 // MachineSize returns the resources of a machine of a type.
 func MachineSize(t wire.MachineType) sched.Resources {
 	return sched.Resources{CPUs: t.CPUs, GPUs: t.GPUs, MemoryGB: t.MemoryGB}
--- a/internal/core/leader/partitions.go
+++ b/internal/core/leader/partitions.go
@@ -28,8 +28,8 @@
 	return l.fleetSize() > min(l.view.Params.ShardLimitedAbove, l.machinesPerOwner())
 }
 
-// canShard reports whether a team's jobs may be split into shards now. Every quota
-// share must have room for the largest task, which is at most a machine.
+// canShard reports whether a team's jobs may be split into shards now, which is for good.
+// Every quota share must have room for the largest task, which is at most a machine.
 func (l *Leader) canShard(team config.Team) bool {
 	if cluster.Unlimited(team) {
 		return l.isLarge()
@@ -37,27 +37,26 @@
 	if !l.exceedsOneController() || !l.canStorePages() {
 		return false
 	}
+	largest, known := l.view.LargestMachine()
 	controllers := float64(l.view.Settings.Controllers())
-	for _, machineType := range l.view.MachineTypes {
-		if (team.CPUsMax > 0 && team.CPUsMax < controllers*machineType.CPUs) ||
-			(team.GPUsMax > 0 && team.GPUsMax < controllers*machineType.GPUs) {
-			return false
-		}
-	}
-	return true
+	return known && (team.CPUsMax <= 0 || team.CPUsMax >= controllers*largest.CPUs) &&
+		(team.GPUsMax <= 0 || team.GPUsMax >= controllers*largest.GPUs)
 }
 
 // fleetSize returns how many machines there are, or how many the teams' limits
-// amount to if that is more.
+// amount to if that is more and known: without machine types a limit in processors
+// would count as so many machines.
 func (l *Leader) fleetSize() int {
-	largest, limits := 0.0, 0.0
-	for _, machineType := range l.view.MachineTypes {
-		largest = max(largest, machineType.CPUs)
+	machines := len(l.autoscaler.instances)
+	largest, known := l.view.LargestMachine()
+	if !known {
+		return machines
 	}
+	limits := 0.0
 	for _, team := range l.view.Settings.Cluster.Teams {
 		limits += max(team.CPUs, team.CPUsMax)
 	}
-	return max(len(l.autoscaler.instances), int(limits/max(1, largest)))
+	return max(machines, int(limits/max(1, largest.CPUs)))
 }
 
 // isLarge reports whether the fleet is so large that sharding it costs less than one
--- a/internal/core/owner/unknown_use.go
+++ b/internal/core/owner/unknown_use.go
@@ -39,8 +39,5 @@
 	if _, listed := o.view.MachineTypes[m.machineType]; m.machineType != "" && !listed {
 		return size, false
 	}
-	for _, t := range o.view.MachineTypes {
-		size = sched.Resources{CPUs: max(size.CPUs, t.CPUs), GPUs: max(size.GPUs, t.GPUs)}
-	}
-	return size, len(o.view.MachineTypes) > 0
+	return o.view.LargestMachine()
 }
