Simulated worlds check the books of quota, beside faults of the cloud

Cause: the worlds noticed a wrong count only when a team came to be over its limit, and their cloud told the machine types always and at once.

Change: after each step, for each controller that has read the newest lease value, what tasks use on its machines is at most what it counts and assumes, and at most its share less what it has reserved. TestLimitsBesideCloudFaults: three or five controllers, teams at their limits, the cloud refuses or delays each of its calls for up to 35 s, for all or for one that has just begun, beside ends, freezes, takeovers and cuts.

--- a/internal/core/controller/status.go
+++ b/internal/core/controller/status.go
@@ -2,6 +2,8 @@
 
 import (
 	"fawncove/internal/core/feature"
+	"fawncove/internal/core/owner"
+	"fawncove/internal/wire"
 )
 
 // serves reports whether users and workers can be served at all.
@@ -57,5 +59,19 @@
 // last read. The map must not be changed.
 func (c *Core) Partitions() map[string]string { return c.view.Lease.Partitions }
 
+// LeaseVersion returns the version of the lease value as last read.
+func (c *Core) LeaseVersion() wire.Revision { return c.view.LeaseVersion }
+
+// QuotaBooks returns what this controller has of each team's limit; none without a block.
+func (c *Core) QuotaBooks() []owner.QuotaBook {
+	if !c.blockLease.Held() {
+		return nil
+	}
+	return c.owner.QuotaBooks()
+}
+
+// HoldsMachine reports whether a machine is in this controller's block.
+func (c *Core) HoldsMachine(name string) bool { return c.owner.HoldsMachine(name) }
+
 // MachineCount returns how many machines are in this controller's block.
 func (c *Core) MachineCount() int { return c.owner.MachineCount() }
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -71,6 +71,9 @@
 	commands                        int      // start commands that reached a worker
 	sent                            int      // that were sent straight to one
 
+	booksCheckedAt time.Duration // the controllers' books of quota
+	booksChanged   bool          // since then: a controller has made a step, or a task has changed its state
+
 	trace hash.Hash64  // of all that the cores asked for, if it is kept
 	logs  slog.Handler // of what the controllers log, if it is kept
 }
@@ -205,6 +208,7 @@
 		w.now = e.at
 		e.run()
 		w.check()
+		w.checkAllBooks()
 	}
 	w.now = end
 }
@@ -219,6 +223,7 @@
 	before, after := on(t.state), on(state)
 	t.state = state
 	w, u := k.w, k.w.users[t.job]
+	w.booksChanged = true
 	switch {
 	case after && !before:
 		if other := w.where[t.name]; other != nil {
@@ -414,6 +419,7 @@
 		}
 		return
 	}
+	n.w.booksChanged = true
 	for _, e := range n.core.Step(n.clock(), ev) {
 		if n.w.trace != nil {
 			n.w.note(n.name, e)
--- a/internal/testkit/simtest/world_test.go
+++ b/internal/testkit/simtest/world_test.go
@@ -19,6 +19,7 @@
 
 	services = flag.Uint64("services", 6, "number of seeded days of services and wide arrays to play")
 	restarts = flag.Uint64("restarts", 8, "number of seeded worlds in which a controller restarts")
+	clouds   = flag.Uint64("clouds", 24, "number of seeded worlds beside faults of the cloud")
 )
 
 // trouble lets something go wrong every now and then.
