Logs of quota use by team, and of why attempts come to count and cease to

Cause: when a team is over its limit, one controller counts less than runs on its machines. The logs could not tell which, nor by which path an attempt had stopped counting.

Change: "quota use" once a minute for each team with a limit (share, limit that applies, use, assumed use, unreconciled machines), "attempts counted" with the number of each reason, and each attempt at debug. Counting takes a reason as a type; detach loses a parameter that was always true.

Two to three kinds of lines a minute beside one for each limited team; no behaviour is changed.

--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -185,5 +185,6 @@
 	c.sendFreshnessCheck()
 	c.owner.CheckMachines()
 	c.owner.LogServiceReport()
+	c.owner.LogQuota()
 	c.runLeader()
 }
--- a/internal/core/owner/attempt.go
+++ b/internal/core/owner/attempt.go
@@ -91,21 +91,21 @@
 	}
 	a.job, a.stopping, j.started = j, false, true
 	j.attempts[i] = a
-	o.countUse(a)
+	o.countUse(a, attemptWasRunning)
 	j.dequeue(i)
 	return a
 }
 
-// detach takes an attempt that is certainly not running off its job. The task waits again
-// if requeue says so and it is not completed.
-func (o *Owner) detach(a *attempt, requeue bool) {
-	o.uncountUse(a)
+// detach takes an attempt that is certainly not running, for this reason, off its job. The
+// task waits again if it is not completed.
+func (o *Owner) detach(a *attempt, reason uncountReason) {
+	o.uncountUse(a, reason)
 	j := a.job
 	if j == nil || j.attempts[a.index] != a {
 		return
 	}
 	delete(j.attempts, a.index)
-	if requeue && !j.Ended && !j.isDone(a.index) && j.ready() {
+	if !j.Ended && !j.isDone(a.index) && j.ready() {
 		j.enqueue(a.index)
 		if len(j.queue) == 1 {
 			j.waitSince = o.loop.Now
@@ -117,10 +117,10 @@
 	}
 }
 
-// dropAttempt removes an attempt that is certainly not running.
-func (o *Owner) dropAttempt(a *attempt) {
+// dropAttempt removes an attempt that is certainly not running, for this reason.
+func (o *Owner) dropAttempt(a *attempt, reason uncountReason) {
 	delete(a.machine.attempts, a.key())
-	o.detach(a, true)
+	o.detach(a, reason)
 }
 
 // halt marks an attempt to be stopped, by a command that does not wait for a heartbeat.
@@ -151,7 +151,7 @@
 	case wire.ReasonUnknown:
 		j.retryAt = o.loop.Now.Add(rejectedTaskBackoff)
 	}
-	o.detach(a, true)
+	o.detach(a, attemptReportedEnded)
 	if j.doneCount == j.Record.Tasks {
 		o.storeJobEnds()
 	}
--- a/internal/core/owner/block.go
+++ b/internal/core/owner/block.go
@@ -108,7 +108,7 @@
 func (o *Owner) removeMachine(m *machine) {
 	o.workers.remove(m.name)
 	for _, a := range m.attempts {
-		o.detach(a, true)
+		o.detach(a, machineTerminated)
 	}
 	o.placement.due = true
 }
--- a/internal/core/owner/commands.go
+++ b/internal/core/owner/commands.go
@@ -196,7 +196,7 @@
 func (o *Owner) dropUnexecutedStarts(m *machine, started []*attempt) {
 	for _, a := range started {
 		if m.attempts[a.key()] == a && !a.reported {
-			o.dropAttempt(a)
+			o.dropAttempt(a, startNotExecuted)
 		}
 	}
 }
--- a/internal/core/owner/job_end.go
+++ b/internal/core/owner/job_end.go
@@ -63,7 +63,7 @@
 		j.queue = nil
 		for _, a := range j.attempts {
 			if a.state == attemptQueued {
-				o.dropAttempt(a)
+				o.dropAttempt(a, startNotSent)
 			} else {
 				o.halt(a)
 			}
--- a/internal/core/owner/migration_test.go
+++ b/internal/core/owner/migration_test.go
@@ -132,7 +132,7 @@
 			full := o.jobs["wk-000001"]
 			o.EndJob(full)
 			for _, r := range full.attempts { // room at last
-				o.dropAttempt(r)
+				o.dropAttempt(r, attemptReportedEnded)
 			}
 			o.known.revision = c.known
 			o.view.Peers["n1"].AcceptsJobMoves = false
--- a/internal/core/owner/observe.go
+++ b/internal/core/owner/observe.go
@@ -161,7 +161,19 @@
 		if !epochEnded && !a.reported && a.mayStillStart(hb, source) {
 			continue
 		}
-		o.dropAttempt(a)
+		o.dropAttempt(a, a.whyUnlisted(epochEnded))
+	}
+}
+
+// whyUnlisted says why an attempt that its worker does not list is not running.
+func (a *attempt) whyUnlisted(epochEnded bool) uncountReason {
+	switch {
+	case epochEnded:
+		return agentEpochOver
+	case a.reported:
+		return attemptForgotten
+	default:
+		return attemptNotListed
 	}
 }
 
--- a/internal/core/owner/placement.go
+++ b/internal/core/owner/placement.go
@@ -221,7 +221,7 @@
 // undoGang removes the attempts of a gang that has no room for all of its tasks.
 func (o *Owner) undoGang(placed []*attempt) {
 	for _, a := range placed {
-		o.dropAttempt(a)
+		o.dropAttempt(a, startNotSent)
 		o.updateIdle(a.machine)
 	}
 }
@@ -249,7 +249,7 @@
 	}
 	m.attempts[a.key()] = a
 	j.attempts[i] = a
-	o.countUse(a)
+	o.countUse(a, o.startReason(j.Record.Team))
 	m.recordImage(j.Record.Image, j.Record.ImageGB, o.view.MachineTypes[m.machineType].CacheGB, false)
 	m.idleSince = time.Time{}
 	o.workers.markUrgent(m)
--- a/internal/core/owner/quota_use.go
+++ b/internal/core/owner/quota_use.go
@@ -14,6 +14,7 @@
 	used      map[string]sched.Resources // by team
 	stopping  map[string]sched.Resources // the part of used that is being stopped, as of the last round of placement
 	lastStart map[string]time.Time       // when a task of each team was last started
+	counts    quotaCounts
 }
 
 func newQuotaUse() quotaUse {
@@ -34,22 +35,6 @@
 	q.stopping[j.Record.Team] = q.stopping[j.Record.Team].Add(j.need(), 1)
 }
 
-// countUse adds an attempt to what its team uses, once.
-func (o *Owner) countUse(a *attempt) {
-	if a.job != nil && !a.counted {
-		a.counted = true
-		o.quota.add(a.job, 1)
-	}
-}
-
-// uncountUse takes an attempt off what its team uses, once.
-func (o *Owner) uncountUse(a *attempt) {
-	if a.job != nil && a.counted {
-		a.counted = false
-		o.quota.add(a.job, -1)
-	}
-}
-
 // limitAllows reports whether the limit of the job's team, or this controller's share of it,
 // allows for one more task beside what may run on unreconciled machines.
 func (o *Owner) limitAllows(j *Job, unknown unknownUse) bool {
