--- a/cmd/fawncove/try.go
+++ b/cmd/fawncove/try.go
@@ -26,7 +26,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := interrupted(cmd.Context())
 			defer cancel()
-			if err := checkLosses(&p); err != nil {
+			if err := checkPlan(&p); err != nil {
 				fmt.Fprintln(cmd.ErrOrStderr(), "try:", err)
 				return exitUsage
 			}
@@ -42,6 +42,7 @@
 	f.StringVar(&p.From, "upgrade-from", "", "an earlier build to start with, and to roll out this one from")
 	f.DurationVar(&p.Lose, "lose-state", 0, "put a copy of the state that is so old in its place, and see it made whole")
 	f.DurationVar(&p.Again, "lose-state-again", 0, "with --lose-state: put the same copy in its place again so long after that, during the recovery")
+	f.DurationVar(&p.CloudAway, "cloud-away", 0, "restart a controller while teams are at their limits, and have the cloud away until so long after its return")
 	f.BoolVar(&p.Back, "back", false, "roll back to the earlier build before the level is raised")
 	return cmd
 }
@@ -49,9 +50,11 @@
 // exitUsage is the exit status of a command whose flags make no sense together.
 const exitUsage = exitStatus(2)
 
-// checkLosses returns what is wrong with the losses of state that a plan asks for, or nil.
-func checkLosses(plan *drill.Plan) error {
+// checkPlan returns what is wrong with the faults that a plan asks for, or nil.
+func checkPlan(plan *drill.Plan) error {
 	switch {
+	case plan.CloudAway < 0:
+		return fmt.Errorf("--cloud-away: %v is negative", plan.CloudAway)
 	case plan.Lose < 0:
 		return fmt.Errorf("--lose-state: %v is negative", plan.Lose)
 	case plan.Again < 0:
@@ -110,6 +113,11 @@
 			return err
 		}
 	}
+	if plan.CloudAway > 0 {
+		if err := cluster.RestartWithoutCloud(); err != nil {
+			return err
+		}
+	}
 	if plan.From != "" {
 		if err := cluster.Rollout(); err != nil {
 			return err
--- a/internal/testkit/drill/drill.go
+++ b/internal/testkit/drill/drill.go
@@ -38,12 +38,16 @@
 	Back   bool          // roll back to it before the level is raised
 	Lose   time.Duration // put a copy of the state so old in its place; 0: do not
 	Again  time.Duration // put the same copy in its place again so long after that; 0: do not
-	Jobs   int           // sample jobs
-	Over   time.Duration // in which they are submitted
-	Run    []string      // command of every task; empty: tasks only take their time
-	Dir    string        // for settings and logs
-	Seed   uint64
-	Out    io.Writer
+	// CloudAway is how long the cloud is away after a controller has restarted while
+	// teams are at their limits; 0: that is not played.
+	CloudAway time.Duration
+
+	Jobs int           // sample jobs
+	Over time.Duration // in which they are submitted
+	Run  []string      // command of every task; empty: tasks only take their time
+	Dir  string        // for settings and logs
+	Seed uint64
+	Out  io.Writer
 }
 
 // Drill is a cluster at work.
@@ -56,6 +60,7 @@
 	cfg   *config.Settings // of the first controller
 	begun time.Time
 
+	services     int           // submitted beside the sample jobs
 	earlierLevel feature.Level // the newest that the earlier build can follow
 }
 
@@ -70,15 +75,30 @@
 // controllers are the names of the processes.
 var controllers = [...]string{"n0", "n1", "n2"}
 
+// sampleMachines bounds the machines for the sample jobs.
+const sampleMachines = 12
+
+// machines returns how many machines the cloud has at most.
+func (p *Plan) machines() int {
+	if p.CloudAway > 0 {
+		return limitMachines
+	}
+	return sampleMachines
+}
+
 // settings are those of the cluster, small enough for any machine.
-func settings() config.Cluster {
-	return config.Cluster{
+func (p *Plan) settings() config.Cluster {
+	s := config.Cluster{
 		InitialSize: len(controllers), Zones: []string{"x", "y"}, ClockErrorMs: 50,
 		Teams:   []config.Team{{Name: "red", CPUs: 8, CPUsMax: 12}, {Name: "blue", CPUs: 4, CPUsMax: 16}, {Name: "free"}},
 		Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
 		State:   config.State{RPS: 200, WriteRPS: 100, ValueKB: 8, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 10, ListLagS: 4},
 	}
+	if p.CloudAway > 0 {
+		s.Teams = limitTeams()
+	}
+	return s
 }
 
 // Start starts the stand-ins and the controllers. Stop must follow.
@@ -99,16 +119,16 @@
 		d.procs = append(d.procs, p)
 	}
 	d.host = loopback.New(ctx, nodes, plan.Run, slog.New(slog.DiscardHandler))
-	world := simtest.NewDriven(plan.Seed, controllers[:], settings(), 12, d.host)
+	world := simtest.NewDriven(plan.Seed, controllers[:], plan.settings(), plan.machines(), d.host)
 	if err := d.host.Start(world); err != nil {
 		return nil, err
 	}
 	for i, p := range d.procs {
-		s := &config.Settings{HostName: p.name, Area: settings().Zones[i%2], ClientListen: addrs[2*i], ClusterListen: addrs[2*i+1],
-			External: config.External{Cloud: d.host.Cloud, State: d.host.State}, Cluster: settings()}
+		s := &config.Settings{HostName: p.name, Area: plan.settings().Zones[i%2], ClientListen: addrs[2*i], ClusterListen: addrs[2*i+1],
+			External: config.External{Cloud: d.host.Cloud, State: d.host.State}, Cluster: plan.settings()}
 		for k, peer := range d.procs {
 			if k != i {
-				s.Peers = append(s.Peers, config.Peer{HostName: peer.name, Area: settings().Zones[k%2], Endpoint: addrs[2*k+1]})
+				s.Peers = append(s.Peers, config.Peer{HostName: peer.name, Area: plan.settings().Zones[k%2], Endpoint: addrs[2*k+1]})
 			}
 		}
 		if err := writeSettings(p.settings, s); err != nil {
@@ -295,12 +315,12 @@
 		if len(broken) > 0 {
 			return fmt.Errorf("rules broken: %s", strings.Join(broken, "; "))
 		}
-		if s.Submitted == d.plan.Jobs && s.Over == s.Accepted && s.Accepted == s.Submitted {
+		if s.Submitted == d.plan.Jobs+d.services && s.Over == s.Accepted && s.Accepted == s.Submitted {
 			d.status()
 			return nil
 		}
 		if time.Now().After(end) {
-			return fmt.Errorf("%d of %d jobs are over after all", s.Over, d.plan.Jobs)
+			return fmt.Errorf("%d of %d jobs are over after all", s.Over, d.plan.Jobs+d.services)
 		}
 		if !time.Now().Before(next) {
 			d.status()
--- a/internal/testkit/loopback/loopback.go
+++ b/internal/testkit/loopback/loopback.go
@@ -279,8 +279,8 @@
 func (h *Host) cloud() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machine_types", func(w http.ResponseWriter, r *http.Request) {
-		if t, ok := do(h, r, now(h.world.Types)); ok {
-			write(w, 200, t)
+		if d, ok := do(h, r, now(h.world.Types)); ok {
+			write(w, statusOf(d.Outcome), d.Types)
 		}
 	})
 	mux.HandleFunc("POST /machines", func(w http.ResponseWriter, r *http.Request) {
@@ -294,7 +294,7 @@
 		case d.Outcome == eventloop.Succeeded:
 			write(w, 200, wire.Names{Machines: d.Names})
 		default:
-			write(w, statusOf(d.Outcome), wire.ErrorAnswer{Error: "no capacity"})
+			write(w, statusOf(d.Outcome), wire.ErrorAnswer{Error: "no capacity, or away"})
 		}
 	})
 	mux.HandleFunc("POST /machines/release", func(w http.ResponseWriter, r *http.Request) {
@@ -302,8 +302,8 @@
 		if !body(w, r, &names) {
 			return
 		}
-		if _, ok := do(h, r, now(func() bool { h.world.Release(names.Machines); return true })); ok {
-			write(w, 200, struct{}{})
+		if d, ok := do(h, r, now(func() eventloop.Completion { return h.world.Release(names.Machines) })); ok {
+			write(w, statusOf(d.Outcome), struct{}{})
 		}
 	})
 	mux.HandleFunc("GET /machines", func(w http.ResponseWriter, r *http.Request) {
@@ -314,7 +314,7 @@
 					l.Machines = append(l.Machines, m)
 				}
 			}
-			write(w, 200, l)
+			write(w, statusOf(d.Outcome), l)
 		}
 	})
 	return mux
--- a/internal/testkit/simtest/drive.go
+++ b/internal/testkit/simtest/drive.go
@@ -93,22 +93,51 @@
 	d.store.watch("", prefix, after, d.now+hold, answer)
 }
 
+// CloudAway has the cloud refuse everything for so long.
+func (d *Driven) CloudAway(lasts time.Duration) { d.cloud.outage = d.now + lasts }
+
+// cloudCall executes a call of the cloud, unless it refuses everything.
+func (d *Driven) cloudCall(execute func() eventloop.Completion) eventloop.Completion {
+	if d.now < d.cloud.outage {
+		return eventloop.Completion{Outcome: eventloop.Unavailable}
+	}
+	return execute()
+}
+
 // Types are the cloud's machine types.
-func (d *Driven) Types() wire.MachineTypes { return wire.MachineTypes{Types: machineTypes} }
+func (d *Driven) Types() eventloop.Completion { return d.cloudCall(d.cloud.types) }
 
 // Rent rents machines.
-func (d *Driven) Rent(r wire.InstanceRequest) eventloop.Completion { return d.cloud.rent(r) }
+func (d *Driven) Rent(r wire.InstanceRequest) eventloop.Completion {
+	return d.cloudCall(func() eventloop.Completion { return d.cloud.rent(r) })
+}
 
 // Release ends machines.
-func (d *Driven) Release(names []string) {
-	for _, name := range names {
-		d.kill(name)
-		delete(d.workers, name)
-	}
+func (d *Driven) Release(names []string) eventloop.Completion {
+	return d.cloudCall(func() eventloop.Completion { return d.cloud.remove(names) })
 }
 
 // List lists machines, some seconds late.
-func (d *Driven) List() eventloop.Completion { return d.cloud.list() }
+func (d *Driven) List() eventloop.Completion { return d.cloudCall(d.cloud.list) }
+
+// SubmitServices has users submit services of two replicas of a team now, numbered from
+// first on.
+func (d *Driven) SubmitServices(first, count int, team string, cpus float64) {
+	d.replicas(first, count, team, cpus)
+}
+
+// CancelServices has users cancel the services of a team, or of all (""), that they have
+// submitted.
+func (d *Driven) CancelServices(team string) {
+	for _, u := range d.users {
+		if u.job.Shape == wire.Daemon && (team == "" || u.job.Team == team) && !u.wantsCancel {
+			d.cancelAll([]*user{u})
+		}
+	}
+}
+
+// Use returns the processors that the tasks of a team use on machines.
+func (d *Driven) Use(team string) float64 { return d.used[team] }
 
 // Commands hands commands to a machine's worker; NoAnswer: it is not there.
 func (d *Driven) Commands(machine string, c wire.Commands) (outcome eventloop.Outcome, r *wire.Heartbeat) {
--- a/internal/testkit/simtest/limit_meeting_test.go
+++ b/internal/testkit/simtest/limit_meeting_test.go
@@ -7,20 +7,8 @@
 
 	"fawncove/internal/config"
 	"fawncove/internal/core/cluster"
-	"fawncove/internal/wire"
 )
 
-// replicas submits services with two replicas each.
-func (w *World) replicas(first, count int, team string, cpus float64) (out []*user) {
-	for i := range count {
-		u := w.newUser(wire.Job{ID: fmt.Sprintf("wk-%06d", first+i), Class: "s", Team: team, Shape: wire.Daemon, Priority: "urgent",
-			Tasks: 2, CPUs: cpus, MemoryGB: 1, Image: "a", ImageGB: 1, Spot: true})
-		w.after(w.within(time.Second), u.submit)
-		out = append(out, u)
-	}
-	return out
-}
-
 // TestLimitBesideCalledOff: two teams are at their limits, and more work waits. Half of
 // one's jobs are cancelled while their machines are cut off, hang, or reach nobody, for
 // longer than a lease, and the leader ends with it, or not. The limit has to hold while
--- a/internal/testkit/simtest/night_test.go
+++ b/internal/testkit/simtest/night_test.go
@@ -186,13 +186,6 @@
 	}
 }
 
-// newUser is a user of one job.
-func (w *World) newUser(job wire.Job) *user {
-	u := &user{w: w, doneTasks: map[string]bool{}, job: job}
-	w.users[job.ID] = u
-	return u
-}
-
 // serviceNight builds a world with services that run on machines of one holder.
 func serviceNight(t *testing.T, seed uint64) (w *World, holder int) {
 	t.Helper()
--- a/internal/testkit/simtest/restart_quota_test.go
+++ b/internal/testkit/simtest/restart_quota_test.go
@@ -42,14 +42,6 @@
 	return others
 }
 
-// cancelAll has users cancel their jobs now.
-func (w *World) cancelAll(users []*user) {
-	for _, u := range users {
-		u.wantsCancel = true
-		u.cancel()
-	}
-}
-
 // restart is a controller that ends while all teams are at their limits.
 type restart struct {
 	ofLeader   bool
