A reservation of quota is logged once, however often it is repeated

While the leader is away a controller repeats its reservations with each renewal; one of them was logged eleven times in four seconds. It is logged when its amount changes.

--- a/internal/core/owner/quota_count.go
+++ b/internal/core/owner/quota_count.go
@@ -1,6 +1,9 @@
 package owner
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // quotaLogInterval is how often the use of quota is logged.
 const quotaLogInterval = time.Minute
@@ -71,7 +74,7 @@
 }
 
 // logCount logs that an attempt counts now, or does not any more.
-func (o *Owner) logCount(message string, a *attempt, reason interface{ String() string }) {
+func (o *Owner) logCount(message string, a *attempt, reason fmt.Stringer) {
 	team := a.job.Record.Team
 	used := o.quota.used[team]
 	o.log.Debug(message, "task", a.task, "attempt", a.number, "machine", a.machine.name, "team", team, "reason", reason.String(),
--- a/internal/core/owner/quota_share.go
+++ b/internal/core/owner/quota_share.go
@@ -174,8 +174,10 @@
 	r.Grant = uint64(o.blockLease.Grant())
 	for _, team := range cluster.SortedKeys(sparable) {
 		s := sparable[team]
+		if s != o.blockLease.UsableShare(team, o.view.Lease.Shares[team][o.view.Self]) {
+			o.logReservation(r.GetNumber(), team, s) // once, however often it is repeated
+		}
 		o.blockLease.Reserve(r.GetNumber(), team, s)
-		o.logReservation(r.GetNumber(), team, s)
 		r.Reservations = append(r.Reservations, &peerpb.QuotaReservation{Team: team, Cpus: int64(s.CPUs), Gpus: int64(s.GPUs)})
 	}
 	for _, partition := range o.partitionsToHandOver() {
