--- a/internal/testkit/simtest/cloud_faults_test.go
+++ b/internal/testkit/simtest/cloud_faults_test.go
@@ -51,14 +51,16 @@
 	}
 }
 
-// controllerTrouble has a controller end, stand still, or lose its machines or the others.
+// controllerTrouble has a controller end, stand still, lose its machines, or end within a
+// cut from everything; messages are lost in cuts, or held until they are over.
 func (w *World) controllerTrouble() {
+	w.heldUp = w.rng.IntN(2) == 0
 	i := w.rng.IntN(len(w.nodes))
 	if w.rng.IntN(3) == 0 {
 		i = w.leading()
 	}
 	n := w.nodes[i]
-	switch w.rng.IntN(5) {
+	switch w.rng.IntN(6) {
 	case 0, 1: // it ends, and cannot read the machine types when it is back
 		away := 2*time.Second + w.within(8*time.Second)
 		w.Crash(i, away)
@@ -72,9 +74,27 @@
 		w.Freeze(i, w.within(25*time.Second))
 	case 4:
 		w.cutMachines(n, w.within(15*time.Second))
+	case 5:
+		w.restartWithinCut(i)
 	}
 }
 
+// restartWithinCut cuts a controller off from everything for 6 s. A second later it ends,
+// and is back a second before the cut is over.
+func (w *World) restartWithinCut(i int) {
+	const cut, endsAfter, away = 6 * time.Second, time.Second, 4 * time.Second
+	n := w.nodes[i]
+	w.cutMachines(n, cut)
+	for _, other := range w.nodes {
+		if other != n {
+			w.Cut(n.name, other.name, cut)
+		}
+	}
+	w.Outage(cut, n.name)
+	w.RefuseCloud(callTypes, n.name, cut+w.within(time.Second))
+	w.after(endsAfter, func() { w.Crash(i, away) })
+}
+
 // cutMachines cuts a controller off from all machines.
 func (w *World) cutMachines(n *simNode, d time.Duration) {
 	for _, k := range w.byName() {
