--- a/internal/testkit/simtest/books.go
+++ b/internal/testkit/simtest/books.go
@@ -1,6 +1,8 @@
 package simtest
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"fawncove/internal/core/leasevalue"
@@ -59,8 +61,50 @@
 	}
 }
 
+// startsInFlight are the starts of one direct command that is on its way.
+type startsInFlight struct {
+	machine string
+	body    wire.Commands
+}
+
+// recordStarts notes that a direct command is on its way to a machine, or returns nil if it
+// starts nothing.
+func (w *World) recordStarts(machine string, body wire.Commands) *startsInFlight {
+	if !slices.ContainsFunc(body.Commands, isStart) {
+		return nil
+	}
+	flight := &startsInFlight{machine, body}
+	w.inFlight = append(w.inFlight, flight)
+	return flight
+}
+
+// forgetStarts notes that a direct command was carried out, or never will be.
+func (w *World) forgetStarts(flight *startsInFlight) {
+	w.inFlight = slices.DeleteFunc(w.inFlight, func(f *startsInFlight) bool { return f == flight })
+}
+
+func isStart(c wire.Command) bool { return c.Op == wire.CommandStart }
+
+// addInFlight adds what would be started by direct commands on their way to the machines of
+// a controller's block: as long as token and agent epoch match they are carried out.
+func (w *World) addInFlight(n *simNode, use map[string]float64) {
+	for _, f := range w.inFlight {
+		k := w.workers[f.machine]
+		if k == nil || k.gone || !n.core.HoldsMachine(f.machine) || f.body.Token < k.token || f.body.AgentEpoch != k.session {
+			continue
+		}
+		for _, c := range f.body.Commands {
+			id, _, _ := strings.Cut(c.Task, "/")
+			listed := slices.ContainsFunc(k.tasks, func(t *simTask) bool { return t.name == c.Task && t.attempt == c.Attempt })
+			if u := w.users[id]; u != nil && isStart(c) && !listed {
+				use[u.job.Team] += u.job.CPUs
+			}
+		}
+	}
+}
+
 // useOn returns the processors that tasks use on the machines of a controller's block, by
-// team.
+// team, those that direct commands on their way start included.
 func (w *World) useOn(n *simNode) map[string]float64 {
 	use := map[string]float64{}
 	for name, k := range w.workers {
@@ -73,5 +117,6 @@
 			}
 		}
 	}
+	w.addInFlight(n, use)
 	return use
 }
--- a/internal/testkit/simtest/effects.go
+++ b/internal/testkit/simtest/effects.go
@@ -202,16 +202,22 @@
 	w.seeToken(n.name, e)
 	w.after(callTimeout, func() { call.finish(eventloop.Completion{}, false) })
 	name := workerAt(e.Endpoint)
-	w.send(n.name, name, func() {
+	flight := w.recordStarts(name, e.Body)
+	arrives := w.send(n.name, name, func() {
 		k := w.workers[name]
 		if k == nil || k.gone || w.now < k.deaf {
+			w.forgetStarts(flight)
 			return
 		}
 		k.whenAwake(func() {
 			outcome, r := k.commands(e.Body)
+			w.forgetStarts(flight)
 			w.send(name, n.name, func() { call.finish(eventloop.Completion{Outcome: outcome, Heartbeat: r}, false) })
 		})
 	})
+	if !arrives {
+		w.forgetStarts(flight)
+	}
 }
 
 // workerAt names the worker with this address; "" if there is none.
@@ -225,7 +231,7 @@
 // seeToken breaks a rule when a start is sent with a token above all that its worker has
 // seen: no raise of what the worker has shown makes it void while it is held on its way.
 func (w *World) seeToken(from string, e eventloop.WorkerCommands) {
-	starts := slices.ContainsFunc(e.Body.Commands, func(c wire.Command) bool { return c.Op == wire.CommandStart })
+	starts := slices.ContainsFunc(e.Body.Commands, isStart)
 	if k := w.workers[workerAt(e.Endpoint)]; starts && k != nil && e.Body.Token > k.most {
 		w.breakRule("%s sends a start to %s with token %d, which has seen %d", from, k.name, e.Body.Token, k.most)
 	}
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -62,7 +62,8 @@
 	sent                            int      // that were sent straight to one
 
 	booksCheckedAt time.Duration // the controllers' books of quota
-	booksChanged   bool          // since then: a controller has made a step, or a task has changed its state
+	inFlight       []*startsInFlight
+	booksChanged   bool // since then: a controller has made a step, or a task has changed its state
 
 	trace hash.Hash64  // of all that the cores asked for, if it is kept
 	logs  slog.Handler // of what the controllers log, if it is kept
@@ -270,25 +271,27 @@
 	return [2]string{a, b}
 }
 
-// send delivers a message from a to b, after a cut, late, or not at all.
-func (w *World) send(a, b string, f func()) {
+// send delivers a message from a to b, after a cut, late, or not at all. It reports whether
+// the message arrives some day.
+func (w *World) send(a, b string, f func()) (arrives bool) {
 	d := time.Duration(1+w.rng.IntN(8)) * time.Millisecond
 	if w.rng.IntN(200) == 0 {
 		d += time.Duration(w.rng.IntN(400)) * time.Millisecond
 	}
 	if (w.now < w.deserted[a] && isMachine(b)) || (w.now < w.deserted[b] && isMachine(a)) {
-		return
+		return false
 	}
 	if w.night.links > 0 {
 		d += time.Duration(w.rng.Float64() * float64(w.night.links))
 	}
 	if until := w.cuts[pair(a, b)]; until > w.now {
 		if !w.heldUp {
-			return
+			return false
 		}
 		d += until - w.now
 	}
 	w.after(d, f)
+	return true
 }
 
 // Cut parts two hosts.
