--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -298,7 +298,7 @@
 	}
 	t.state = wire.TaskFetching
 	t.until = k.w.now
-	k.w.booksChanged = true
+	k.changesBooks()
 	if !k.known[u.job.Image] {
 		k.known[u.job.Image] = true
 		t.until += time.Duration(200+k.w.rng.IntN(2000)) * time.Millisecond
--- a/internal/testkit/simtest/books.go
+++ b/internal/testkit/simtest/books.go
@@ -21,19 +21,27 @@
 // checkAllBooks checks the books of quota of all controllers: they may be wrong long before
 // a team is over its limit.
 func (w *World) checkAllBooks() {
-	if w.edge != nil || !w.booksChanged || w.most > everyStepBelow && w.now-w.booksCheckedAt < booksInterval {
+	if w.edge != nil || w.most > everyStepBelow && w.now-w.booksCheckedAt < booksInterval {
 		return
 	}
-	w.booksCheckedAt, w.booksChanged = w.now, false
+	w.booksCheckedAt = w.now
 	newest := w.store.values[leasevalue.Key].version
 	for _, n := range w.nodes {
 		// One that has not read the newest value may have lost machines without knowing.
-		if n.up && n.core.LeaseVersion() == newest && !w.recovering(n) {
+		if n.booksChanged && n.up && n.core.LeaseVersion() == newest && !w.recovering(n) {
+			n.booksChanged = false
 			w.checkBooks(n)
 		}
 	}
 }
 
+// changesBooks notes that a task of the worker has come, gone or changed its state.
+func (k *worker) changesBooks() {
+	for _, n := range k.w.nodes {
+		n.booksChanged = n.booksChanged || (k.w.edge == nil && n.up && n.core.HoldsMachine(k.name))
+	}
+}
+
 // recovering reports whether the state has lost data and a controller does not work with
 // what was recovered.
 func (w *World) recovering(n *simNode) bool {
--- a/internal/testkit/simtest/node.go
+++ b/internal/testkit/simtest/node.go
@@ -32,6 +32,8 @@
 	since  time.Duration // when the process began, or ended
 	waits  map[uint64]func(eventloop.Reply)
 	next   uint64
+
+	booksChanged bool // since its books of quota were checked: it has made a step, or a task of its block has changed its state
 }
 
 func (n *simNode) clock() time.Time {
@@ -131,7 +133,7 @@
 		}
 		return
 	}
-	n.w.booksChanged = true
+	n.booksChanged = true
 	for _, e := range n.core.Step(n.clock(), ev) {
 		if n.w.trace != nil {
 			n.w.note(n.name, e)
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -63,7 +63,6 @@
 
 	booksCheckedAt time.Duration // the controllers' books of quota
 	inFlight       []*startsInFlight
-	booksChanged   bool // since then: a controller has made a step, or a task has changed its state
 
 	trace hash.Hash64  // of all that the cores asked for, if it is kept
 	logs  slog.Handler // of what the controllers log, if it is kept
@@ -214,7 +213,7 @@
 	before, after := on(t.state), on(state)
 	t.state = state
 	w, u := k.w, k.w.users[t.job]
-	w.booksChanged = true
+	k.changesBooks()
 	switch {
 	case after && !before:
 		if other := w.where[t.name]; other != nil {
