A write at a revision that was known when it was sent shows a loss of state

Callers saw 404, from all controllers and for good, for a job that they had been told is accepted: the state service had lost just the last change of a recovery, the record of that job, and the next write took the same revision.

Cause: checkRevision accepts an answer at the revision known at the request, which is right for reads only. A write takes a revision above all that were given; at one that is known, the change that had it is gone.

Change: the event loop notes which keys an open call writes, and a successful write at the revision known when it was sent starts a recovery, or the next attempt of one. Only puts count: a deletion of a key that is not there may change nothing. No request more, nothing on the wire.

The stub of TestRenewalsOfALateWriteCount answered renewals and other writes with the revision unchanged, which the protocol excludes (every change is counted). It counts them now and keeps the version of the lease value apart; what the test checks is as it was.

--- a/internal/core/controller/lease_write_test.go
+++ b/internal/core/controller/lease_write_test.go
@@ -18,7 +18,8 @@
 	core       *Core
 	now        time.Time
 	lease      wire.LeaseRecord
-	revision   wire.Revision
+	version    wire.Revision        // of the lease value
+	revision   wire.Revision        // every write takes one
 	heldWrites []eventloop.StateTxn // lease writes without an answer, not executed yet
 	muteWrites bool                 // lease writes get no answer
 	watchID    uint64
@@ -51,13 +52,13 @@
 
 func (k *stateStub) txn(e eventloop.StateTxn) eventloop.Completion {
 	for _, c := range e.Txn.If {
-		if c.Key == leaseKey && c.Version != k.revision {
+		if c.Key == leaseKey && c.Version != k.version {
 			return eventloop.Completion{ID: e.ID, FromStateService: true, Outcome: eventloop.Conflict, Txn: wire.TxnAnswer{Failed: []string{leaseKey}, Revision: k.revision}}
 		}
 	}
+	k.revision++
 	if rec, ok := e.Txn.Then[0].Value.(wire.LeaseRecord); ok {
-		k.revision++
-		k.lease = rec
+		k.lease, k.version = rec, k.revision
 	}
 	return eventloop.Completion{ID: e.ID, FromStateService: true, Outcome: eventloop.Succeeded, Txn: wire.TxnAnswer{Revision: k.revision}}
 }
@@ -70,7 +71,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return eventloop.Completion{ID: e.ID, FromStateService: true, Outcome: eventloop.Succeeded, Pair: wire.Pair{Key: leaseKey, Value: raw, Version: k.revision}}
+	return eventloop.Completion{ID: e.ID, FromStateService: true, Outcome: eventloop.Succeeded, Pair: wire.Pair{Key: leaseKey, Value: raw, Version: k.version}}
 }
 
 // TestRenewalsOfALateWriteCount: a write of the lease value gets no answer and is
@@ -81,7 +82,7 @@
 	rec := wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7, Partitions: map[string]string{"free": "n0"},
 		Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7}, "n1": {Grant: 3<<16 + 1, Incarnation: 9, Renewal: 1, Machines: []string{"host-000001"}}}}
 	c, start := newCore(t, []config.Team{{Name: "free"}}, rec)
-	k := &stateStub{core: c, now: start, lease: c.view.Lease, revision: 5}
+	k := &stateStub{core: c, now: start, lease: c.view.Lease, version: 5, revision: 5}
 	renewed := func(n uint64) eventloop.Event {
 		return eventloop.PeerFrame{Frame: &peerpb.Frame{From: "n1", Incarnation: 9, StateOk: true, Renewal: &peerpb.Renewal{Node: "n1", Incarnation: 9, Number: n}}}
 	}
@@ -115,7 +116,7 @@
 	k.muteWrites = false
 	raw := encode(t, k.lease)
 	k.deliver(eventloop.Completion{ID: k.watchID, FromStateService: true, Outcome: eventloop.Succeeded, Changes: wire.Changes{Revision: k.revision,
-		Log: []wire.Change{{Put: leaseKey, Value: raw, Version: k.revision}}}})
+		Log: []wire.Change{{Put: leaseKey, Value: raw, Version: k.version}}}})
 	// Until then its holder may start tasks on its machine.
 	until := sent.Add(c.view.Params.LeaseDuration)
 	for k.now.Before(until) {
--- a/internal/core/controller/loss.go
+++ b/internal/core/controller/loss.go
@@ -12,6 +12,7 @@
 
 const (
 	lossRevision  lossReason = "revision decreased"
+	lossWrite     lossReason = "write carried out at a revision seen before"
 	lossLease     lossReason = "lease value older than before"
 	lossJob       lossReason = "a job has neither record nor end"
 	lossOlder     lossReason = "a job's record is older than before"
@@ -46,7 +47,7 @@
 	if !d.FromStateService || (d.Outcome != eventloop.Succeeded && d.Outcome != eventloop.Conflict) {
 		return
 	}
-	expected, current := c.loop.CallRevision(d.ID)
+	call, current := c.loop.OpenCall(d.ID)
 	if !current {
 		return // asked before the last loss was noticed: it says nothing of the state since
 	}
@@ -55,12 +56,17 @@
 		return
 	}
 	revision := max(d.Txn.Revision, d.Page.Revision, d.Changes.Revision)
-	if revision < expected {
+	reason := lossRevision
+	written := d.Outcome == eventloop.Succeeded && len(call.Puts) > 0
+	if written && revision == call.Revision {
+		reason = lossWrite
+	}
+	if revision < call.Revision || reason == lossWrite {
 		if !c.state.loaded() && c.recovery == nil {
 			c.startup.noteStaleAnswer(c.loop.Now)
 			c.loop.ResetHighestRevision()
 		}
-		c.startRecovery(stateLoss{reason: lossRevision, revisionSeen: expected, revisionFound: revision})
+		c.startRecovery(stateLoss{reason: reason, revisionSeen: call.Revision, revisionFound: revision})
 		return
 	}
 	c.loop.RaiseHighestRevision(revision)
--- a/internal/core/eventloop/eventloop.go
+++ b/internal/core/eventloop/eventloop.go
@@ -30,6 +30,13 @@
 	completed func(Completion)
 	revision  wire.Revision // the highest when it was made
 	resets    uint64        // how often that had been reset then
+	puts      []string      // keys that it writes
+}
+
+// CallInfo is what is known of an open call from when it was made.
+type CallInfo struct {
+	Revision wire.Revision // the highest that the state service had shown
+	Puts     []string      // keys that it writes; none for a read
 }
 
 // Begin starts a step at now.
@@ -39,7 +46,26 @@
 func (l *Loop) Effects() []Effect { return l.effects }
 
 // Emit asks for an effect.
-func (l *Loop) Emit(e Effect) { l.effects = append(l.effects, e) }
+func (l *Loop) Emit(e Effect) {
+	if txn, ok := e.(StateTxn); ok {
+		l.notePuts(txn)
+	}
+	l.effects = append(l.effects, e)
+}
+
+// notePuts notes the keys that an open call writes.
+func (l *Loop) notePuts(e StateTxn) {
+	open, ok := l.calls[e.ID]
+	if !ok {
+		return
+	}
+	for _, op := range e.Txn.Then {
+		if op.Put != "" {
+			open.puts = append(open.puts, op.Put)
+		}
+	}
+	l.calls[e.ID] = open
+}
 
 // OnCompletion registers completed for the completion of an effect, and returns the ID that the
 // effect is to carry.
@@ -48,7 +74,7 @@
 		l.calls = map[uint64]call{}
 	}
 	l.lastCall++
-	l.calls[l.lastCall] = call{completed, l.highestRevision, l.resets}
+	l.calls[l.lastCall] = call{completed: completed, revision: l.highestRevision, resets: l.resets}
 	return l.lastCall
 }
 
@@ -83,11 +109,11 @@
 	l.resets++
 }
 
-// CallRevision returns the highest revision of when an open call was made. current is false
-// when there is no such call, or revisions were reset since.
-func (l *Loop) CallRevision(id uint64) (revision wire.Revision, current bool) {
+// OpenCall describes an open call. current is false when there is no such call, or revisions
+// were reset since it was made.
+func (l *Loop) OpenCall(id uint64) (info CallInfo, current bool) {
 	open, ok := l.calls[id]
-	return open.revision, ok && open.resets == l.resets
+	return CallInfo{Revision: open.revision, Puts: open.puts}, ok && open.resets == l.resets
 }
 
 // Reply answers a request.
