Nothing is drained for its size while a machine type is not known

Callers saw work wait beside machines that had just been given back: a leader that cannot read the machine types drained every on-demand machine of a large fleet, and idle spot machines too.

Cause: the size of a type that is not known fell back to 0 processors, so no reserve was needed for the work, and the target of spot machines kept none.

Change: no drain for the price while the type of a rented machine is not known, and an idle spot machine is kept while its own is not.

--- a/internal/core/leader/review.go
+++ b/internal/core/leader/review.go
@@ -112,20 +112,20 @@
 	if l.draining[name] || l.deleted[name] {
 		return
 	}
-	maxIdle, bootS, spotCPUs := maxIdleSpot, defaultBootS, 0.0
+	maxIdle, bootS, spotCPUs, sizeKnown := maxIdleSpot, defaultBootS, 0.0, true
 	if known := l.autoscaler.instances[name]; known != nil {
 		machineType, ok := l.view.MachineTypes[known.machineType]
 		if ok {
 			bootS = machineType.BootS
 		}
 		if known.spot {
-			spotCPUs = machineType.CPUs
+			spotCPUs, sizeKnown = machineType.CPUs, ok
 		} else {
 			maxIdle = maxIdleOnDemand
 		}
 	}
 	tooLong := idleS > maxIdle*bootS
-	notNeeded := spotCPUs == 0 || l.autoscaler.spotCPUs-spotCPUs >= l.autoscaler.spotTarget
+	notNeeded := sizeKnown && (spotCPUs == 0 || l.autoscaler.spotCPUs-spotCPUs >= l.autoscaler.spotTarget)
 	if !quarantined && !(tooLong && notNeeded) {
 		return
 	}
@@ -144,6 +144,9 @@
 	if !l.isLarge() {
 		return // a small fleet would miss them soon after
 	}
+	if !l.sizesKnown() {
+		return // the room that is needed for their work is not known
+	}
 	free, onDemandOnly, ok := l.freeSpotRoom()
 	if !ok {
 		return
@@ -168,6 +171,17 @@
 	}
 }
 
+// sizesKnown reports whether the machine types of all rented machines are known. A leader that
+// has just started may know none, and would take each machine for one of 0 processors.
+func (l *Leader) sizesKnown() bool {
+	for _, known := range l.autoscaler.instances {
+		if _, ok := l.view.MachineTypes[known.machineType]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // freeSpotRoom returns the processors that are free on spot machines, and the machines
 // whose tasks may not run on these. ok is false when tasks wait for on-demand machines.
 func (l *Leader) freeSpotRoom() (free float64, onDemandOnly map[string]bool, ok bool) {
--- a/internal/core/leader/unknown_types_test.go
+++ b/internal/core/leader/unknown_types_test.go
@@ -32,3 +32,23 @@
 		t.Errorf("%d of %d on-demand machines are drained, want none", drained, machines)
 	}
 }
+
+// TestNoIdleReleaseWithoutMachineTypes guards against giving back idle spot machines that the
+// load needs, each taken for one of 0 processors by a leader without machine types.
+func TestNoIdleReleaseWithoutMachineTypes(t *testing.T) {
+	l := newLeader([]config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n0", Incarnation: 7,
+		Blocks: map[string]wire.Block{"n0": {Grant: 3 << 16, Incarnation: 7, Machines: wire.NameSet{"host-000001", "host-000002"}}}})
+	for _, name := range []string{"host-000001", "host-000002"} {
+		known := &instance{}
+		known.machineType, known.spot = "s4", true
+		l.autoscaler.instances[name] = known
+	}
+	l.autoscaler.spotTarget = 100
+	const longIdleS = 1e6
+	clear(l.view.MachineTypes)
+	l.reviewInstance("host-000001", longIdleS, false)
+	l.reviewInstance("host-000002", longIdleS, true)
+	if l.draining["host-000001"] || !l.draining["host-000002"] {
+		t.Errorf("draining %v, want the quarantined one", l.draining)
+	}
+}
