Nobody is stopped for a guarantee that may be in use at a silent controller

Callers saw tasks stopped for a team that had its guarantee already, at a controller that had not told of its use for 10 s.

Cause: what was told too long ago counted as nothing.

Evidence: TestGuaranteeNeedsTheUseOfAll failed before.

Change: unknownUse covers the cluster too. A controller that holds machines and has not told of late has no bound, and no guarantee is known to cover another task; starts on free machines go on. The wait ends when it tells again, or when its block has lapsed and its machines are another's.

--- a/internal/core/owner/preemption.go
+++ b/internal/core/owner/preemption.go
@@ -37,7 +37,10 @@
 	limit, guarantee sched.Limit // of the job's team
 	used             sched.Resources
 	clusterUse       sched.Resources // of the team, on all controllers
-	unknownUse       unknownUse      // beside both
+	unknownUse       unknownUse      // beside used
+	// unknownClusterUse is beside clusterUse: others are not stopped for a guarantee that
+	// may be in use elsewhere.
+	unknownClusterUse unknownUse
 
 	guaranteed  bool    // the team's guarantee covers the next task
 	maxLostWork float64 // in seconds of a processor
@@ -78,14 +81,17 @@
 func (o *Owner) newPreemption(r *round, j *Job) *preemption {
 	team := j.Record.Team
 	p := &preemption{
-		owner:       o,
-		job:         j,
-		need:        j.need(),
-		limit:       o.localLimit(team),
-		guarantee:   o.view.GuaranteeOf(team),
-		used:        o.quota.used[team],
-		clusterUse:  o.clusterUse(team),
-		unknownUse:  r.unknownUse,
+		owner:      o,
+		job:        j,
+		need:       j.need(),
+		limit:      o.localLimit(team),
+		guarantee:  o.view.GuaranteeOf(team),
+		used:       o.quota.used[team],
+		clusterUse: o.clusterUse(team),
+		unknownUse: r.unknownUse,
+
+		unknownClusterUse: o.unknownClusterUse(r.unknownUse),
+
 		maxLostWork: maxLostWorkGuaranteed * j.Record.CPUs,
 		tasksLeft:   min(len(j.queue), maxPreemptedPerJob),
 	}
@@ -98,7 +104,7 @@
 
 // checkGuarantee notes whether the team's guarantee covers one more task.
 func (p *preemption) checkGuarantee() {
-	p.guaranteed = p.guarantee.Any() && p.unknownUse.allows(p.guarantee, p.clusterUse, p.need)
+	p.guaranteed = p.guarantee.Any() && p.unknownClusterUse.allows(p.guarantee, p.clusterUse, p.need)
 }
 
 // nextTask reports whether room may be made for one more task, and counts it.
--- a/internal/core/owner/unknown_use.go
+++ b/internal/core/owner/unknown_use.go
@@ -1,9 +1,12 @@
 package owner
 
-import "fawncove/internal/core/sched"
+import (
+	"fawncove/internal/core/cluster"
+	"fawncove/internal/core/sched"
+)
 
-// unknownUse is the most that tasks use which may run on machines of this block and are not
-// known here. The zero value says that there is no such bound, since the size of a machine
+// unknownUse is the most that tasks use which may run on machines of this block, or of any,
+// and are not known here. The zero value says that there is no such bound, since the size of a machine
 // is not known: then no limit allows for more, and no share can be given up.
 type unknownUse struct {
 	atMost  sched.Resources
@@ -16,6 +19,20 @@
 	return !limit.Any() || u.bounded && limit.Allows(used.Add(u.atMost, 1), more)
 }
 
+// unknownClusterUse returns what tasks may use on all controllers beside what clusterUse knows,
+// where local is that of this block. Nothing bounds what a controller that holds machines has
+// not told of late. When it is gone its block lapses, and the machines are another's.
+func (o *Owner) unknownClusterUse(local unknownUse) unknownUse {
+	for name, block := range o.view.Lease.Blocks {
+		p := o.view.Peers[name]
+		told := p != nil && o.loop.Now.Sub(p.LastFrame) < cluster.UsageMaxAge
+		if name != o.view.Self && len(block.Machines) > 0 && !told {
+			return unknownUse{}
+		}
+	}
+	return local
+}
+
 // maxUse returns the most that tasks may use which run on some machines.
 func (o *Owner) maxUse(machines []*machine) unknownUse {
 	sum := unknownUse{bounded: true}
