--- a/internal/testkit/drill/drill.go
+++ b/internal/testkit/drill/drill.go
@@ -29,6 +29,7 @@
 	"fawncove/internal/testkit/loopback"
 	"fawncove/internal/testkit/simtest"
 	"fawncove/internal/upgrade"
+	"fawncove/internal/wire"
 )
 
 // Plan is what a drill does.
@@ -339,9 +340,12 @@
 		return err
 	}
 	d.status()
-	d.host.Look(func(w *simtest.Driven) { w.LoseState(d.plan.Lose) })
+	lost, err := d.loseFirst()
+	if err != nil {
+		return err
+	}
 	s, _ := d.Summary()
-	d.say("the state service has now what it had %v ago: %d records", d.plan.Lose, s.Records)
+	d.say("the state service has now what it had %v ago: %d records, without the last %d changes", d.plan.Lose, s.Records, lost)
 	if err := d.loseAgain(); err != nil {
 		return err
 	}
@@ -358,6 +362,27 @@
 	return nil
 }
 
+// loseFirst puts an older copy of the state in place of it, at a moment at which that lacks some
+// change, and returns how many.
+func (d *Drill) loseFirst() (lost wire.Revision, err error) {
+	for until := time.Now().Add(lossTimeout); time.Now().Before(until); {
+		d.host.Look(func(w *simtest.Driven) { lost = w.LoseState(d.plan.Lose) })
+		if lost > 0 {
+			return lost, nil
+		}
+		if err := d.sleep(lossRetryInterval); err != nil {
+			return 0, err
+		}
+	}
+	return 0, fmt.Errorf("nothing was written within %v for %v: there is nothing to lose", d.plan.Lose, lossTimeout)
+}
+
+const (
+	// lossTimeout is how long a moment is waited for at which the state has something to lose.
+	lossTimeout       = 30 * time.Second
+	lossRetryInterval = 5 * time.Millisecond
+)
+
 // loseAgain puts the copy of the first loss in place of the state once more, if the plan says
 // so, while that loss is recovered.
 func (d *Drill) loseAgain() error {
