The check of quota books knows which machines a reservation does not cover

Cause, traced: n1 reserves 60 with renewal 55 under its old grant. The next value gives it 82 machines that another controller held, with 252 of the share. Until that renewal is acknowledged n1 keeps to 60, so it starts nothing, while 14 run on the machines that came. Nothing is given away: a reservation does not cover what came since (the renewal carries its grant).

So the check was wrong in this window.

--- a/internal/core/blocklease/blocklease.go
+++ b/internal/core/blocklease/blocklease.go
@@ -111,6 +111,7 @@
 func (h *Holder) Renewed(b wire.Block) (changed bool) {
 	if changed = h.grant != b.Grant; changed {
 		h.grant, h.attempts = b.Grant, 0 // attempts are counted anew under each grant
+		h.reservations.BeginGrant()
 	}
 	h.reservations.Acknowledge(b.Renewal)
 	h.handovers = slices.DeleteFunc(h.handovers, func(o handover) bool { return o.renewal <= b.Renewal })
@@ -158,6 +159,10 @@
 	return h.reservations.Usable(team, s)
 }
 
+// ReservedEarlier reports whether a reservation of a team's share, made under an earlier grant,
+// is not acknowledged yet.
+func (h *Holder) ReservedEarlier(team string) bool { return h.reservations.HasEarlier(team) }
+
 // OfferHandover records that the renewal with this number offers to give up a partition.
 // From now on nothing of it may be started.
 func (h *Holder) OfferHandover(renewal uint64, partition string) {
--- a/internal/core/owner/quota_book.go
+++ b/internal/core/owner/quota_book.go
@@ -13,6 +13,10 @@
 	Share   wire.Share      // in the lease value, if sharded
 	Used    sched.Resources // by tasks known here
 
+	// ReservedEarlier says that Limit keeps to a reservation of before the last machines were
+	// taken over. What may run on these came with their part of the share.
+	ReservedEarlier bool
+
 	// Assumed is the most that tasks use which are not known here, on Unreconciled machines;
 	// AssumedBounded is false if there is no such bound.
 	Assumed        sched.Resources
@@ -32,7 +36,7 @@
 		}
 		shares, sharded := o.view.Lease.Shares[t.Name]
 		books = append(books, QuotaBook{Team: t.Name, Sharded: sharded, Limit: limit, Share: shares[o.view.Self], Used: o.quota.used[t.Name],
-			Assumed: unknown.atMost, AssumedBounded: unknown.bounded, Unreconciled: len(unreconciled)})
+			ReservedEarlier: o.blockLease.ReservedEarlier(t.Name), Assumed: unknown.atMost, AssumedBounded: unknown.bounded, Unreconciled: len(unreconciled)})
 	}
 	return books
 }
--- a/internal/core/quota/reservations.go
+++ b/internal/core/quota/reservations.go
@@ -15,12 +15,15 @@
 	renewal uint64
 	team    string
 	amount  wire.Share
+	// earlier says that it was made under an earlier grant: it does not cover what came with
+	// the machines of this one.
+	earlier bool
 }
 
 // Reserve records that the renewal with this number reserves no more than an amount for a
 // team. From now on Usable keeps to it.
 func (r *Reservations) Reserve(renewal uint64, team string, amount wire.Share) {
-	r.open = append(r.open, reservation{renewal, team, amount})
+	r.open = append(r.open, reservation{renewal: renewal, team: team, amount: amount})
 }
 
 // Acknowledge records that the lease value acknowledges the renewal with this number. The
@@ -29,6 +32,18 @@
 	r.open = slices.DeleteFunc(r.open, func(open reservation) bool { return open.renewal <= renewal })
 }
 
+// BeginGrant records that the block has another grant from now on.
+func (r *Reservations) BeginGrant() {
+	for i := range r.open {
+		r.open[i].earlier = true
+	}
+}
+
+// HasEarlier reports whether something of a team's share is reserved under an earlier grant.
+func (r *Reservations) HasEarlier(team string) bool {
+	return slices.ContainsFunc(r.open, func(open reservation) bool { return open.team == team && open.earlier })
+}
+
 // Reset drops all reservations, together with the grant under which they were made.
 func (r *Reservations) Reset() { r.open = nil }
 
