--- a/internal/testkit/simtest/answers.go
+++ b/internal/testkit/simtest/answers.go
@@ -138,11 +138,14 @@
 	}
 }
 
-// askOf puts one question to controller n, and takes the answer as its user does.
-func (u *user) askOf(n *simNode, ev eventloop.Event) {
+// askOf puts one question to controller n, and takes the answer as its user does. It returns
+// whether there is one.
+func (u *user) askOf(n *simNode, ev eventloop.Event) (answered *bool) {
 	w := u.w
 	w.beginLooks()
+	answered = new(bool)
 	heard := u.judged(n, ev, func(r eventloop.Reply) {
+		*answered = true
 		w.night.looks[r.Code]++
 		if a, ok := r.Body.(wire.JobAnswer); ok && r.Code.Success() {
 			u.hear(a.State)
@@ -153,6 +156,7 @@
 			w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, func() { heard(r) })
 		})
 	})
+	return answered
 }
 
 func withReq(ev eventloop.Event, req uint64) eventloop.Event {
