--- a/internal/core/cluster/peer.go
+++ b/internal/core/cluster/peer.go
@@ -59,17 +59,8 @@
 	FreshnessRequest        uint64
 	CancellationsKnownUntil time.Time
 
-	// ReadsJobFrames says that it reads frames about jobs, and replies to questions for them;
-	// LookupsUnansweredSince since when it has not replied to one; zero: it has to the last.
-	ReadsJobFrames         bool
-	LookupsUnansweredSince time.Time
-}
-
-// NoteJobLookup notes that it is asked for jobs.
-func (p *Peer) NoteJobLookup(now time.Time) {
-	if p.LookupsUnansweredSince.IsZero() {
-		p.LookupsUnansweredSince = now
-	}
+	// ConfirmsJobs says that it reads frames about jobs, and confirms what users are told.
+	ConfirmsJobs bool
 }
 
 // UpdateTeamUse notes what a controller's tasks use and want.
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -38,12 +38,14 @@
 	leader     *leader.Leader // nil while another controller leads
 
 	// The copy of the state service, and the users who read and change it.
-	state       stateReader
-	history     changeHistory
-	ended       endedJobs
-	freshness   freshnessChecker
-	peerLookups peerLookups
-	userWrites  userWrites
+	state      stateReader
+	history    changeHistory
+	ended      endedJobs
+	freshness  freshnessChecker
+	confirmer  confirmer
+	memory     jobMemory
+	claimed    claimedChanges
+	userWrites userWrites
 
 	// The lease value.
 	leaseReader leaseReader
@@ -125,6 +127,7 @@
 		c.log.Error("unknown event", "type", fmt.Sprintf("%T", ev))
 	}
 	c.owner.PlaceAndSend()
+	c.stepConfirmations()
 	c.logLeaseStatus()
 	return c.loop.Effects()
 }
@@ -163,6 +166,7 @@
 
 // tick does what is due by time alone.
 func (c *Core) tick() {
+	c.tickConfirmations()
 	if c.recovery != nil {
 		c.stepRecovery()
 		return
@@ -185,7 +189,7 @@
 	c.publishLevel()
 	c.owner.StorePending()
 	c.sendFreshnessCheck()
-	c.stepPeerLookups()
+	c.requestJobMemory()
 	c.owner.CheckMachines()
 	c.owner.LogServiceReport()
 	c.owner.LogQuota()
--- a/internal/core/controller/ended.go
+++ b/internal/core/controller/ended.go
@@ -8,6 +8,7 @@
 	"fawncove/internal/core/eventloop"
 	"fawncove/internal/core/feature"
 	"fawncove/internal/core/owner"
+	"fawncove/internal/core/recovery"
 	"fawncove/internal/wire"
 )
 
@@ -16,24 +17,61 @@
 
 // endedJobs holds the ends of jobs, of which the oldest are forgotten first.
 type endedJobs struct {
-	records map[string]wire.EndRecord
+	records map[string]endedJob
 	order   []string // ids in the order in which they were added
 }
 
-func newEndedJobs() endedJobs { return endedJobs{records: map[string]wire.EndRecord{}} }
+// endedJob is the end of a job.
+type endedJob struct {
+	record    wire.EndRecord
+	revision  wire.Revision // at which it was stored; 0: not known
+	confirmed bool          // to another controller, which may have told users
+	told      bool          // a majority has confirmed it: users may be told at once
+}
+
+// stays reports whether it stays though another end is stored: one that users may have been told. Of
+// two that were confirmed, none by a majority as far as is known, all controllers keep the same.
+func (e endedJob) stays() bool {
+	return e.told || e.confirmed && e.record.State == wire.Cancelled
+}
+
+func newEndedJobs() endedJobs { return endedJobs{records: map[string]endedJob{}} }
 
 // get returns the end of a job, if it is known.
 func (e *endedJobs) get(id string) (rec wire.EndRecord, ok bool) {
-	rec, ok = e.records[id]
-	return rec, ok
+	end, ok := e.records[id]
+	return end.record, ok
+}
+
+// noteConfirmed notes that the end of a job was confirmed to another controller.
+func (e *endedJobs) noteConfirmed(id string) {
+	if end, ok := e.records[id]; ok {
+		end.confirmed = true
+		e.records[id] = end
+	}
+}
+
+// noteTold notes that a majority of the controllers has confirmed the end of a job.
+func (e *endedJobs) noteTold(id string) {
+	if end, ok := e.records[id]; ok {
+		end.confirmed, end.told = true, true
+		e.records[id] = end
+	}
+}
+
+// replace puts another end in place of the one that is known.
+func (e *endedJobs) replace(id string, rec wire.EndRecord, revision wire.Revision) {
+	if _, ok := e.records[id]; ok {
+		e.records[id] = endedJob{record: rec, revision: revision}
+	}
 }
 
 // add notes the end of a job. The first end that is known stays.
-func (e *endedJobs) add(id string, rec wire.EndRecord) {
+func (e *endedJobs) add(id string, rec wire.EndRecord, revision wire.Revision) {
 	if _, ok := e.records[id]; ok {
 		return
 	}
-	e.records[id] = rec
+	e.records[id] = endedJob{record: rec, revision: revision}
 	e.order = append(e.order, id)
 	if len(e.order) > maxEndedJobs {
 		delete(e.records, e.order[0])
@@ -41,15 +79,41 @@
 	}
 }
 
-// addAll notes the ends of several jobs.
-func (e *endedJobs) addAll(records map[string]wire.EndRecord) {
-	for _, id := range slices.Sorted(maps.Keys(records)) {
-		e.add(id, records[id])
+// addAll notes the ends that were known before a recovery. Their revisions have changed with it.
+func (e *endedJobs) addAll(known *recovery.KnownState) {
+	for _, id := range slices.Sorted(maps.Keys(known.Ends)) {
+		e.add(id, known.Ends[id], 0)
+		if known.StayingEnds[id] {
+			e.noteTold(id)
+		}
 	}
 }
 
+// forget forgets the end of a job.
+func (e *endedJobs) forget(id string) {
+	delete(e.records, id)
+	e.order = slices.DeleteFunc(e.order, func(ended string) bool { return ended == id })
+}
+
+// staying returns the jobs whose end stays though another one is stored.
+func (e *endedJobs) staying() map[string]bool {
+	ids := map[string]bool{}
+	for id, end := range e.records {
+		if end.stays() {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
 // clone returns a copy of the ends by job.
-func (e *endedJobs) clone() map[string]wire.EndRecord { return maps.Clone(e.records) }
+func (e *endedJobs) clone() map[string]wire.EndRecord {
+	ends := make(map[string]wire.EndRecord, len(e.records))
+	for id, end := range e.records {
+		ends[id] = end.record
+	}
+	return ends
+}
 
 // HasEnded reports whether a job is known to have ended.
 func (c *Core) HasEnded(id string) bool {
@@ -77,6 +141,9 @@
 // StoreEnd stores the end of a job by a compare on the version of its record, so that
 // of a completion and a cancellation exactly one wins. When the record has changed it
 // tries again, retries times at most. done receives whether an end is stored.
+//
+// A cancellation follows a lookup, which a majority has confirmed. Before a job is stored as done
+// the others are asked whether they know of its end: the state may have lost a cancellation.
 func (c *Core) StoreEnd(j *owner.Job, state string, retries int, done func(stored bool)) {
 	completed, _ := j.Counts()
 	end := wire.EndRecord{State: state, Tasks: j.Record.Tasks, Done: completed}
@@ -84,7 +151,27 @@
 		end.Form = wire.EndForm
 	}
 	w := &endWrite{core: c, job: j, end: end, retries: retries, done: done}
-	w.send()
+	if state == wire.Cancelled {
+		w.send()
+		return
+	}
+	j.EndInFlight = true
+	c.confirm(claim{j.Record.ID, standingAccepted}, endConfirmTimeout, w.asked)
+}
+
+// asked stores the end unless the job is known to have ended. Where no majority is in reach it is
+// stored all the same: work is not held up, and no user is told before a majority has it.
+func (w *endWrite) asked(v verdict) {
+	c, id := w.core, w.job.Record.ID
+	switch {
+	case c.recovery == nil && v != claimSuperseded && !w.job.Ended:
+		w.send()
+		return
+	case c.recovery == nil && !c.HasEnded(id):
+		c.verifyStored(id, rankEnded, func(lookup) {})
+	}
+	w.job.EndInFlight, w.job.RetryEndAt = false, c.loop.Now.Add(endRetryDelay)
+	w.done(c.HasEnded(id))
 }
 
 func (w *endWrite) send() {
@@ -105,7 +192,7 @@
 	case eventloop.Succeeded:
 		c.owner.Served.Ended(&w.job.Record.Job, w.end.State == wire.Cancelled, mayHaveStarted(w.job))
 		c.applyEnd(id, w.end, d.Txn.Revision)
-		c.announceStored(endPrefix+id, w.end, d.Txn.Revision)
+		c.spreadEnd(id)
 		w.done(true)
 	case eventloop.NoAnswer:
 		w.readBack()
@@ -123,12 +210,19 @@
 	c.refresh(job.ID, conflict{}, func(bool) {
 		if end, ok := c.ended.get(job.ID); ok && end.State == w.end.State {
 			c.owner.Served.Ended(&job, end.State == wire.Cancelled, started)
-			c.announceStored(endPrefix+job.ID, end, c.loop.HighestRevision())
+			c.spreadEnd(job.ID)
 		}
 		w.done(c.HasEnded(job.ID))
 	})
 }
 
+// spreadEnd has the others know the end of a job before users ask for it.
+func (c *Core) spreadEnd(id string) {
+	if end, ok := c.ended.get(id); ok {
+		c.confirm(claim{id, standingOfEnd(end)}, changeConfirmTimeout, func(verdict) {})
+	}
+}
+
 // retry stores the end again after the job's record was read anew.
 func (w *endWrite) retry(read bool) {
 	c := w.core
--- a/internal/core/controller/ended_test.go
+++ b/internal/core/controller/ended_test.go
@@ -13,8 +13,8 @@
 	ended := newEndedJobs()
 	id := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
 	for i := range maxEndedJobs + 3 {
-		ended.add(id(i), wire.EndRecord{State: wire.Done})
-		ended.add(id(i), wire.EndRecord{State: wire.Cancelled})
+		ended.add(id(i), wire.EndRecord{State: wire.Done}, 0)
+		ended.add(id(i), wire.EndRecord{State: wire.Cancelled}, 0)
 	}
 	if len(ended.records) != maxEndedJobs || len(ended.order) != maxEndedJobs {
 		t.Errorf("%d ends in memory, %d in order", len(ended.records), len(ended.order))
--- a/internal/core/controller/freshness.go
+++ b/internal/core/controller/freshness.go
@@ -6,6 +6,7 @@
 
 	"fawncove/internal/core/eventloop"
 	"fawncove/internal/core/owner"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
@@ -48,9 +49,11 @@
 	id       string
 	deadline time.Time // an answer is of no use after it
 	answer   func(lookup)
-	// knownToPeer says that another controller knew the job when the state service was
-	// last found to have neither record nor end.
-	knownToPeer bool
+	// atLeast is how far the job has come as some controller knew it before the state
+	// service is asked: if it has not come as far there, the state has lost data.
+	atLeast rank
+	// stateOnly says that no user is answered by it: no majority is asked.
+	stateOnly bool
 }
 
 // freshnessChecker makes reads of jobs linearizable: before anybody is answered, what
@@ -100,8 +103,14 @@
 	return batch
 }
 
-// failQueued answers all lookups that have not gone out yet: nothing is known.
+// failQueued answers all lookups that have not gone out yet, or are to go out again: nothing is
+// known.
 func (f *freshnessChecker) failQueued() {
+	retries := f.retries
+	f.retries = nil
+	for _, q := range retries {
+		q.answer(lookup{})
+	}
 	for p, queue := range f.queues {
 		f.queues[p] = nil
 		for _, q := range queue {
@@ -123,21 +132,30 @@
 	return max(1, batch)
 }
 
-// lookUpJob looks a job up, and answers from what is known to be current. It
-// answers at once when the job has ended, as an end is final, and when no answer can be
-// expected in time.
+// lookUpJob looks a job up, and answers from what is known to be current. It answers at once when
+// the job has ended and a majority of the controllers knows that, as an end is final, and when no
+// answer can be expected in time.
 func (c *Core) lookUpJob(id string, purpose lookupPurpose, answer func(lookup)) {
-	if end, ok := c.ended.get(id); ok {
+	priority, timeout := c.freshnessPriority(id, purpose)
+	q := pendingLookup{id: id, deadline: c.loop.Now.Add(timeout), answer: answer}
+	end, ended := c.ended.get(id)
+	switch {
+	case c.ended.records[id].told:
 		answer(lookup{end: &end})
-		return
+	case ended:
+		c.answerLookup(q, false, false)
+	default:
+		c.queueLookup(q, priority)
 	}
-	priority, timeout := c.freshnessPriority(id, purpose)
+}
+
+// queueLookup has a lookup go out with the next check, unless too many wait already.
+func (c *Core) queueLookup(q pendingLookup, priority int) {
 	maxWaiting := int(queryTimeout/c.freshnessInterval()) * c.maxFreshnessBatch()
 	if !c.stateReachable() || c.freshness.countAhead(priority) >= maxWaiting {
-		answer(lookup{})
+		q.answer(lookup{})
 		return
 	}
-	q := pendingLookup{id: id, deadline: c.loop.Now.Add(timeout), answer: answer}
 	c.freshness.queues[priority] = append(c.freshness.queues[priority], q)
 	c.sendFreshnessCheck()
 }
@@ -263,7 +281,7 @@
 
 // retryOrFail has a lookup go out again, or gives it up when it would be too late.
 func (c *Core) retryOrFail(q pendingLookup) {
-	if c.loop.Now.Before(q.deadline) && c.stateReachable() {
+	if c.loop.Now.Before(q.deadline) && c.stateReachable() && c.recovery == nil {
 		c.freshness.retries = append(c.freshness.retries, q)
 	} else {
 		q.answer(lookup{})
@@ -274,36 +292,61 @@
 // what is known here of a running job is not older than the lookup; absent that there
 // was no such job then, though it may have come since.
 func (c *Core) answerLookup(q pendingLookup, current, absent bool) {
-	if end, ok := c.ended.get(q.id); ok {
-		q.answer(lookup{end: &end})
-	} else if c.recovery != nil {
-		q.answer(lookup{}) // the check may have met a state that had lost data
-	} else if j := c.owner.Job(q.id); current && j != nil && !j.Ended {
-		q.answer(lookup{job: j})
-	} else if !absent {
+	found := c.standingOf(q.id)
+	switch {
+	case c.recovery != nil: // the check may have met a state that had lost data
 		q.answer(lookup{})
-	} else if q.knownToPeer {
-		// Its record or end was in the state before the check, and neither is ever gone
-		// without the other being there.
-		c.startRecovery(stateLoss{reason: lossJob, job: q.id, revisionSeen: c.loop.HighestRevision()})
+	case found == standingAccepted && !current, found == standingUnknown && !absent:
 		q.answer(lookup{})
-	} else {
-		c.confirmAbsence(q)
+	case rankOf(found) < q.atLeast:
+		// What was known before the check was in the state: records are only gone with an end,
+		// and ends never are.
+		c.startRecovery(stateLoss{reason: lossOf(found), job: q.id, revisionSeen: c.loop.HighestRevision()})
+		q.answer(lookup{})
+	case q.stateOnly:
+		q.answer(c.lookupOf(claim{q.id, found}))
+	default:
+		c.confirmLookup(q, found)
 	}
 }
 
-// confirmAbsence answers a lookup of a job that the state service does not have, by what the
-// other controllers know.
-func (c *Core) confirmAbsence(q pendingLookup) {
-	c.askPeers(peerQuestion{id: q.id, deadline: q.deadline, answer: func(a peerAnswer) {
+// lossOf returns what shows a loss of data where another controller knows more of a job than the
+// state service.
+func lossOf(found peerpb.JobStanding) lossReason {
+	if found == standingAccepted {
+		return lossEnd
+	}
+	return lossJob
+}
+
+// lookupOf returns the outcome of a lookup that has found a job's standing.
+func (c *Core) lookupOf(cl claim) lookup {
+	end, ended := c.ended.get(cl.id)
+	switch {
+	case ended:
+		return lookup{end: &end}
+	case cl.standing == standingAccepted:
+		return lookup{job: c.owner.Job(cl.id)}
+	default:
+		return lookup{absent: true}
+	}
+}
+
+// confirmLookup answers a lookup once a majority of the controllers has confirmed what was found.
+func (c *Core) confirmLookup(q pendingLookup, found peerpb.JobStanding) {
+	cl := claim{q.id, found}
+	c.confirmBy(cl, q.deadline, func(v verdict) {
 		switch {
-		case c.recovery != nil, a == peersSilent:
+		case v == claimConfirmed:
+			q.answer(c.lookupOf(cl))
+		case c.recovery != nil, v == claimUnconfirmed:
+			q.answer(lookup{})
+		case rankOf(found) == rankEnded:
+			c.resolveOtherEnd(q.id)
 			q.answer(lookup{})
-		case a == peerKnows:
-			q.knownToPeer = true // it may have been accepted only after the check
-			c.retryOrFail(q)
 		default:
-			q.answer(lookup{absent: true})
+			q.atLeast = max(q.atLeast, rankOf(found)+1) // it may have come as far only after the check
+			c.retryOrFail(q)
 		}
-	}})
+	})
 }
--- a/internal/core/controller/lookup.go
+++ b/internal/core/controller/lookup.go
@@ -49,11 +49,18 @@
 
 // replyCancelled answers a cancellation after the attempt to store it.
 func (c *Core) replyCancelled(e eventloop.CancelRequest) {
-	if end, ok := c.ended.get(e.ID); ok && c.recovery == nil {
-		c.loop.Reply(e.Req, eventloop.ReplyOK, endAnswer(e.ID, end))
-	} else {
+	end, ok := c.ended.get(e.ID)
+	if !ok || c.recovery != nil {
 		c.loop.Unavailable(e.Req)
+		return
 	}
+	c.confirm(claim{e.ID, standingOfEnd(end)}, changeConfirmTimeout, func(v verdict) {
+		if v == claimConfirmed {
+			c.loop.Reply(e.Req, eventloop.ReplyOK, endAnswer(e.ID, end))
+		} else {
+			c.loop.Unavailable(e.Req)
+		}
+	})
 }
 
 // acceptsLookup reports whether a job can be looked up here, and answers the user if
--- a/internal/core/controller/loss.go
+++ b/internal/core/controller/loss.go
@@ -22,6 +22,9 @@
 	// lossGeneration: every write of the generation makes it newer.
 	lossGeneration lossReason = "generation older than before"
 	lossMarked     lossReason = "recovery under way"
+	lossEnd        lossReason = "a job goes on whose end another controller knows"
+	lossOtherEnd   lossReason = "another controller knows another end of a job"
+	lossClaim      lossReason = "the watch lacks a change that another controller knows"
 	lossMark       lossReason = "the recovery is not marked as before"
 )
 
@@ -90,7 +93,7 @@
 	c.recovery = newRecoveryRun(generation, c.loop.Now, loss)
 	c.stepDown()
 	c.freshness.failQueued()
-	c.peerLookups.failAll()
+	c.confirmer.failAll()
 	c.announceRecovery()
 }
 
--- a/internal/core/controller/peers.go
+++ b/internal/core/controller/peers.go
@@ -30,7 +30,7 @@
 	c.addGeneration(f)
 	if c.view.Params.Levels.KnowsLevels() {
 		f.Form, f.NewestLevel, f.SeenLevel = frameForm, uint32(c.view.Params.Levels.Newest), c.view.Lease.Level
-		f.AcceptsRaisedTokens, f.AcceptsJobMoves, f.ReadsJobFrames = true, true, true
+		f.AcceptsRaisedTokens, f.AcceptsJobMoves, f.ConfirmsJobs = true, true, true
 	}
 	return f
 }
@@ -69,16 +69,20 @@
 	}
 	switch {
 	case f.GetHello():
+		p.ConfirmsJobs = f.GetConfirmsJobs()
 		c.loop.Emit(eventloop.PeerSend{To: f.GetFrom(), Frame: c.newFrame()})
 		return
-	case f.GetJobLookup() != nil:
-		c.handleJobLookup(f)
+	case f.GetJobClaims() != nil:
+		c.handleJobClaims(f)
 		return
-	case f.GetJobLookupReply() != nil:
-		c.handleJobLookupReply(p, f)
+	case f.GetJobClaimsReply() != nil:
+		c.handleJobClaimsReply(f)
 		return
-	case f.GetStoredJob() != nil:
-		c.handleStoredJob(f)
+	case f.GetJobMemoryRequest() != nil:
+		c.handleJobMemoryRequest(f)
+		return
+	case f.GetJobMemory() != nil:
+		c.handleJobMemory(f)
 		return
 	}
 	if wire.Incarnation(f.GetIncarnation()) != p.Incarnation || c.loop.Now.Sub(p.LastFrame) > missedFrameAfter {
@@ -130,7 +134,7 @@
 	}
 	p.LastFrame, p.StateReachable = c.loop.Now, f.GetStateOk()
 	p.LeaseForm, p.AcceptsRaisedTokens, p.AcceptsJobMoves = f.GetLeaseForm(), f.GetAcceptsRaisedTokens(), f.GetAcceptsJobMoves()
-	p.ReadsJobFrames = f.GetReadsJobFrames()
+	p.ConfirmsJobs = f.GetConfirmsJobs()
 	if f.GetImageCpus() != nil {
 		p.Capacity = cluster.Capacity{Free: f.GetFreeCpus(), Size: f.GetSizeCpus(), Images: f.GetImageCpus()}
 	}
--- a/internal/core/controller/read.go
+++ b/internal/core/controller/read.go
@@ -86,9 +86,13 @@
 // endMissingJobs ends the jobs that are known here and were not read.
 func (r *stateReading) endMissingJobs() {
 	for id, j := range r.core.owner.Jobs() {
-		if !r.seen[jobPrefix+id] && j.Version <= r.revision {
-			r.core.owner.EndJob(j)
+		if r.seen[jobPrefix+id] || j.Version > r.revision {
+			continue
 		}
+		if !j.Ended && !r.core.HasEnded(id) {
+			r.core.memory.expectStored(id, rankAccepted) // its end, as the record is gone
+		}
+		r.core.owner.EndJob(j)
 	}
 }
 
--- a/internal/core/controller/recovery.go
+++ b/internal/core/controller/recovery.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"fawncove/internal/core/cluster"
@@ -38,10 +39,11 @@
 
 // knownState is what this controller knows, and still knows of before a recovery.
 func (c *Core) knownState() recovery.KnownState {
-	known := recovery.KnownState{Jobs: c.owner.Records(), Ends: c.ended.clone(), CompletedTasks: c.owner.CompletedTasks()}
+	known := recovery.KnownState{Jobs: c.owner.Records(), Ends: c.ended.clone(), CompletedTasks: c.owner.CompletedTasks(), StayingEnds: c.ended.staying()}
 	addMissing(known.Jobs, c.previousState.Jobs)
 	addMissing(known.Ends, c.previousState.Ends)
 	addMissing(known.CompletedTasks, c.previousState.CompletedTasks)
+	addMissing(known.StayingEnds, c.previousState.StayingEnds)
 	return known
 }
 
@@ -160,7 +162,7 @@
 		return stepWait
 	case !r.restored && c.isTurnToRestore():
 		return stepRestore
-	case r.restored && c.isFirstOfRecovering():
+	case r.restored && c.isFirstOfRecovering() && c.isMajorityRecovering():
 		return stepWriteLease
 	default:
 		return stepWait
@@ -237,6 +239,18 @@
 	return turn
 }
 
+// isMajorityRecovering reports whether a majority of the controllers takes part in the recovery: one
+// of them knows whatever users were told.
+func (c *Core) isMajorityRecovering() bool {
+	q, recovering := c.quorum(), 1
+	c.recoveringPeers(func(name string, _ *cluster.Peer) {
+		if slices.Contains(q.members, name) {
+			recovering++
+		}
+	})
+	return recovering >= q.majority
+}
+
 // isFirstOfRecovering reports whether this controller is the first of the recovering
 // ones, and all of them have stored what they knew. Should two think so, the state
 // service decides.
--- a/internal/core/controller/recovery_run_test.go
+++ b/internal/core/controller/recovery_run_test.go
@@ -142,7 +142,7 @@
 func TestLossAfterRestartIsRecovered(t *testing.T) {
 	s, job := newScriptedStore(t, 100)
 	ended := wire.EndRecord{State: wire.Done, Tasks: 1, Done: 1}
-	s.core.ended.add("wk-000002", ended)
+	s.core.ended.add("wk-000002", ended, 0)
 	s.core.startRecovery(stateLoss{reason: lossPeer, revisionSeen: 100})
 	s.core.recovery.noteRestored()
 	s.core.restart(2)
--- a/internal/core/controller/recovery_write.go
+++ b/internal/core/controller/recovery_write.go
@@ -20,6 +20,7 @@
 // more it lets the next controller do the same.
 func (c *Core) restoreMissing(s *storedState) {
 	r := c.recovery
+	c.forgetOtherEnds(s)
 	txns, err := c.missingWrites(s)
 	if err != nil {
 		c.log.Error("cannot encode state to restore", "err", err)
@@ -37,6 +38,16 @@
 	w.sendNext()
 }
 
+// forgetOtherEnds forgets the ends of which nobody was told, where another one is stored.
+func (c *Core) forgetOtherEnds(s *storedState) {
+	known := c.knownState()
+	for _, id := range recovery.OtherEnds(&known, &s.records) {
+		c.log.Warn("another end of a job is stored", "job", id, "known", known.Ends[id].State, "stored", s.records.Ends[id].State)
+		c.ended.forget(id)
+		delete(c.previousState.Ends, id)
+	}
+}
+
 // missingWrites returns the transactions that store what is known here and not there.
 func (c *Core) missingWrites(s *storedState) ([]wire.Txn, error) {
 	known, limits := c.knownState(), recovery.Limits{Ops: c.view.Limits.TxnOps(), Bytes: maxRestoreTxnBytes}
--- a/internal/core/controller/startup.go
+++ b/internal/core/controller/startup.go
@@ -126,7 +126,8 @@
 	known, lease, old := c.knownState(), recovery.ViewOf(c.mergeLease()), *c
 	c.loop.DropCalls()
 	*c = Core{loop: c.loop, previousState: known, previousLease: lease, recoveredGeneration: generation, shuttingDown: old.shuttingDown, lastStepAt: old.lastStepAt,
-		state: stateReader{lastAnswer: old.state.lastAnswer}}
+		memory: jobMemory{complete: old.memory.complete},
+		state:  stateReader{lastAnswer: old.state.lastAnswer}}
 	view := cluster.New(old.view.Settings, old.view.Params)
 	view.MachineTypes = old.view.MachineTypes
 	c.reset(view, old.log, old.blockLease.Incarnation()+1)
@@ -134,7 +135,7 @@
 	if old.recovery.restored {
 		// All these ends are stored. Nothing reads them again, and should the state lose
 		// them, their jobs would be unknown.
-		c.ended.addAll(known.Ends)
+		c.ended.addAll(&known)
 	}
 	c.readState()
 }
--- a/internal/core/controller/status.go
+++ b/internal/core/controller/status.go
@@ -21,12 +21,16 @@
 	return c.recovery != nil || c.serves() && (c.blockLease.Held() || !c.isolatedFromState())
 }
 
-// Healthy reports whether users can be served here: everything is read, and where the
+// Healthy reports whether users can be served here: everything is read, a majority
+// of the controllers is in reach, and where the
 // state service is unreachable, no other controller in reach has it.
 func (c *Core) Healthy() bool {
 	if c.shuttingDown || !c.serves() || len(c.view.MachineTypes) == 0 || c.view.LeaseVersion == 0 {
 		return false
 	}
+	if c.view.Params.Levels.KnowsLevels() && !c.isMajorityInReach(c.quorum()) {
+		return false // nothing could be answered here
+	}
 	if c.stateReachable() {
 		return true
 	}
--- a/internal/core/controller/submit.go
+++ b/internal/core/controller/submit.go
@@ -74,7 +74,7 @@
 	}
 	s := &submission{core: c, req: e.Req, rec: c.newRecord(e.Job)}
 	c.owner.Served.Submitted(&s.rec.Job) // once, however often it is stored
-	c.askPeers(peerQuestion{id: e.Job.ID, deadline: c.loop.Now.Add(submissionPeerWait), answer: s.peersAsked})
+	c.confirm(claim{e.Job.ID, standingUnknown}, changeConfirmTimeout, s.asked)
 }
 
 // checkSubmission returns why a job is not to be stored, or nil.
@@ -160,19 +160,17 @@
 	req  uint64
 	rec  wire.JobRecord
 	form int // of the envelope; 0 without one
-
-	value any // what is stored: the record, or its envelope
 }
 
-// peersAsked goes on once the other controllers have said whether they know the job. One that
+// asked goes on once the other controllers have said whether they know the job. One that
 // does may run its tasks, though the state has lost it: a second record would start them beside
 // these.
-func (s *submission) peersAsked(a peerAnswer) {
+func (s *submission) asked(v verdict) {
 	c := s.core
 	switch {
-	case !c.serves():
+	case !c.serves(), v == claimUnconfirmed:
 		c.loop.Unavailable(s.req)
-	case a == peerKnows, c.owner.Job(s.rec.ID) != nil, c.HasEnded(s.rec.ID):
+	case v == claimSuperseded, c.owner.Job(s.rec.ID) != nil:
 		c.rejectSubmission(s.req, s.rec.ID, errAlreadyKnown)
 	default:
 		s.store(c.view.FeatureOpen(feature.Envelope))
@@ -182,7 +180,8 @@
 // store writes the record, in an envelope or without.
 func (s *submission) store(envelope bool) {
 	c, id := s.core, s.rec.ID
-	s.value, s.form = s.rec, 0
+	var value any = s.rec
+	s.form = 0
 	if envelope {
 		env, err := wire.Wrap(s.rec, c.view.Lease.Generation, 0)
 		if err != nil {
@@ -190,13 +189,13 @@
 			c.loop.Unavailable(s.req)
 			return
 		}
-		s.value, s.form = env, env.Form
+		value, s.form = env, env.Form
 	}
 	c.userWrites.begin()
 	c.loop.Emit(eventloop.StateTxn{
 		Txn: wire.Txn{
 			If:   []wire.Condition{{Key: jobPrefix + id}, {Key: endPrefix + id}},
-			Then: []wire.Op{{Put: jobPrefix + id, Value: s.value}},
+			Then: []wire.Op{{Put: jobPrefix + id, Value: value}},
 		},
 		ID: c.loop.OnCompletion(s.completed),
 	})
@@ -221,7 +220,8 @@
 	}
 }
 
-// accepted answers the user of a job that was stored under a version.
+// accepted answers the user of a job that was stored under a version, once a majority of the
+// controllers has its record.
 func (s *submission) accepted(version wire.Revision) {
 	c, rec := s.core, &s.rec
 	c.owner.Served.Accepted(&rec.Job)
@@ -230,9 +230,17 @@
 		c.loop.Unavailable(s.req) // perhaps it was stored in what is lost
 		return
 	}
-	c.announceStored(jobPrefix+rec.ID, s.value, version)
-	c.log.Debug("job accepted", "job", rec.ID, "class", rec.Class, "tasks", rec.Tasks, "image", rec.Image, "owner", rec.Owner)
-	c.loop.Reply(s.req, eventloop.ReplyCreated, wire.JobAnswer{ID: rec.ID, State: wire.Pending})
+	c.log.Debug("job stored", "job", rec.ID, "class", rec.Class, "tasks", rec.Tasks, "image", rec.Image, "owner", rec.Owner)
+	c.confirm(claim{rec.ID, standingAccepted}, changeConfirmTimeout, func(v verdict) {
+		switch v {
+		case claimConfirmed:
+			c.loop.Reply(s.req, eventloop.ReplyCreated, wire.JobAnswer{ID: rec.ID, State: wire.Pending})
+		case claimSuperseded:
+			c.rejectSubmission(s.req, rec.ID, errAlreadyKnown)
+		default:
+			c.loop.Unavailable(s.req)
+		}
+	})
 }
 
 // readBack answers the user by what the state service has of the job now.
@@ -243,12 +251,11 @@
 		if outcome == eventloop.NoAnswer && (c.HasEnded(id) || (read && j != nil)) {
 			c.owner.Served.Accepted(&s.rec.Job)
 		}
-		if end, ok := c.ended.get(id); ok {
-			c.replyJob(s.req, id, lookup{end: &end})
-		} else if read && j != nil && !j.Ended {
-			c.replyJob(s.req, id, lookup{job: j})
-		} else {
-			c.loop.Unavailable(s.req)
-		}
+		q := pendingLookup{id: id, deadline: c.loop.Now.Add(changeConfirmTimeout), answer: func(l lookup) {
+			if !c.replyJob(s.req, id, l) {
+				c.loop.Unavailable(s.req)
+			}
+		}}
+		c.answerLookup(q, read, false)
 	})
 }
--- a/internal/core/controller/submit_test.go
+++ b/internal/core/controller/submit_test.go
@@ -165,7 +165,7 @@
 func TestOpenRefusalsAreNotFinal(t *testing.T) {
 	core, _ := newCore(t, []config.Team{{Name: "free"}}, wire.LeaseRecord{Term: 3, Leader: "n1"})
 	e := eventloop.SubmitRequest{Req: 1, Job: wire.Job{ID: "wk-000001", Team: "free", Shape: wire.Array, Priority: "standard", Tasks: 1, CPUs: 1}}
-	core.ended.add(e.Job.ID, wire.EndRecord{State: wire.Done})
+	core.ended.add(e.Job.ID, wire.EndRecord{State: wire.Done}, 0)
 	if err := core.checkSubmission(&e); !errors.Is(err, errAlreadyKnown) {
 		t.Errorf("a job that has ended: %v", err)
 	}
--- a/internal/core/controller/watch.go
+++ b/internal/core/controller/watch.go
@@ -30,6 +30,7 @@
 			c.log.Info("watch compacted, reading the state again")
 			c.previousState = c.knownState() // should the state lose data before it is read
 			c.state.invalidate()
+			c.claimed.clear()
 			c.readState()
 		default:
 			c.state.nextWatchAt = c.loop.Now.Add(watchRetry)
@@ -47,6 +48,7 @@
 		}
 	}
 	c.state.revision = max(c.state.revision, changes.Revision)
+	c.checkClaimedChanges(changes)
 }
 
 // applyPut applies the value of a key, by the role that it belongs to.
@@ -136,7 +138,11 @@
 		// ended before the loss; it cannot overrule what was known then.
 		return
 	}
-	c.ended.add(id, rec)
+	if known, ok := c.ended.get(id); ok && !isSameEnd(known, rec) {
+		c.resolveOtherEnd(id)
+		return
+	}
+	c.ended.add(id, rec, version)
 	if j := c.owner.Job(id); j != nil {
 		c.owner.EndJob(j)
 	}
--- a/internal/core/feature/feature.go
+++ b/internal/core/feature/feature.go
@@ -27,7 +27,7 @@
 	// Oldest is the lowest level that this version can work under.
 	Oldest Level = 0
 	// Newest is the highest level that this version can work under.
-	Newest Level = 2
+	Newest Level = 3
 )
 
 // Range is the levels that a version can work under.
@@ -84,6 +84,14 @@
 	// is stored that it cannot read. All others read both forms, and decide by versions,
 	// whatever the form.
 	Envelope
+	// AnswerQuorum: what users are told of a job is confirmed by a majority of all controllers of
+	// the settings, of which one that is silent counts as one.
+	//
+	// It needs confirmation. Until it is open only those controllers count that are known to
+	// confirm, so no user waits for one of an earlier version; nothing is stored for it. Two
+	// controllers of which one has read the level and the other has not yet both ask
+	// majorities, of all or of those that confirm, which are the same while all are in reach.
+	AnswerQuorum
 )
 
 // Info describes a gate.
@@ -98,12 +106,13 @@
 func (g Gate) Info() Info { return gates()[g] }
 
 // All returns the gates in order.
-func All() []Gate { return []Gate{LeaseLevel, Envelope} }
+func All() []Gate { return []Gate{LeaseLevel, Envelope, AnswerQuorum} }
 
-func gates() [2]Info {
+func gates() [3]Info {
 	return [...]Info{
-		LeaseLevel: {Name: "lease-level", Level: 1, Version: "0.2"},
-		Envelope:   {Name: "envelope", Level: 2, NeedsConfirmation: true, Version: "0.2"},
+		LeaseLevel:   {Name: "lease-level", Level: 1, Version: "0.2"},
+		Envelope:     {Name: "envelope", Level: 2, NeedsConfirmation: true, Version: "0.2"},
+		AnswerQuorum: {Name: "answer-quorum", Level: 3, NeedsConfirmation: true, Version: "0.3"},
 	}
 }
 
--- a/internal/core/owner/job.go
+++ b/internal/core/owner/job.go
@@ -32,6 +32,8 @@
 	Version        wire.Revision // of the record
 	Ended          bool
 	ReportedCounts [2]int // completed and running tasks that the job's owner reported, for display
+	// KnownToMajority says that a majority of the controllers has had the record.
+	KnownToMajority bool
 
 	// EndInFlight says that an end is being stored; until RetryEndAt none is tried.
 	EndInFlight bool
--- a/internal/core/owner/snapshot.go
+++ b/internal/core/owner/snapshot.go
@@ -37,6 +37,19 @@
 	return records
 }
 
+// StoredRecord returns a job's record as the state service has it.
+func (o *Owner) StoredRecord(j *Job) (any, error) {
+	rec, err := wire.WithFields(j.Record, j.Record.Unknown)
+	if err != nil || j.envelopeForm == 0 {
+		return rec, err
+	}
+	first := j.firstVersion
+	if first == j.Version {
+		first = 0
+	}
+	return wire.Wrap(rec, o.view.Lease.Generation, first)
+}
+
 // CompletedTasks returns the completed tasks of jobs that have not ended, by entry of a page.
 func (o *Owner) CompletedTasks() map[string][]byte {
 	completed := maps.Clone(o.completions.completed)
--- a/internal/core/recovery/recovery.go
+++ b/internal/core/recovery/recovery.go
@@ -26,6 +26,9 @@
 	Jobs           map[string]any            // the record to be stored for each job that has not ended
 	Ends           map[string]wire.EndRecord // of jobs that have
 	CompletedTasks map[string][]byte         // a bit a task, by stretch of a job
+	// StayingEnds are the jobs whose end stays though another one is stored: users may have been
+	// told.
+	StayingEnds map[string]bool
 }
 
 // StoredState is what the state service holds.
@@ -117,10 +120,24 @@
 	batch  batch
 }
 
-// missingEnds lists the ended jobs whose end is not stored, or another one is.
+// missingEnds lists the ended jobs whose end is not stored, or another one is in place of one that
+// users may have been told.
 func (w *missingWriter) missingEnds() (ids []string) {
 	for _, id := range slices.Sorted(maps.Keys(w.known.Ends)) {
-		if end, ok := w.stored.Ends[id]; !ok || end.State != w.known.Ends[id].State {
+		end, ok := w.stored.Ends[id]
+		if !ok || end.State != w.known.Ends[id].State && w.known.StayingEnds[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// OtherEnds lists the jobs of which another end is stored than the one that is known, and which
+// nobody was told.
+func OtherEnds(known *KnownState, stored *StoredState) (ids []string) {
+	for _, id := range slices.Sorted(maps.Keys(known.Ends)) {
+		end, ok := stored.Ends[id]
+		if ok && end.State != known.Ends[id].State && !known.StayingEnds[id] {
 			ids = append(ids, id)
 		}
 	}
@@ -151,8 +168,7 @@
 }
 
 // storeEnd stores an end that is missing, or in place of another one: a controller that
-// had not noticed the loss yet may have ended the job otherwise since, and what was known
-// before the loss may have been answered to a user.
+// had not noticed the loss yet may have ended the job otherwise since.
 func (w *missingWriter) storeEnd(id string) {
 	job, end := w.keys.Job+id, w.keys.End+id
 	w.batch.add([]wire.Condition{{Key: job}, {Key: end, Version: w.stored.Ends[id].Version}},
--- a/internal/core/recovery/recovery_test.go
+++ b/internal/core/recovery/recovery_test.go
@@ -14,13 +14,14 @@
 // ends of jobs whose records are back before anything else, and nothing that has ended as
 // a job.
 func TestMissingWritesKeepEndsFinal(t *testing.T) {
-	m := &KnownState{Jobs: map[string]any{}, Ends: map[string]wire.EndRecord{"zombie": {State: wire.Done}, "gone": {State: wire.Cancelled}, "known": {State: wire.Done}, "other": {State: wire.Done}}}
+	m := &KnownState{Jobs: map[string]any{}, Ends: map[string]wire.EndRecord{"zombie": {State: wire.Done}, "gone": {State: wire.Cancelled}, "known": {State: wire.Done}, "other": {State: wire.Done}, "untold": {State: wire.Done}},
+		StayingEnds: map[string]bool{"other": true}}
 	for i := range 30 {
 		m.Jobs[fmt.Sprintf("job-%02d", i)] = strings.Repeat("x", 1000)
 	}
 	m.Jobs["known"], m.Jobs["ended elsewhere"] = "old", "old"
 	f := &StoredState{Jobs: map[string]wire.Revision{"zombie": 7, "job-03": 8}, Ends: map[string]StoredEnd{
-		"known": {wire.Done, 3}, "ended elsewhere": {wire.Done, 4}, "other": {wire.Cancelled, 5}}}
+		"known": {wire.Done, 3}, "ended elsewhere": {wire.Done, 4}, "other": {wire.Cancelled, 5}, "untold": {wire.Cancelled, 6}}}
 	w, err := MissingWrites(m, f, keys, Limits{Ops: 8, Bytes: 5000})
 	if err != nil || w.Jobs != 29 || w.Ends != 3 {
 		t.Fatalf("%d jobs, %d ends, %v", w.Jobs, w.Ends, err)
@@ -47,7 +48,7 @@
 			t.Errorf("%s is stored %d times", key, stored[key])
 		}
 	}
-	for _, key := range []string{"j/job-03", "j/known", "j/ended elsewhere", "t/known"} {
+	for _, key := range []string{"j/job-03", "j/known", "j/ended elsewhere", "t/known", "t/untold"} {
 		if stored[key] != 0 {
 			t.Errorf("%s is stored", key)
 		}
--- a/internal/peerpb/golden_test.go
+++ b/internal/peerpb/golden_test.go
@@ -18,6 +18,7 @@
 	{"frame", 29}, // as the version in production writes it
 	{"frame-recent-changes", 30},
 	{"frame-job-frames", 34},
+	{"frame-job-claims", 39},
 }
 
 // TestGoldenFrame holds the frame between controllers, with all its parts, to the bytes
--- a/internal/testkit/golden/golden.go
+++ b/internal/testkit/golden/golden.go
@@ -201,6 +201,8 @@
 		return protoreflect.ValueOfUint32(uint32(number))
 	case protoreflect.Uint64Kind, protoreflect.Fixed64Kind:
 		return protoreflect.ValueOfUint64(uint64(number))
+	case protoreflect.EnumKind:
+		return protoreflect.ValueOfEnum(1)
 	case protoreflect.BytesKind:
 		return protoreflect.ValueOfBytes([]byte{byte(number)})
 	default:
--- a/internal/testkit/simtest/answers_model_test.go
+++ b/internal/testkit/simtest/answers_model_test.go
@@ -378,7 +378,8 @@
 }
 
 // TestAnswersModelCries plants faults: a state service that leaves out the conditions
-// of some calls, as if their callers had set none.
+// of some calls, as if their callers had set none, beside controllers that confirm whatever
+// others claim. Either alone is made up for by the other.
 func TestAnswersModelCries(t *testing.T) {
 	for _, c := range []struct{ call, from, rule string }{
 		{"check", "nothing", "older: "}, {"check", "runs", "older: "},
@@ -386,7 +387,7 @@
 	} {
 		x := &explorer{depth: 12, begin: func() model {
 			a := newAnswers(c.from)
-			a.unchecked = c.call
+			a.unchecked, a.agreeable = c.call, true
 			return a
 		}}
 		if course, broken := x.some(300, 1); !strings.HasPrefix(broken, c.rule) {
--- a/internal/testkit/simtest/answers_test.go
+++ b/internal/testkit/simtest/answers_test.go
@@ -288,7 +288,7 @@
 // for before.
 func TestAnswersAreFresh(t *testing.T) {
 	for wait := 5 * time.Millisecond; wait < 160*time.Millisecond; wait += 31 * time.Millisecond {
-		w, u, _, err := pairWorld()
+		w, u, _, err := oneMachineWorld(2)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/testkit/simtest/duo_test.go
+++ b/internal/testkit/simtest/duo_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"hash/fnv"
 	"log/slog"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/controller"
 	"fawncove/internal/core/eventloop"
+	"fawncove/internal/peerpb"
 	"fawncove/internal/wire"
 )
 
@@ -67,6 +69,9 @@
 	// is planted to hear the rules cry.
 	unchecked string
 	blind     bool // workers leave out of their reports what runs: the same
+	// agreeable has each controller confirm whatever the other claims, and learn nothing from
+	// it: the same.
+	agreeable bool
 
 	done    bool                                      // the job's task has been done, somewhere
 	started func(by int, on *duoMachine)              // is told of each start
@@ -252,6 +257,10 @@
 		}
 	case eventloop.PeerSend:
 		to, sent := 1-i, n.hist
+		if claims := e.Frame.GetJobClaims(); claims != nil && d.agreeable {
+			soon(func() { d.hand(i, eventloop.PeerFrame{Frame: confirmation(e, claims)}, "frame", sent) })
+			return
+		}
 		if !n.cut && !d.nodes[to].cut {
 			soon(func() { d.hand(to, eventloop.PeerFrame{Frame: e.Frame}, "frame", sent) })
 		}
@@ -311,6 +320,12 @@
 	}
 }
 
+// confirmation is the reply of a controller that confirms all claims of another one.
+func confirmation(e eventloop.PeerSend, claims *peerpb.JobClaims) *peerpb.Frame {
+	return &peerpb.Frame{From: e.To, Incarnation: math.MaxInt64, Form: e.Frame.GetForm(), Generation: e.Frame.GetGeneration(),
+		JobClaimsReply: &peerpb.JobClaimsReply{Incarnation: e.Frame.GetIncarnation(), Number: claims.GetNumber(), Counts: true}}
+}
+
 // serve has the state service carry a call out, and reply answers it.
 func (d *duo) serve(c *call) {
 	before := d.w.store.rev
--- a/internal/testkit/simtest/effects.go
+++ b/internal/testkit/simtest/effects.go
@@ -36,7 +36,7 @@
 	case eventloop.Reply:
 		n.reply(e)
 	case eventloop.PeerSend:
-		if w.night.announcementsLost && e.Frame.GetStoredJob() != nil {
+		if e.To == w.night.claimsLostTo && e.Frame.GetJobClaims() != nil {
 			return
 		}
 		for _, p := range w.nodes {
--- a/internal/testkit/simtest/handover_model_test.go
+++ b/internal/testkit/simtest/handover_model_test.go
@@ -334,6 +334,9 @@
 	handoverFirst = flag.Uint64("handover-first", 1, "the same: the seed")
 )
 
+// leaseApart is more than a lease: two controllers that are apart confirm nothing to users before.
+const leaseApart = "wait, wait, wait, wait, wait, wait, wait, wait"
+
 // namedHandovers are courses that the draw is unlikely to come upon, by what would go
 // wrong; so tells whether a course has come to the point.
 var namedHandovers = []struct {
@@ -366,7 +369,7 @@
 		"submit@1, moment, wait, cancel@1, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait, drain",
 		func(h *handover) bool { return h.cancelledAt > 0 && h.clock-h.cancelledAt > 34*time.Second }},
 	{"reports are answered without knowing of cancellations", "split",
-		"submit@1, moment, drain, lag@1, cut@1, cancel@0, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait",
+		"submit@1, moment, drain, cut@1, " + leaseApart + ", lag@1, cancel@0, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait, wait",
 		func(h *handover) bool { return h.cancelledAt > 0 && h.clock-h.cancelledAt > 34*time.Second }},
 }
 
@@ -426,7 +429,7 @@
 		rule         string
 	}{
 		{func(h *handover) { h.blind = true }, "runs", "leave@1, lapse, report 0, report 1, moment, report 1, hang 0, wait, wait, drain, wait, drain, moment", "ran_twice"},
-		{func(h *handover) { h.w.cfg.Workers.CancelS = 12 }, "split", "submit@1, moment, drain, lag@1, cut@1, cancel@0, wait, wait, wait, wait, wait, wait", "ran_cancelled"},
+		{func(h *handover) { h.w.cfg.Workers.CancelS = 12 }, "split", "submit@1, moment, drain, cut@1, " + leaseApart + ", lag@1, cancel@0, wait, wait, wait, wait, wait, wait", "ran_cancelled"},
 	} {
 		for _, planted := range []bool{false, true} {
 			h := newHandover(c.from)
--- a/internal/testkit/simtest/model_test.go
+++ b/internal/testkit/simtest/model_test.go
@@ -15,17 +15,18 @@
 	"fawncove/internal/wire"
 )
 
-// The model of cancellation and freshness: two controllers with all their deciding
+// The model of cancellation and freshness: three controllers with all their deciding
 // code, one machine, one job whose task would run for ever, and every course of
-// events on a grid of troubles. The job is cancelled through the controller that
-// does not own it; cancel_s after its user was told, the task must be gone.
+// events on a grid of troubles. The job is cancelled through a controller that
+// does not own it, and a third one confirms that, while what the owner is told of it
+// gets lost; cancel_s after its user was told, the task must be gone.
 
 // course is one course of events. Times count from the moment of the first trouble.
 type course struct {
 	refusedFor           time.Duration // the state service refuses the owner alone, from 0
 	awayAt, awayFor      time.Duration // it is away for all
-	apart                bool          // the controllers do not hear each other for a minute
-	frozen               int           // 0: nobody; 1: the owner; 2: the other; 3: the other ends and is back at once
+	apart                bool          // the owner and who cancels do not hear each other for a minute
+	frozen               int           // 0: nobody; 1: the owner; 2: who cancels; 3: who cancels ends and is back at once
 	frozenAt, frozenFor  time.Duration
 	cancelAt, cancelLate time.Duration // the transaction that cancels is carried out so late
 	worker               int           // 0: stays; 1: hangs for 7 s; 2: does not reach the owner
@@ -66,11 +67,11 @@
 	}
 }
 
-// pairWorld is a world of two controllers and one machine, on which the task of job
+// oneMachineWorld is a world of some controllers and one machine, on which the task of job
 // wk-000001 runs; owner is the controller that holds the machine.
-func pairWorld() (w *World, u *user, owner int, err error) {
-	w = build(1, 2, 1, cluster.Defaults(), config.Cluster{
-		InitialSize: 2, Zones: []string{"x", "y"}, ClockErrorMs: 50, Teams: []config.Team{{Name: "free"}},
+func oneMachineWorld(controllers int) (w *World, u *user, owner int, err error) {
+	w = build(1, controllers, 1, cluster.Defaults(), config.Cluster{
+		InitialSize: controllers, Zones: []string{"x", "y"}, ClockErrorMs: 50, Teams: []config.Team{{Name: "free"}},
 		Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
@@ -115,15 +116,15 @@
 // play runs a course, with a user who holds the service to this cancel_s, and
 // returns what broke.
 func (x course) play(cancelS float64) (w *World, u *user, broken []string) {
-	w, u, owner, err := pairWorld()
+	w, u, owner, err := oneMachineWorld(3)
 	if err != nil {
 		return w, u, []string{err.Error()}
 	}
 	w.cfg.Workers.CancelS = cancelS // the controllers have read theirs
-	// The gap is held by what the state service shows. An announcement only shortens it, and
-	// may not arrive.
-	w.night.announcementsLost = true
-	other := w.nodes[1-owner]
+	// The gap is held by what the state service shows: the owner need not be of the majority.
+	w.night.claimsLostTo = w.nodes[owner].name
+	canceller := (owner + 1) % len(w.nodes)
+	other := w.nodes[canceller]
 	k := w.byName()[0]
 	if k.rate = 1 - 0.00025; x.fast {
 		k.rate = 1 + 0.00025
@@ -137,13 +138,13 @@
 		}
 	})
 	if x.apart {
-		w.Cut(w.nodes[0].name, w.nodes[1].name, time.Minute)
+		w.Cut(w.nodes[owner].name, other.name, time.Minute)
 	}
 	switch x.frozen {
 	case 1, 2:
-		w.after(x.frozenAt, func() { w.Freeze((owner+x.frozen-1)%2, x.frozenFor) })
+		w.after(x.frozenAt, func() { w.Freeze((owner+x.frozen-1)%len(w.nodes), x.frozenFor) })
 	case 3:
-		w.after(x.frozenAt, func() { w.Crash(1-owner, x.frozenFor) })
+		w.after(x.frozenAt, func() { w.Crash(canceller, x.frozenFor) })
 	}
 	switch x.worker {
 	case 1:
--- a/internal/testkit/simtest/night.go
+++ b/internal/testkit/simtest/night.go
@@ -38,17 +38,17 @@
 	// answer is lost.
 	loses func(node string, t wire.Txn) bool
 	lost  map[string]int // how many, by what they wrote
-	// announcementsLost has no controller hear from another what that has stored of a job.
-	announcementsLost bool
-	watchLag          map[string]time.Duration    // by how much a controller's watch lags
-	look              func(u *user, m moment)     // if set, is told of moments to look closely at
-	looks             map[eventloop.ReplyCode]int // answers to close looks, by their code
-	looked            map[moment]int              // close looks, by what they came right after
-	forNext           int                         // of a hundred reports a copy of so many is kept for the next leader
-	kept              []wire.Heartbeat
-	copied            []wire.Heartbeat // have come to the next leader, and come once more
-	leader            string           // by the value stored last
-	grants            wire.Grant       // in it
+	// claimsLostTo is a controller that hears nothing of what others claim of jobs.
+	claimsLostTo string
+	watchLag     map[string]time.Duration    // by how much a controller's watch lags
+	look         func(u *user, m moment)     // if set, is told of moments to look closely at
+	looks        map[eventloop.ReplyCode]int // answers to close looks, by their code
+	looked       map[moment]int              // close looks, by what they came right after
+	forNext      int                         // of a hundred reports a copy of so many is kept for the next leader
+	kept         []wire.Heartbeat
+	copied       []wire.Heartbeat // have come to the next leader, and come once more
+	leader       string           // by the value stored last
+	grants       wire.Grant       // in it
 }
 
 // mustTell tells whether a controller may alone know of what the state has lost: with
--- a/internal/testkit/simtest/rollout_test.go
+++ b/internal/testkit/simtest/rollout_test.go
@@ -18,12 +18,12 @@
 )
 
 // before is a version from before levels, first one that knows only the first
-// level, later one for which the cluster must have come to level 2.
+// level, later one for which the cluster must have come to the newest level of this one.
 var (
 	before = feature.Range{}
 	middle = feature.Range{Newest: 1}
 	newest = feature.Current()
-	later  = feature.Range{Oldest: 2, Newest: 3}
+	later  = feature.Range{Oldest: feature.Newest, Newest: feature.Newest + 1}
 )
 
 // rollout is a day on which controllers are replaced one after the other.
--- a/internal/testkit/simtest/told_and_lost_test.go
+++ b/internal/testkit/simtest/told_and_lost_test.go
@@ -290,6 +290,62 @@
 	}
 }
 
+// TestNoTaskStaysAfterALostCancellation: the owner reaches the state service and no other controller,
+// and those that confirmed a cancellation lose the state right after it has lost that: its word of
+// cancellations is the state's alone, and the job's task stays.
+func TestNoTaskStaysAfterALostCancellation(t *testing.T) {
+	for _, seed := range smallAndLarge {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := lostTelling{seed: seed, told: confirmed, writer: 1, teller: 1, apart: []int{0}, toldAfter: 20 * time.Millisecond, cutFor: 70 * time.Second}
+			c.begin()
+			c.w.Run(c.toldAfter)
+			if c.tell() {
+				c.lose()
+			}
+			c.w.newService("wk-000002").submitTo(c.nodes[0])
+			for _, n := range c.nodes[1:] {
+				c.w.Isolate(c.w.index(n.name), time.Minute)
+			}
+			c.w.Run(time.Minute)
+			c.settle(t)
+		})
+	}
+}
+
+// TestOtherEndBesideAConfirmedOne: a controller that is apart stores that a job is done, whose lost
+// cancellation was told; the one that told it is gone, and another one has confirmed it.
+func TestOtherEndBesideAConfirmedOne(t *testing.T) {
+	for _, seed := range []uint64{3, 9, 15} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := lostTelling{seed: seed, told: confirmed, writer: 1, teller: 1, apart: []int{0}, toldAfter: 20 * time.Millisecond, cutFor: 8 * time.Second}
+			c.begin()
+			w := c.w
+			w.Run(c.toldAfter)
+			c.ask(1, byCancellation)
+			for i := 0; i < 20000 && !c.nodes[2].core.HasEnded(c.u.job.ID); i++ {
+				w.Run(100 * time.Microsecond)
+			}
+			w.Cut(c.nodes[1].name, c.nodes[2].name, time.Minute)
+			w.Run(300 * time.Millisecond)
+			c.lose()
+			w.Vanish(w.index(c.nodes[1].name), time.Minute)
+			for _, k := range w.byName() {
+				for _, task := range k.tasks {
+					task.until = min(task.until, w.now)
+				}
+			}
+			w.Run(9 * time.Second)
+			for range 20 {
+				c.ask(2, byQuery)
+				c.ask(0, byQuery)
+				w.Run(time.Second)
+			}
+			w.Run(time.Minute)
+			c.settle(t)
+		})
+	}
+}
+
 // killUnder ends the machines that a job's tasks run on.
 func (w *World) killUnder(u *user) {
 	for _, k := range w.byName() {
