--- a/internal/testkit/simtest/night.go
+++ b/internal/testkit/simtest/night.go
@@ -37,7 +37,10 @@
 	// loses, if set, chooses the transactions that are carried out at once and whose
 	// answer is lost.
 	loses func(node string, t wire.Txn) bool
-	lost  map[string]int // how many, by what they wrote
+	// frameSent, if set, is told of each frame that a controller sends another, and chooses what
+	// becomes of it.
+	frameSent func() answerFate
+	lost      map[string]int // how many, by what they wrote
 	// claimsLostTo is a controller that hears nothing of what others claim of jobs.
 	claimsLostTo string
 	watchLag     map[string]time.Duration    // by how much a controller's watch lags
