--- a/internal/testkit/loopback/loopback.go
+++ b/internal/testkit/loopback/loopback.go
@@ -57,16 +57,12 @@
 // them until the context ends.
 func (h *Host) Start(world *simtest.Driven) error {
 	h.world = world
-	for _, s := range []struct {
-		addr    *string
-		handler http.Handler
-	}{{&h.State, h.stateService()}, {&h.Cloud, h.cloud()}} {
-		l, err := h.listen()
-		if err != nil {
-			return fmt.Errorf("stand-in: %w", err)
-		}
-		*s.addr = l.Addr().String()
-		h.serve(&http.Server{Handler: s.handler, ReadHeaderTimeout: 5 * time.Second}, l)
+	var err error
+	if h.State, err = h.StateFor(""); err != nil {
+		return err
+	}
+	if h.Cloud, err = h.serveAnywhere(h.cloud()); err != nil {
+		return err
 	}
 	h.wait.Add(1)
 	go func() {
@@ -76,6 +72,22 @@
 	return nil
 }
 
+// StateFor listens for the state service once more and returns the address, for one
+// controller alone: the world is told whose watches come in there.
+func (h *Host) StateFor(node string) (addr string, err error) {
+	return h.serveAnywhere(h.stateService(node))
+}
+
+// serveAnywhere runs a server on a free port until the context ends.
+func (h *Host) serveAnywhere(handler http.Handler) (addr string, err error) {
+	l, err := h.listen()
+	if err != nil {
+		return "", fmt.Errorf("stand-in: %w", err)
+	}
+	h.serve(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}, l)
+	return l.Addr().String(), nil
+}
+
 // Wait waits for all that was started, once the context has ended.
 func (h *Host) Wait() { h.wait.Wait() }
 
@@ -219,7 +231,8 @@
 	return out
 }
 
-func (h *Host) stateService() http.Handler {
+// stateService serves the state service to a controller, or to whoever calls ("").
+func (h *Host) stateService(node string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /txn", func(w http.ResponseWriter, r *http.Request) {
 		var t txn
@@ -265,7 +278,7 @@
 			return
 		}
 		d, ok := do(h, r, func(answer func(eventloop.Completion)) {
-			h.world.Watch(q.Get("under"), wire.Revision(after), time.Duration(hold)*time.Millisecond, answer)
+			h.world.Watch(node, q.Get("under"), wire.Revision(after), time.Duration(hold)*time.Millisecond, answer)
 		})
 		if ok {
 			write(w, statusOf(d.Outcome), d.Changes)
--- a/internal/testkit/loopback/loopback_test.go
+++ b/internal/testkit/loopback/loopback_test.go
@@ -68,6 +68,32 @@
 	}
 }
 
+// TestHeldWatches: a watch that comes in at the address of a controller whose watches are held
+// is answered when that is over, others at once.
+func TestHeldWatches(t *testing.T) {
+	const held = time.Second
+	h, ctx := start(t), t.Context()
+	addr, err := h.StateFor("n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	anyone, n0 := statestore.New(h.State, 1000, 1000, 1), statestore.New(addr, 1000, 1000, 1)
+	h.Look(func(w *simtest.Driven) { w.HoldWatches("n0", held) })
+	if outcome, _, err := anyone.Txn(ctx, wire.Txn{Then: []wire.Op{{Put: "fc/r/a", Value: 1}}}, false); outcome != eventloop.Succeeded || err != nil {
+		t.Fatalf("put: %s %v", outcome, err)
+	}
+	began := time.Now()
+	for _, c := range []struct {
+		store    *statestore.Store
+		min, max time.Duration
+	}{{anyone, 0, held / 2}, {n0, held / 2, 10 * time.Second}} {
+		outcome, changes, err := c.store.Watch(ctx, "fc/", 0, 10*time.Second)
+		if took := time.Since(began); outcome != eventloop.Succeeded || err != nil || len(changes.Log) != 1 || took < c.min || took > c.max {
+			t.Errorf("watch: %s %+v %v after %v, want between %v and %v", outcome, changes, err, took, c.min, c.max)
+		}
+	}
+}
+
 // TestRentedMachinesHaveSockets rents machines; the same request again rents
 // nothing more, and a machine that was given back is gone.
 func TestRentedMachinesHaveSockets(t *testing.T) {
--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -368,11 +368,13 @@
 	accepted    bool
 	told        string
 	wantsCancel bool
-	cancelledAt time.Duration
-	doneAt      time.Duration
-	doneTasks   map[string]bool
-	running     int // tasks on a machine
-	starts      int // of its tasks
+	// asksOnRequest has the user ask only when it is told to.
+	asksOnRequest bool
+	cancelledAt   time.Duration
+	doneAt        time.Duration
+	doneTasks     map[string]bool
+	running       int // tasks on a machine
+	starts        int // of its tasks
 
 	acceptedAt time.Duration
 	begunAt    time.Duration // its first task
@@ -421,7 +423,7 @@
 				u.at(accepted)
 				u.w.after(time.Second, u.poll)
 			}
-			if u.w.rng.IntN(4) == 0 {
+			if u.w.rng.IntN(4) == 0 && !u.asksOnRequest {
 				u.w.after(time.Duration(u.w.rng.IntN(60))*time.Second, u.submit) // a late retry
 			}
 		case eventloop.ReplyInvalid, eventloop.ReplyUnprocessable:
@@ -433,6 +435,9 @@
 }
 
 func (u *user) poll() {
+	if u.asksOnRequest {
+		return
+	}
 	accepted := u.accepted
 	u.w.askedLong(u)
 	u.anyNode(func(req uint64) eventloop.Event { return eventloop.QueryRequest{Req: req, ID: u.job.ID} }, func(r eventloop.Reply) {
--- a/internal/testkit/simtest/drive.go
+++ b/internal/testkit/simtest/drive.go
@@ -88,9 +88,10 @@
 // Revision is that of the last change.
 func (d *Driven) Revision() wire.Revision { return d.store.rev }
 
-// Watch has answer called when a key has changed after a revision, or after hold.
-func (d *Driven) Watch(prefix string, after wire.Revision, hold time.Duration, answer func(eventloop.Completion)) {
-	d.store.watch("", prefix, after, d.now+hold, answer)
+// Watch has answer called when a key has changed after a revision, or after hold. node is the
+// controller that watches, "" if that is not known.
+func (d *Driven) Watch(node, prefix string, after wire.Revision, hold time.Duration, answer func(eventloop.Completion)) {
+	d.store.watch(node, prefix, after, d.now+hold, answer)
 }
 
 // CloudAway has the cloud refuse everything for so long.
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -54,9 +54,11 @@
 	lostAt            time.Duration            // when data was last lost; 0: never
 	// served, if set, is told of each call right after it was carried out, and chooses
 	// what becomes of its answer.
-	served   func(node string) answerFate
-	pageSize int // keys in a page, if set
-	lowered  *loweredLimits
+	served func(node string) answerFate
+	// watchesHeld is until when the watches of a controller get no answer.
+	watchesHeld map[string]time.Duration
+	pageSize    int // keys in a page, if set
+	lowered     *loweredLimits
 }
 
 // answerFate is what becomes of an answer of the state service.
@@ -233,6 +235,10 @@
 			keep = append(keep, x) // open watches stay open
 			continue
 		}
+		if s.w.now < s.watchesHeld[x.node] {
+			keep = append(keep, x)
+			continue
+		}
 		c := wire.Changes{Revision: s.rev}
 		from, _ := slices.BinarySearchFunc(s.log, x.after+1, func(e logged, v wire.Revision) int { return cmp.Compare(e.Version, v) })
 		for _, e := range s.log[from:] {
