--- a/cmd/fawncove/try.go
+++ b/cmd/fawncove/try.go
@@ -22,11 +22,16 @@
 for state service, cloud, machines and users, submits sample jobs and shows them
 running. Tasks take their time, or run COMMAND with FAWNCOVE_TASK and
 FAWNCOVE_ATTEMPT in its environment. The rules of the protocol are checked all
-along; the exit status tells whether they held and all jobs ended.`,
+along; the exit status is 0 if they held and all jobs ended, 1 if not, and 2 if an
+option is refused.
+
+--cut-link cuts the link between two controllers. Meanwhile a user cancels a job at
+one of them, the state service loses that change, and the user asks all
+controllers. An answer that contradicts the confirmed cancellation is a failure.`,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := interrupted(cmd.Context())
 			defer cancel()
-			if err := checkPlan(&p); err != nil {
+			if err := checkPlan(&p, cmd.Flags().Changed("cut-link")); err != nil {
 				fmt.Fprintln(cmd.ErrOrStderr(), "try:", err)
 				return exitUsage
 			}
@@ -34,6 +39,10 @@
 			return try(ctx, p, stay)
 		},
 	}
+	cmd.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
+		fmt.Fprintln(cmd.ErrOrStderr(), "try:", err)
+		return exitUsage
+	})
 	f := cmd.Flags()
 	f.IntVar(&p.Jobs, "jobs", 20, "sample jobs to submit")
 	f.DurationVar(&p.Over, "over", 20*time.Second, "time over which they are submitted")
@@ -43,6 +52,7 @@
 	f.DurationVar(&p.Lose, "lose-state", 0, "put a copy of the state that is so old in its place, and see it made whole")
 	f.DurationVar(&p.Again, "lose-state-again", 0, "with --lose-state: put the same copy in its place again so long after that, during the recovery")
 	f.DurationVar(&p.CloudAway, "cloud-away", 0, "restart a controller while teams are at their limits, and have the cloud away until so long after its return")
+	f.DurationVar(&p.CutLink, "cut-link", 0, "cut the link between two controllers for so long, and lose a cancellation that one confirms meanwhile; at most "+maxCutLink.String())
 	f.BoolVar(&p.Back, "back", false, "roll back to the earlier build before the level is raised")
 	return cmd
 }
@@ -50,8 +60,12 @@
 // exitUsage is the exit status of a command whose flags make no sense together.
 const exitUsage = exitStatus(2)
 
-// checkPlan returns what is wrong with the faults that a plan asks for, or nil.
-func checkPlan(plan *drill.Plan) error {
+// maxCutLink bounds the time for which a link is cut.
+const maxCutLink = 10 * time.Minute
+
+// checkPlan returns what is wrong with the faults that a plan asks for, or nil. cutLink
+// reports whether --cut-link is given.
+func checkPlan(plan *drill.Plan, cutLink bool) error {
 	switch {
 	case plan.CloudAway < 0:
 		return fmt.Errorf("--cloud-away: %v is negative", plan.CloudAway)
@@ -61,6 +75,16 @@
 		return fmt.Errorf("--lose-state-again: %v is negative", plan.Again)
 	case plan.Again > 0 && plan.Lose == 0:
 		return errors.New("--lose-state-again needs --lose-state")
+	case !cutLink:
+		return nil
+	case plan.CutLink <= 0 || plan.CutLink > maxCutLink:
+		return fmt.Errorf("--cut-link: %v is not above 0s and at most %v", plan.CutLink, maxCutLink)
+	case plan.Lose > 0:
+		return errors.New("--cut-link and --lose-state exclude each other")
+	case plan.CloudAway > 0:
+		return errors.New("--cut-link and --cloud-away exclude each other")
+	case plan.From != "":
+		return errors.New("--cut-link and --upgrade-from exclude each other")
 	default:
 		return nil
 	}
@@ -118,6 +142,11 @@
 			return err
 		}
 	}
+	if plan.CutLink > 0 {
+		if err := cluster.CutLink(); err != nil {
+			return err
+		}
+	}
 	if plan.From != "" {
 		if err := cluster.Rollout(); err != nil {
 			return err
--- a/internal/testkit/drill/drill.go
+++ b/internal/testkit/drill/drill.go
@@ -32,6 +32,9 @@
 	// CloudAway is how long the cloud is away after a controller has restarted while
 	// teams are at their limits; 0: that is not played.
 	CloudAway time.Duration
+	// CutLink is how long the link between two controllers is cut, and a cancellation lost
+	// meanwhile; 0: that is not played.
+	CutLink time.Duration
 
 	Jobs int           // sample jobs
 	Over time.Duration // in which they are submitted
@@ -49,6 +52,7 @@
 	procs []*process
 	store *statestore.Store
 	cfg   *config.Settings // of the first controller
+	links links            // between controllers, if one is to be cut
 	begun time.Time
 
 	services     int           // submitted beside the sample jobs
@@ -86,7 +90,7 @@
 
 // Start starts the stand-ins and the controllers. Stop must follow.
 func Start(ctx context.Context, plan Plan) (*Drill, error) {
-	d := &Drill{plan: plan, ctx: ctx, begun: time.Now()}
+	d := &Drill{plan: plan, ctx: ctx, begun: time.Now(), links: links{}}
 	addrs, err := free(2 * len(controllers))
 	if err != nil {
 		return nil, err
@@ -107,12 +111,9 @@
 		return nil, err
 	}
 	for i, p := range d.procs {
-		s := &config.Settings{HostName: p.name, Area: plan.settings().Zones[i%2], ClientListen: addrs[2*i], ClusterListen: addrs[2*i+1],
-			External: config.External{Cloud: d.host.Cloud, State: d.host.State}, Cluster: plan.settings()}
-		for k, peer := range d.procs {
-			if k != i {
-				s.Peers = append(s.Peers, config.Peer{HostName: peer.name, Area: plan.settings().Zones[k%2], Endpoint: addrs[2*k+1]})
-			}
+		s, err := d.controllerSettings(i, addrs)
+		if err != nil {
+			return nil, err
 		}
 		if err := writeSettings(p.settings, s); err != nil {
 			return nil, err
@@ -133,6 +134,34 @@
 	return d, nil
 }
 
+// controllerSettings returns the settings of the i-th controller. addrs are two addresses for
+// each controller: for clients, and for the other controllers.
+func (d *Drill) controllerSettings(i int, addrs []string) (*config.Settings, error) {
+	cluster := d.plan.settings()
+	s := &config.Settings{HostName: d.procs[i].name, Area: cluster.Zones[i%2], ClientListen: addrs[2*i], ClusterListen: addrs[2*i+1],
+		External: config.External{Cloud: d.host.Cloud, State: d.host.State}, Cluster: cluster}
+	if d.plan.CutLink > 0 {
+		var err error
+		if s.External.State, err = d.host.StateFor(s.HostName); err != nil {
+			return nil, err
+		}
+	}
+	for k, peer := range d.procs {
+		if k == i {
+			continue
+		}
+		endpoint := addrs[2*k+1]
+		if d.plan.CutLink > 0 {
+			var err error
+			if endpoint, err = d.links.add(d.ctx, s.HostName, peer.name, endpoint); err != nil {
+				return nil, err
+			}
+		}
+		s.Peers = append(s.Peers, config.Peer{HostName: peer.name, Area: cluster.Zones[k%2], Endpoint: endpoint})
+	}
+	return s, nil
+}
+
 // Stop ends the controllers, those that do not end by themselves by force.
 func (d *Drill) Stop() {
 	for _, p := range d.procs {
