--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -165,7 +165,7 @@
 	}
 }
 
-// lapsed tells whether the lease has run out.
+// lapsed reports whether the lease has run out.
 func (k *worker) lapsed() bool {
 	return float64(k.w.now-k.lease)*k.rate > float64(config.Seconds(k.w.cfg.Workers.LeaseS))
 }
--- a/internal/testkit/simtest/services.go
+++ b/internal/testkit/simtest/services.go
@@ -71,7 +71,7 @@
 )
 
 // LoseState puts an older copy of the state in place of it, from d ago, as
-// whoever restores a backup does. It tells how many revisions were lost by that.
+// whoever restores a backup does. It returns how many revisions were lost by that.
 func (w *World) LoseState(d time.Duration) wire.Revision {
 	s := w.store
 	rev, _ := slices.BinarySearch(s.times, w.now-d+1)
@@ -114,7 +114,7 @@
 	s.rev, s.times, s.values, s.log = c.rev, slices.Clone(c.times), maps.Clone(c.values), slices.Clone(c.log)
 }
 
-// down tells whether the service refuses a controller.
+// down reports whether the service refuses a controller.
 func (s *store) down(node string) bool { return s.w.now < s.outage || s.w.now < s.alone[node] }
 
 // Outage makes the state service refuse everybody, or one controller only.
@@ -330,7 +330,7 @@
 	w.level = feature.Level(v.Level)
 }
 
-// replacesLateEnd tells whether an end is put in place of another one while a loss is being
+// replacesLateEnd reports whether an end is put in place of another one while a loss is being
 // made good: a write of before the loss that is carried out late, or a controller that has
 // not noticed yet, may have ended a job whose record is back otherwise than it had ended.
 func (w *World) replacesLateEnd(data, before []byte) bool {
@@ -379,7 +379,7 @@
 	return jobs, pages
 }
 
-// sameBut tells whether a job's record is the one before but for its home.
+// sameBut reports whether a job's record is the one before but for its home.
 func (w *World) sameBut(key string, data, before []byte) bool {
 	var recs [2]wire.JobRecord
 	for i, value := range [][]byte{data, before} {
