Two controllers that are apart do not both serve alone, and a recovery needs a majority in reach

Callers saw, by review and TestTwoApartForALease (404, and 201 once more, before): two controllers that reach the state service and not each other each took the other for gone after a lease.

Cause: silence was all that was looked at. One that lives renews its block through the state service.

Change: the one left serves alone once the other's block has lapsed by the lease value too. During a recovery, when nobody renews, silence counts as before. For the same reason as an answer the last step of a recovery needs a majority in reach: a controller that was cut off from all others recovered the state alone. A process that has started and waits for a recovery says hello every second, so that it counts as in reach: without that a recovery by one controller beside one that starts never ended (TestToldModel, two controllers).

--- a/internal/core/cluster/peer.go
+++ b/internal/core/cluster/peer.go
@@ -15,6 +15,7 @@
 	Zone        string
 	Incarnation wire.Incarnation // as received last
 	LastFrame   time.Time
+	LastHello   time.Time // when it last said that it has started and is yet to read the state
 	// StateReachable says that the state service answers it, and StateReachableSince since
 	// when it has said so without a break.
 	StateReachable      bool
--- a/internal/core/controller/peers.go
+++ b/internal/core/controller/peers.go
@@ -69,7 +69,7 @@
 	}
 	switch {
 	case f.GetHello():
-		p.ConfirmsJobs = f.GetConfirmsJobs()
+		p.ConfirmsJobs, p.LastHello = f.GetConfirmsJobs(), c.loop.Now
 		c.loop.Emit(eventloop.PeerSend{To: f.GetFrom(), Frame: c.newFrame()})
 		return
 	case f.GetJobClaims() != nil:
--- a/internal/core/controller/quorum.go
+++ b/internal/core/controller/quorum.go
@@ -23,7 +23,9 @@
 // version knows nothing of what was told, and is not waited for. One that has not been heard of
 // since this process began counts, until it has been silent for a lease.
 //
-// A majority of two is both. Once the other one has been silent for a lease, this one serves alone.
+// A majority of two is both. Once the other one has been silent for a lease, and its block has lapsed
+// by the lease value, this one serves alone: one that is only out of reach renews its block through
+// the state service.
 func (c *Core) quorum() quorum {
 	var q quorum
 	for _, name := range cluster.SortedKeys(c.view.Peers) {
@@ -32,12 +34,19 @@
 		}
 	}
 	q.majority = (len(q.members)+1)/2 + 1
-	if len(q.members) == 1 && c.isSilentForLease(c.view.Peers[q.members[0]]) {
+	if len(q.members) == 1 && c.hasLapsed(q.members[0]) {
 		q.majority = 1
 	}
 	return q
 }
 
+// hasLapsed reports whether another controller has been silent for a lease, and holds no block.
+// During a recovery nobody renews a block: then its silence counts.
+func (c *Core) hasLapsed(name string) bool {
+	_, holdsBlock := c.view.Lease.Blocks[name]
+	return c.isSilentForLease(c.view.Peers[name]) && (!holdsBlock || c.recovery != nil)
+}
+
 func (c *Core) isQuorumMember(p *cluster.Peer) bool {
 	switch {
 	case c.view.FeatureOpen(feature.AnswerQuorum):
@@ -68,6 +77,19 @@
 	return names
 }
 
+// mayEndRecovery reports whether a majority of the controllers is in reach. One that has started and
+// waits for the recovery says hello.
+func (c *Core) mayEndRecovery() bool {
+	q, inReach := c.quorum(), 1
+	for _, name := range q.members {
+		waits := c.loop.Now.Sub(c.view.Peers[name].LastHello) < cluster.PeerTimeout
+		if waits || c.view.IsReachable(name, c.loop.Now) {
+			inReach++
+		}
+	}
+	return inReach >= q.majority
+}
+
 // isMajorityInReach reports whether a majority of the controllers can be asked.
 func (c *Core) isMajorityInReach(q quorum) bool {
 	return 1+len(q.members)-len(c.unreachableMembers(q)) >= q.majority
--- a/internal/core/controller/recovery.go
+++ b/internal/core/controller/recovery.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"slices"
 	"time"
 
 	"fawncove/internal/core/cluster"
@@ -162,7 +161,7 @@
 		return stepWait
 	case !r.restored && c.isTurnToRestore():
 		return stepRestore
-	case r.restored && c.isFirstOfRecovering() && c.isMajorityRecovering():
+	case r.restored && c.isFirstOfRecovering() && c.mayEndRecovery():
 		return stepWriteLease
 	default:
 		return stepWait
@@ -239,18 +238,6 @@
 	return turn
 }
 
-// isMajorityRecovering reports whether a majority of the controllers takes part in the recovery: one
-// of them knows whatever users were told.
-func (c *Core) isMajorityRecovering() bool {
-	q, recovering := c.quorum(), 1
-	c.recoveringPeers(func(name string, _ *cluster.Peer) {
-		if slices.Contains(q.members, name) {
-			recovering++
-		}
-	})
-	return recovering >= q.majority
-}
-
 // isFirstOfRecovering reports whether this controller is the first of the recovering
 // ones, and all of them have stored what they knew. Should two think so, the state
 // service decides.
--- a/internal/core/controller/startup.go
+++ b/internal/core/controller/startup.go
@@ -28,17 +28,22 @@
 // a recovery be abandoned, at any time until the state has been read.
 type startupCheck struct {
 	helloSentAt    time.Time // zero: the others have not been asked
+	helloAgainAt   time.Time // when they are asked once more
 	generationRead bool      // once is enough
 	staleAnswerAt  time.Time // when an answer last fell short of what another controller had seen; zero: none has
 	abandonedSince time.Time // since when nobody in reach works at the recovery under way; zero: somebody does, or there is none
 }
 
-// beginHello notes that the others are asked, and reports whether they have yet to be.
+// beginHello notes that the others are asked, and reports whether they are to be now: a process that
+// waits for a recovery says so every second.
 func (s *startupCheck) beginHello(now time.Time) bool {
-	if !s.helloSentAt.IsZero() {
+	if now.Before(s.helloAgainAt) {
 		return false
 	}
-	s.helloSentAt = now
+	if s.helloSentAt.IsZero() {
+		s.helloSentAt = now
+	}
+	s.helloAgainAt = now.Add(heartbeatInterval)
 	return true
 }
 
--- a/internal/testkit/simtest/told_and_lost_test.go
+++ b/internal/testkit/simtest/told_and_lost_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"fawncove/internal/config"
+	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/eventloop"
 	"fawncove/internal/core/feature"
 	"fawncove/internal/wire"
@@ -59,22 +61,28 @@
 	for name, c := range courses {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c.begin()
-			linksUp := c.w.now + c.cutFor
-			c.w.Run(c.toldAfter)
-			if c.tell() {
-				c.lose()
-			}
-			for range 20 {
-				c.ask(c.asked, c.form)
-				c.w.Run(20 * time.Millisecond)
-			}
-			c.w.Run(linksUp - c.w.now)
-			c.settle(t)
+			playOne(t, c)
 		})
 	}
 }
 
+// playOne plays one course.
+func playOne(t *testing.T, c lostTelling) {
+	t.Helper()
+	c.begin()
+	linksUp := c.w.now + c.cutFor
+	c.w.Run(c.toldAfter)
+	if c.tell() {
+		c.lose()
+	}
+	for range 20 {
+		c.ask(c.asked, c.form)
+		c.w.Run(20 * time.Millisecond)
+	}
+	c.w.Run(linksUp - c.w.now)
+	c.settle(t)
+}
+
 // begin builds the world and takes the links down. The job runs, unless its user is to be told that
 // it is accepted: the first of its two tasks has ended, and the other one runs on.
 func (c *lostTelling) begin() {
@@ -357,6 +365,23 @@
 	}
 }
 
+// TestTwoApartForALease: two controllers that both reach the state service are apart for more than a
+// lease, each takes the other one for gone, and one says 404 of, or accepts, what the other accepted.
+func TestTwoApartForALease(t *testing.T) {
+	for _, form := range []questionForm{byQuery, byResubmission} {
+		t.Run(form.name, func(t *testing.T) {
+			c := lostTelling{told: accepted, asked: 1, form: form, apart: []int{1}, toldAfter: 32 * time.Second, cutFor: 40 * time.Second}
+			c.w = build(3, 2, 8, cluster.Defaults(), config.Cluster{
+				InitialSize: 2, Zones: []string{"x", "y"}, ClockErrorMs: 50, Teams: []config.Team{{Name: "free"}},
+				Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
+				State:   config.State{RPS: 150, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+				Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
+			})
+			playOne(t, c)
+		})
+	}
+}
+
 // killUnder ends the machines that a job's tasks run on.
 func (w *World) killUnder(u *user) {
 	for _, k := range w.byName() {
