--- a/internal/core/controller/claim.go
+++ b/internal/core/controller/claim.go
@@ -195,7 +195,7 @@
 	}
 	if revision > c.state.revision {
 		c.loop.RaiseHighestRevision(revision)
-		c.claimed.expect(key, revision)
+		c.expected.expect(key, revision)
 	}
 	return claimConfirmed
 }
@@ -207,14 +207,14 @@
 	c.emitPeerFrame(to, f)
 }
 
-// claimedChanges are the changes that other controllers have claimed and that the watch has yet to
+// expectedChanges are the changes that other controllers have claimed and that the watch has yet to
 // show. One that it passes without showing is lost.
-type claimedChanges struct {
+type expectedChanges struct {
 	revisions map[string]wire.Revision // by key
 }
 
 // expect notes that the watch will show a change of a key at a revision.
-func (e *claimedChanges) expect(key string, revision wire.Revision) {
+func (e *expectedChanges) expect(key string, revision wire.Revision) {
 	if e.revisions == nil {
 		e.revisions = map[string]wire.Revision{}
 	}
@@ -222,11 +222,11 @@
 }
 
 // clear forgets all that is expected, as the watch goes on from elsewhere.
-func (e *claimedChanges) clear() { e.revisions = nil }
+func (e *expectedChanges) clear() { e.revisions = nil }
 
 // noteShown notes what the watch shows, and returns the key of a change that it has passed without
 // showing it, or "".
-func (e *claimedChanges) noteShown(shown wire.Changes) (lostKey string, revision wire.Revision) {
+func (e *expectedChanges) noteShown(shown wire.Changes) (lostKey string, revision wire.Revision) {
 	if len(e.revisions) == 0 {
 		return "", 0
 	}
@@ -244,15 +244,19 @@
 	return lostKey, revision
 }
 
-// checkClaimedChanges looks for a loss of data in what the watch shows: a change that another
+// checkExpectedChanges looks for a loss of data in what the watch shows: a change that another
 // controller has claimed and that is not there.
-func (c *Core) checkClaimedChanges(shown wire.Changes) {
-	key, revision := c.claimed.noteShown(shown)
+func (c *Core) checkExpectedChanges(shown wire.Changes) {
+	key, revision := c.expected.noteShown(shown)
 	if key == "" || c.recovery != nil {
 		return
 	}
-	id := strings.TrimPrefix(strings.TrimPrefix(key, jobPrefix), endPrefix)
-	c.startRecovery(stateLoss{reason: lossClaim, job: id, revisionSeen: revision, revisionFound: shown.Revision})
+	c.startRecovery(stateLoss{reason: lossClaim, job: jobOfKey(key), revisionSeen: revision, revisionFound: shown.Revision})
+}
+
+// jobOfKey returns the job whose record or end is stored under a key.
+func jobOfKey(key string) string {
+	return strings.TrimPrefix(strings.TrimPrefix(key, jobPrefix), endPrefix)
 }
 
 // verifyStored has the state service asked for a job that is known to have come to a rank. If it
--- a/internal/core/controller/confirm.go
+++ b/internal/core/controller/confirm.go
@@ -321,6 +321,7 @@
 		}
 		switch {
 		case superseded[w.claim.id]:
+			c.log.Debug("claim superseded", "job", w.claim.id, "standing", w.claim.standing, "controller", f.GetFrom())
 			c.confirmer.settle(w, claimSuperseded)
 		case missing[w.claim.id]:
 			c.noteMissingElsewhere(w.claim.id)
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -44,7 +44,7 @@
 	freshness  freshnessChecker
 	confirmer  confirmer
 	memory     jobMemory
-	claimed    claimedChanges
+	expected   expectedChanges
 	userWrites userWrites
 
 	// The lease value.
--- a/internal/core/controller/watch.go
+++ b/internal/core/controller/watch.go
@@ -30,7 +30,7 @@
 			c.log.Info("watch compacted, reading the state again")
 			c.previousState = c.knownState() // should the state lose data before it is read
 			c.state.invalidate()
-			c.claimed.clear()
+			c.expected.clear()
 			c.readState()
 		default:
 			c.state.nextWatchAt = c.loop.Now.Add(watchRetry)
@@ -48,7 +48,7 @@
 		}
 	}
 	c.state.revision = max(c.state.revision, changes.Revision)
-	c.checkClaimedChanges(changes)
+	c.checkExpectedChanges(changes)
 }
 
 // applyPut applies the value of a key, by the role that it belongs to.
