Listed: no answers while all links between controllers are refused

It was answered on the state's word alone before, which is what takes back what users were told after a loss.

--- a/internal/testkit/simtest/told_and_lost_test.go
+++ b/internal/testkit/simtest/told_and_lost_test.go
@@ -393,6 +393,28 @@
 	}
 }
 
+// TestUsersAreServedWhileNoLinkIsUp: no controller reaches another one for 30 s, and all reach the state
+// service. A job that is submitted then is accepted within the 5 s for which a user waits.
+func TestUsersAreServedWhileNoLinkIsUp(t *testing.T) {
+	for _, seed := range smallAndLarge {
+		w := NewNight(seed)
+		w.Begin(feature.Current(), 10*time.Second)
+		w.Run(40 * time.Second)
+		for i, n := range w.nodes {
+			for _, other := range w.nodes[i+1:] {
+				w.Cut(n.name, other.name, 30*time.Second)
+			}
+		}
+		w.Run(5 * time.Second)
+		u := w.newService("wk-000001")
+		u.submitTo(w.nodes[0])
+		w.Run(byResubmission.patience)
+		if !u.accepted {
+			t.Errorf("seed %d: not accepted", seed)
+		}
+	}
+}
+
 // killUnder ends the machines that a job's tasks run on.
 func (w *World) killUnder(u *user) {
 	for _, k := range w.byName() {
