A process that starts waits 6 s at most for those who remember, not a lease

Cause: needed are three others that remember, and two are in reach.

Change: after 6 s (the longest silence of a state service that counts as reachable, and a watch) nobody is waited for: by then each controller that reaches the state service has had an answer that shows a loss, and has marked it.

Result: unit tests of core and docs, the tests of told_and_lost_test.go, TestToldModel, TestLossOfWhatAUserWasTold, TestLostState.

--- a/internal/core/controller/job_memory.go
+++ b/internal/core/controller/job_memory.go
@@ -16,13 +16,17 @@
 // though another controller knows it, is a loss of data.
 //
 // Where too many have forgotten at the same time nobody is left to be heard: then those who may
-// remember are, and after a lease nobody is waited for.
+// remember are. After maxMemoryWait nobody is waited for.
 
 const (
 	// memoryRequestInterval spaces the requests to a controller that has not replied.
 	memoryRequestInterval = 300 * time.Millisecond
 	// minMemoryWait is how long those who may remember are waited for, though there are too few.
 	minMemoryWait = 500 * time.Millisecond
+	// maxMemoryWait is how long those who remember are waited for: by then each controller that
+	// reaches the state service has had an answer that shows a loss, and has marked the state. A
+	// lease would be 20 s without answers wherever one of a bare majority starts anew.
+	maxMemoryWait = stateTimeout + cluster.WatchHold
 	// memoryRevisions is how many of the latest revisions a reply covers. What is older has been
 	// read by all that reach the state service, and its loss shows by the revision.
 	memoryRevisions = 1024
@@ -73,7 +77,7 @@
 	if len(m.unverified) > 0 {
 		return false
 	}
-	if !m.complete && c.state.loaded() && c.recovery == nil && m.isComplete(c.quorum(), c.loop.Now.Sub(c.startedAt), c.view.Params.LeaseDuration) {
+	if !m.complete && c.state.loaded() && c.recovery == nil && m.isComplete(c.quorum(), c.loop.Now.Sub(c.startedAt)) {
 		m.complete = true
 		c.log.Info("confirmed jobs known", "controllers", len(m.replies), "duration", c.sinceStart())
 	}
@@ -81,7 +85,7 @@
 }
 
 // isComplete reports whether enough was heard from the others.
-func (m *jobMemory) isComplete(q quorum, sinceStart, lease time.Duration) bool {
+func (m *jobMemory) isComplete(q quorum, sinceStart time.Duration) bool {
 	needed := min(len(q.members), len(q.members)+2-q.majority)
 	remembering, silent := 0, 0
 	for _, name := range q.members {
@@ -94,7 +98,7 @@
 		}
 	}
 	switch {
-	case remembering >= needed, silent == 0, sinceStart >= lease:
+	case remembering >= needed, silent == 0, sinceStart >= maxMemoryWait:
 		return true
 	default:
 		return remembering+silent < needed && sinceStart >= minMemoryWait
