--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,7 +31,8 @@
 
 // cases returns 0 or 1, or an error if the case could not run.
 var cases = map[string]func(context.Context, *play) (int, error){
-	"malformed": malformed,
+	"malformed":   malformed,
+	"held-upload": upload,
 }
 
 func main() { os.Exit(run()) }
