review: case 3, output left in a spool is never sent by the next capture

Looked for: what becomes of output that the artefact store has not taken when a task ends, and who sends it later.

A task ends under capture while its machine's zone is cut off from the store for 51.5 s; when the zone is back another task runs on the machine under capture, then the machine is gone. The stand-in of case 2 is split, so that both use the same proxy and store.

--- a/review/stand/upload.go
+++ b/review/stand/upload.go
@@ -47,19 +47,32 @@
 echo "step ended"
 `
 
-// heldProxy forwards connections to the store. From the moment in which passBefore bytes have come
-// from the task's machine, nothing passes in either direction for a while; what was sent meanwhile
-// is delivered in order after that.
+// heldProxy forwards connections to the store, until the network is interrupted: then nothing passes
+// in either direction for a while, and what was sent meanwhile is delivered in order after that.
 type heldProxy struct {
-	rec     *record
-	target  string
-	trouble bool
+	rec       *record
+	target    string
+	passBytes int // from the task's machine, before an interruption of cutLasts; 0: there is none
 
 	mu    sync.Mutex
 	bytes int
 	until time.Time // the end of the interruption; zero: it has not begun
 }
 
+// cut interrupts the network.
+func (p *heldProxy) cut(lasts time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begin(lasts)
+}
+
+// begin begins the interruption. With mu held.
+func (p *heldProxy) begin(lasts time.Duration) {
+	p.until = time.Now().Add(lasts)
+	p.rec.say("network: interrupted for %v; %d bytes have passed", lasts, p.bytes)
+	time.AfterFunc(lasts, func() { p.rec.say("network: back; what was held is delivered") })
+}
+
 // waitUncut waits until the network is not interrupted.
 func (p *heldProxy) waitUncut() {
 	p.mu.Lock()
@@ -73,17 +86,14 @@
 func (p *heldProxy) room(n int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.trouble || !p.until.IsZero() {
-		return n
-	}
-	before := p.bytes
-	if p.bytes += n; p.bytes < passBefore {
+	if p.passBytes == 0 || !p.until.IsZero() || p.bytes+n < p.passBytes {
+		p.bytes += n
 		return n
 	}
-	p.until = time.Now().Add(cutLasts)
-	p.rec.say("network: interrupted for %v, in the middle of an upload (%d bytes of it have passed)", cutLasts, passBefore)
-	time.AfterFunc(cutLasts, func() { p.rec.say("network: back; what was held is delivered") })
-	return passBefore - before
+	pass := p.passBytes - p.bytes
+	p.bytes = p.passBytes
+	p.begin(cutLasts)
+	return pass
 }
 
 func (p *heldProxy) serve(l net.Listener) {
@@ -137,42 +147,26 @@
 // upload has the network between a task's machine and the artefact store interrupted while output
 // is being sent. All that the task prints is to be readable when its machine is gone.
 func upload(ctx context.Context, p *play) (int, error) {
-	addresses, err := freeAddresses(2)
-	if err != nil {
-		return 0, err
-	}
-	config := filepath.Join(p.dir, "artefacts.toml")
-	if err := os.WriteFile(config, fmt.Appendf(nil, "listen = %q\ndir = \"artefacts\"\nkeys = \"keys.toml\"\n", addresses[0]), 0o600); err != nil {
-		return 0, err
-	}
-	run, err := runLine(p.root)
+	store, err := startStore(ctx, p)
 	if err != nil {
 		return 0, err
 	}
-	program := run[0]
-	store := exec.CommandContext(ctx, program, "artefacts", "serve", "--config", config)
-	store.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	if err := store.Start(); err != nil {
-		return 0, err
-	}
-	defer func() {
-		_ = store.Process.Kill() // it may have ended
-		_ = store.Wait()
-	}()
-	if err := storeServes(ctx, addresses[0]); err != nil {
-		return 0, err
-	}
-	listener, err := net.Listen("tcp", addresses[1])
+	defer store.stop()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return 0, err
 	}
 	defer listener.Close()
-	proxy := &heldProxy{rec: p.rec, target: addresses[0], trouble: p.trouble}
+	passBytes := 0
+	if p.trouble {
+		passBytes = passBefore
+	}
+	proxy := &heldProxy{rec: p.rec, target: store.address, passBytes: passBytes}
 	go proxy.serve(listener)
 
 	spool := filepath.Join(p.dir, "machine")
 	var printed, said bytes.Buffer
-	capture := exec.CommandContext(ctx, program, "capture", "--config", config, "--store", "http://"+addresses[1], "--team", "red",
+	capture := exec.CommandContext(ctx, store.program, "capture", "--config", store.config, "--store", "http://"+listener.Addr().String(), "--team", "red",
 		"--job", "wk-000412", "--task", "3", "--attempt", "1", "--machine", "host-000231", "--spool", spool, "--", "sh", "-c", script)
 	capture.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	capture.Cancel = func() error { return syscall.Kill(-capture.Process.Pid, syscall.SIGKILL) }
@@ -187,7 +181,7 @@
 		return 0, err
 	}
 	p.rec.say("cloud: the machine is gone")
-	kept, state, err := readLog(ctx, program, config)
+	kept, state, err := readLog(ctx, store.program, store.config, task)
 	if err != nil {
 		return 0, err
 	}
@@ -223,8 +217,8 @@
 	return fmt.Errorf("the store does not serve")
 }
 
-// readLog reads the log of the task as an operator does: its lines, and the state of the attempt.
-func readLog(ctx context.Context, program, config string) (lines map[string]bool, state string, err error) {
+// readLog reads the log of a task as an operator does: its lines, and the state of the attempt.
+func readLog(ctx context.Context, program, config, task string) (lines map[string]bool, state string, err error) {
 	raw, err := exec.CommandContext(ctx, program, "logs", "--config", config, "--json", task).Output()
 	if err != nil {
 		return nil, "", fmt.Errorf("logs: %w", err)
