review: case 2, cancelled tasks stay on hanging machines when their holder crashes

Four of six machines hang for 40 s, the controller that they report to is killed and back after 4 s, and the users of their jobs cancel at the two others.

--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -56,7 +56,7 @@
 	cmd      *exec.Cmd
 	ended    chan struct{}
 	stopping bool // the case ends it
-	ends     int  // how often it has ended by itself
+	ends     int  // how often it has ended, but for the case's end
 }
 
 // cluster is a small deployment.
@@ -124,6 +124,11 @@
 
 // startCluster starts the stand-ins and three controllers, and waits until all take users.
 func startCluster(ctx context.Context, rec *record, root, dir string) (*cluster, error) {
+	return startClusterWith(ctx, rec, root, dir, nil)
+}
+
+// startClusterWith is startCluster with a cloud of the case's own, if it is not nil.
+func startClusterWith(ctx context.Context, rec *record, root, dir string, sky *cloud) (*cluster, error) {
 	run, err := runLine(root)
 	if err != nil {
 		return nil, err
@@ -145,9 +150,13 @@
 	if err := c.host.Start(simtest.NewDriven(1, names, cfg, 12, c.host)); err != nil {
 		return nil, err
 	}
+	cloudAddress := c.host.Cloud
+	if sky != nil {
+		cloudAddress, sky.nodes = sky.address, c.nodes
+	}
 	for i, n := range c.nodes {
 		s := config.Settings{HostName: n.name, Area: cfg.Zones[i%2], ClientListen: addresses[2*i], ClusterListen: addresses[2*i+1],
-			External: config.External{Cloud: c.host.Cloud, State: c.host.State}, Cluster: cfg}
+			External: config.External{Cloud: cloudAddress, State: c.host.State}, Cluster: cfg}
 		for k, name := range names {
 			if k != i {
 				s.Peers = append(s.Peers, config.Peer{HostName: name, Area: cfg.Zones[k%2], Endpoint: addresses[2*k+1]})
@@ -214,7 +223,7 @@
 	if stopping {
 		return
 	}
-	c.rec.say("platform: %s has ended by itself: %v; last words: %s", n.name, err, c.lastWords(n))
+	c.rec.say("platform: %s has ended: %v; last words: %q", n.name, err, c.lastWords(n))
 	select {
 	case <-time.After(restartDelay):
 	case <-c.ctx.Done():
@@ -241,6 +250,13 @@
 	return words
 }
 
+// kill ends a controller, as a crash does; the platform starts it again.
+func (n *controller) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_ = n.cmd.Process.Kill() // it may have ended
+}
+
 // stop ends all processes.
 func (c *cluster) stop() {
 	for _, n := range c.nodes {
@@ -255,7 +271,7 @@
 	}
 }
 
-// ends returns how often controllers have ended by themselves.
+// ends returns how often controllers have ended.
 func (c *cluster) ends() (sum int) {
 	for _, n := range c.nodes {
 		n.mu.Lock()
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -33,7 +33,7 @@
 var cases = map[string]func(context.Context, *play) (int, error){
 	"malformed":   malformed,
 	"held-upload": upload,
-	"leftover":    leftover,
+	"hung":        hung,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand/malformed.go
+++ b/review/stand/malformed.go
@@ -74,7 +74,7 @@
 func acceptJob(c *cluster, job wire.Job) error {
 	fields := map[string]any{"uid": job.ID, "vrstaPosla": job.Class, "vlasnik": job.Team, "oblik": string(job.Shape), "hitnost": job.Priority,
 		"komadi": job.Tasks, "vcpus": job.CPUs, "cards": job.GPUs, "memoryGb": job.MemoryGB, "otisak": job.Image, "pullGb": job.ImageGB,
-		"kalupi": nil, "dvoriste": nil, "samePlace": false, "scatter": false, "posudba": job.Spot,
+		"kalupi": nil, "dvoriste": zoneOf(job), "samePlace": false, "scatter": false, "posudba": job.Spot,
 		"procjenaS": job.EstimateS, "biljegS": 0.0, "spremanjeS": 0.0, "rokS": nil}
 	body, err := wire.Encode(fields)
 	if err != nil {
@@ -92,6 +92,14 @@
 	return fmt.Errorf("%s is not accepted: %v", job.ID, last)
 }
 
+// zoneOf returns the only zone that a job may run in as users send it: null if it may in any.
+func zoneOf(job wire.Job) any {
+	if job.Zone == "" {
+		return nil
+	}
+	return job.Zone
+}
+
 // submitMalformed sends a body as users do, through a load balancer that takes one controller after
 // the other: a submission without an answer is repeated. It returns how many tries were not
 // answered with 400.
--- a/review/stand/upload.go
+++ b/review/stand/upload.go
@@ -24,8 +24,8 @@
 	cutLasts = 62 * time.Second
 	// passBefore is how many bytes of the upload pass before that.
 	passBefore = 4096
-	// task is what is run, in the words of the program.
-	task = "wk-000412/3"
+	// capturedTask is what is run, in the words of the program.
+	capturedTask = "wk-000412/3"
 )
 
 // script is the task: it prints a line, a burst of output, and then a line a second; the last ones
@@ -59,20 +59,6 @@
 	until time.Time // the end of the interruption; zero: it has not begun
 }
 
-// cut interrupts the network.
-func (p *heldProxy) cut(lasts time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.begin(lasts)
-}
-
-// begin begins the interruption. With mu held.
-func (p *heldProxy) begin(lasts time.Duration) {
-	p.until = time.Now().Add(lasts)
-	p.rec.say("network: interrupted for %v; %d bytes have passed", lasts, p.bytes)
-	time.AfterFunc(lasts, func() { p.rec.say("network: back; what was held is delivered") })
-}
-
 // waitUncut waits until the network is not interrupted.
 func (p *heldProxy) waitUncut() {
 	p.mu.Lock()
@@ -92,7 +78,9 @@
 	}
 	pass := p.passBytes - p.bytes
 	p.bytes = p.passBytes
-	p.begin(cutLasts)
+	p.until = time.Now().Add(cutLasts)
+	p.rec.say("network: interrupted for %v; %d bytes have passed", cutLasts, p.bytes)
+	time.AfterFunc(cutLasts, func() { p.rec.say("network: back; what was held is delivered") })
 	return pass
 }
 
@@ -181,7 +169,7 @@
 		return 0, err
 	}
 	p.rec.say("cloud: the machine is gone")
-	kept, state, err := readLog(ctx, store.program, store.config, task)
+	kept, state, err := readLog(ctx, store.program, store.config, capturedTask)
 	if err != nil {
 		return 0, err
 	}
@@ -193,7 +181,7 @@
 			}
 		}
 	}
-	p.rec.say("operator: reads the log of %s; the attempt is said to be %q; of %d lines that the task printed %d are missing, from %.30q on", task, state, lines, missing, first)
+	p.rec.say("operator: reads the log of %s; the attempt is said to be %q; of %d lines that the task printed %d are missing, from %.30q on", capturedTask, state, lines, missing, first)
 	if missing > 0 {
 		return broken, nil
 	}
@@ -236,3 +224,41 @@
 	}
 	return lines, state, nil
 }
+
+// artefactStore is an instance of the artefact store that serves.
+type artefactStore struct {
+	program, config, address string
+	cmd                      *exec.Cmd
+}
+
+// startStore starts an instance of the artefact store, and waits until it serves.
+func startStore(ctx context.Context, p *play) (*artefactStore, error) {
+	addresses, err := freeAddresses(1)
+	if err != nil {
+		return nil, err
+	}
+	run, err := runLine(p.root)
+	if err != nil {
+		return nil, err
+	}
+	s := &artefactStore{program: run[0], config: filepath.Join(p.dir, "artefacts.toml"), address: addresses[0]}
+	if err := os.WriteFile(s.config, fmt.Appendf(nil, "listen = %q\ndir = \"artefacts\"\nkeys = \"keys.toml\"\n", s.address), 0o600); err != nil {
+		return nil, err
+	}
+	s.cmd = exec.CommandContext(ctx, s.program, "artefacts", "serve", "--config", s.config)
+	s.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if err := s.cmd.Start(); err != nil {
+		return nil, err
+	}
+	if err := storeServes(ctx, s.address); err != nil {
+		s.stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// stop ends the instance.
+func (s *artefactStore) stop() {
+	_ = s.cmd.Process.Kill() // it may have ended
+	_ = s.cmd.Wait()
+}
