A message that announces more than it holds is refused before it is decoded

The reports of workers and all stored values are read by the same decoder. Evidence: the last words of the process name a block of 64 GiB, 2^32 values of 16 bytes.

Change: wire.Cost walks through the structure of a message, without memory and in linear time. All that the message announces has to be there at every level, at most 32 levels deep, and what decoding may cost is at most 64 bytes for each of its bytes, beside 16 KiB. Extensions are refused, in which the decoder would see a map that was not walked through. Decode, DecodeKeeping, UnknownFields and ParseJob begin with it. A submission's unknown fields are passed over, and lists of structs grow with what was read (List). Rejected: a limit on what one list announces, as 13,000 lists in one another each announce what is left of the body; limits for each type, as new ones would lack them.

--- a/internal/wire/cloud.go
+++ b/internal/wire/cloud.go
@@ -16,7 +16,7 @@
 
 // MachineTypes is the answer of /machine_types.
 type MachineTypes struct {
-	Types []MachineType `msgpack:"kalupi"`
+	Types List[MachineType] `msgpack:"kalupi"`
 }
 
 // MaxInstancesPerRequest and MaxDeletesPerRequest bound one request; MaxInstancesPerPage one page.
@@ -60,6 +60,6 @@
 
 // MachineList is one page of the cloud's list.
 type MachineList struct {
-	Machines []Machine `msgpack:"strojevi"`
-	More     bool      `msgpack:"more"`
+	Machines List[Machine] `msgpack:"strojevi"`
+	More     bool          `msgpack:"more"`
 }
--- a/internal/wire/envelope.go
+++ b/internal/wire/envelope.go
@@ -74,10 +74,12 @@
 // DecodeKeeping decodes a map into a struct and returns the fields that the
 // struct has no place for; nil when there are none, which costs nothing.
 func DecodeKeeping[T any](body []byte, v *T) (Fields, error) {
-	r := bytes.NewReader(body)
-	dec := msgpack.NewDecoder(r)
+	if _, err := Cost(body); err != nil {
+		return nil, fmt.Errorf("decode %T: %w", v, err)
+	}
+	dec := msgpack.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields(true)
-	if dec.Decode(v) == nil && r.Len() == 0 {
+	if dec.Decode(v) == nil {
 		return nil, nil
 	}
 	var again T
@@ -91,6 +93,9 @@
 // UnknownFields returns the fields of an encoded map that the struct v has no
 // place for; nil when there are none.
 func UnknownFields(raw []byte, v any) (Fields, error) {
+	if _, err := Cost(raw); err != nil {
+		return nil, fmt.Errorf("fields of %T: %w", v, err)
+	}
 	known := fieldNames(reflect.TypeOf(v))
 	dec := msgpack.NewDecoder(bytes.NewReader(raw))
 	n, err := dec.DecodeMapLen()
--- a/internal/wire/nameset.go
+++ b/internal/wire/nameset.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // NameSet is a set of machine names in order. It is stored as one short text,
@@ -142,32 +143,43 @@
 // of an earlier version. Anything else is an error: a value that cannot be
 // read must never pass for an empty one.
 func (s *NameSet) DecodeMsgpack(dec *msgpack.Decoder) error {
-	v, err := dec.DecodeInterface()
+	code, err := dec.PeekCode()
 	if err != nil {
 		return err
 	}
-	switch v := v.(type) {
-	case nil:
+	switch {
+	case code == msgpcode.Nil:
 		*s = nil
-	case string:
-		names, err := UnpackNames(v)
-		if err != nil {
-			return err
-		}
-		*s = names
-	case []any:
-		names := make([]string, 0, len(v))
-		for _, x := range v {
-			name, ok := x.(string)
-			if !ok {
-				return fmt.Errorf("names: %T in the list", x)
-			}
-			names = append(names, name)
-		}
-		slices.Sort(names)
-		*s = names
-	default:
-		return fmt.Errorf("names: neither text nor list but %T", v)
+		return dec.DecodeNil()
+	case msgpcode.IsString(code):
+		return s.decodeText(dec)
+	case isContainer(code):
+		return s.decodeList(dec)
+	}
+	return fmt.Errorf("names: neither text nor list but code %#x", code)
+}
+
+// decodeText reads the packed form.
+func (s *NameSet) decodeText(dec *msgpack.Decoder) error {
+	text, err := dec.DecodeString()
+	if err != nil {
+		return err
+	}
+	*s, err = UnpackNames(text)
+	return err
+}
+
+// decodeList reads the list of an earlier version.
+func (s *NameSet) decodeList(dec *msgpack.Decoder) error {
+	raw, err := dec.DecodeRaw()
+	if err != nil {
+		return err
 	}
+	names, ok := readTexts(raw)
+	if !ok {
+		return errors.New("names: a list with something else, or a map")
+	}
+	slices.Sort(names)
+	*s = names
 	return nil
 }
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -18,9 +18,9 @@
 
 // Page is the answer of a range read, and of a read that found nothing.
 type Page struct {
-	Pairs    []Pair   `msgpack:"pairs"`
-	More     bool     `msgpack:"more"`
-	Revision Revision `msgpack:"izmjena"`
+	Pairs    List[Pair] `msgpack:"pairs"`
+	More     bool       `msgpack:"more"`
+	Revision Revision   `msgpack:"izmjena"`
 }
 
 // Condition demands a version of a key; 0 demands its absence.
@@ -80,8 +80,8 @@
 
 // Changes is the answer of a watch.
 type Changes struct {
-	Revision Revision `msgpack:"izmjena"`
-	Log      []Change `msgpack:"log"`
+	Revision Revision     `msgpack:"izmjena"`
+	Log      List[Change] `msgpack:"log"`
 }
 
 // JobRecord is the stored form of a job that has not ended.
--- a/internal/wire/users.go
+++ b/internal/wire/users.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"math"
+	"reflect"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // MaxBody is the limit for request and answer bodies.
@@ -98,22 +100,20 @@
 // field is wrong, since a known id is answered whatever the rest says.
 func ParseJob(body []byte) (Job, error) {
 	var j Job
-	decoder := msgpack.NewDecoder(bytes.NewReader(body))
-	value, err := decoder.DecodeInterface()
+	first, rest, err := cutFirst(body)
 	if err != nil {
 		return j, fmt.Errorf("not MessagePack: %w", err)
 	}
-	values, ok := value.(map[string]any)
-	if !ok {
-		return j, ErrNotMap
+	f, err := readFields(first)
+	if err != nil {
+		return j, err
 	}
-	f := fields{values: values}
 	if id := f.text("uid"); ValidJobID(id) {
 		j.ID = id
 	} else {
 		f.fail("uid")
 	}
-	if _, err := decoder.PeekCode(); err == nil {
+	if len(rest) > 0 {
 		return j, ErrMoreThanOneMap
 	}
 	f.parseKind(&j)
@@ -175,12 +175,90 @@
 	}
 }
 
-// fields reads the fields of a map and keeps the first error.
+// jobFields are the names of the fields of a submission.
+var jobFields = fieldNames(reflect.TypeFor[Job]())
+
+// fields reads the fields of a submission and keeps the first error.
 type fields struct {
-	values map[string]any
+	values map[string]any // scalars, and lists of texts as []string
 	err    error
 }
 
+// invalid is the value of a field that no field may have.
+type invalid struct{}
+
+// readFields reads the map of a submission, whose structure is sound. Fields that no
+// submission has are passed over.
+func readFields(message []byte) (*fields, error) {
+	if !isMap(message[0]) {
+		return nil, ErrNotMap
+	}
+	decoder := msgpack.NewDecoder(bytes.NewReader(message))
+	n, err := decoder.DecodeMapLen()
+	if err != nil {
+		return nil, fmt.Errorf("not MessagePack: %w", err)
+	}
+	f := &fields{values: make(map[string]any, len(jobFields))}
+	for range n {
+		name, err := decoder.DecodeString()
+		if err != nil {
+			return nil, fmt.Errorf("not MessagePack: %w", err)
+		}
+		if err := f.readField(decoder, name); err != nil {
+			return nil, fmt.Errorf("not MessagePack: %w", err)
+		}
+	}
+	return f, nil
+}
+
+// readField reads the value of one field.
+func (f *fields) readField(decoder *msgpack.Decoder, name string) error {
+	code, err := decoder.PeekCode()
+	if err != nil {
+		return err
+	}
+	switch {
+	case !jobFields[name]:
+		return decoder.Skip()
+	case !isContainer(code):
+		f.values[name], err = decoder.DecodeInterface()
+		return err
+	}
+	raw, err := decoder.DecodeRaw()
+	if err != nil {
+		return err
+	}
+	texts, ok := readTexts(raw)
+	if !ok {
+		f.values[name] = invalid{}
+		return nil
+	}
+	f.values[name] = texts
+	return nil
+}
+
+// readTexts reads a list of texts; ok is false for any other list or map.
+func readTexts(raw msgpack.RawMessage) (texts []string, ok bool) {
+	decoder := msgpack.NewDecoder(bytes.NewReader(raw))
+	n, err := decoder.DecodeArrayLen()
+	if err != nil {
+		return nil, false
+	}
+	texts = make([]string, 0, n)
+	for range n {
+		code, err := decoder.PeekCode()
+		if err != nil || !msgpcode.IsString(code) {
+			return nil, false
+		}
+		text, err := decoder.DecodeString()
+		if err != nil {
+			return nil, false
+		}
+		texts = append(texts, text)
+	}
+	return texts, true
+}
+
 // fail records that a field is missing or invalid.
 func (f *fields) fail(name string) {
 	if f.err == nil {
@@ -205,21 +283,11 @@
 	if !f.present(name) {
 		return nil
 	}
-	list, ok := f.values[name].([]any)
+	texts, ok := f.values[name].([]string)
 	if !ok {
 		f.fail(name)
-		return nil
-	}
-	out := make([]string, 0, len(list))
-	for _, v := range list {
-		s, ok := v.(string)
-		if !ok {
-			f.fail(name)
-			return nil
-		}
-		out = append(out, s)
 	}
-	return out
+	return texts
 }
 
 // flag reads a boolean.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -29,15 +28,14 @@
 	return buf.Bytes(), nil
 }
 
-// Decode reads one message; what follows it is an error.
+// Decode reads one message; what follows it is an error. It costs no more memory than Cost
+// says.
 func Decode(body []byte, v any) error {
-	r := bytes.NewReader(body)
-	dec := msgpack.NewDecoder(r)
-	if err := dec.Decode(v); err != nil {
+	if _, err := Cost(body); err != nil {
 		return fmt.Errorf("decode %T: %w", v, err)
 	}
-	if r.Len() > 0 {
-		return errors.New("bytes after the message")
+	if err := msgpack.NewDecoder(bytes.NewReader(body)).Decode(v); err != nil {
+		return fmt.Errorf("decode %T: %w", v, err)
 	}
 	return nil
 }
--- a/internal/wire/workers.go
+++ b/internal/wire/workers.go
@@ -15,8 +15,8 @@
 	Token FencingToken `msgpack:"palica"`
 	// NoticeS is how many seconds are left until the cloud takes the machine; nil: no
 	// notice.
-	NoticeS *float64     `msgpack:"najavaS"`
-	Tasks   []TaskStatus `msgpack:"komadi"`
+	NoticeS *float64         `msgpack:"najavaS"`
+	Tasks   List[TaskStatus] `msgpack:"komadi"`
 }
 
 // The states of a task on a worker.
