Packed names of machines stand for no more than 64 times their text

Cause: a set of names is packed as letters that stand once and numbers that take little more than a byte, so half of a text as letters and half as numbers stands for the square of it.

Change: reading bounds the names of a set to 64 bytes for each byte of its text, beside 1 MiB, which is the set of 4,000 machines with names of 200 bytes as earlier versions write it. Writing repeats letters of more than some 46 bytes every 64 names, so that all that is written can be read; other names are written as before (golden files).

--- a/internal/wire/hostile_test.go
+++ b/internal/wire/hostile_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/base64"
+	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -151,6 +154,43 @@
 	}
 }
 
+// TestPackedNamesTakeLittleMemory guards against a set of names whose letters are written once
+// and stand for half of the text in each of thousands of names.
+func TestPackedNamesTakeLittleMemory(t *testing.T) {
+	const length = 20_000
+	var names []string
+	for i := range length {
+		names = append(names, strings.Repeat("a", 8)+fmt.Sprintf("%06d", i))
+	}
+	short := wire.PackNames(names)
+	if back, err := wire.UnpackNames(short); err != nil || len(back) != length {
+		t.Fatalf("%d names of %d are read, %v", len(back), length, err)
+	}
+	hostile := hostileNames(length)
+	took := allocated(func() { _, _ = wire.UnpackNames(hostile) })
+	if most := uint64(memoryPerByte*len(hostile) + 2<<20); took > most {
+		t.Errorf("names of %d bytes take %d bytes of memory, at most %d allowed", len(hostile), took, most)
+	}
+	// What this version writes it can read, however long the names are.
+	for i := range names {
+		names[i] = strings.Repeat("a", 2_000) + fmt.Sprintf("%06d", i)
+	}
+	if back, err := wire.UnpackNames(wire.PackNames(names)); err != nil || len(back) != length {
+		t.Errorf("long names: %d of %d are read, %v", len(back), length, err)
+	}
+}
+
+// hostileNames returns the text of a set of n names with n letters each, packed as if they
+// were written by an owner.
+func hostileNames(n int) string {
+	raw := binary.AppendUvarint(nil, uint64(n))
+	raw = append(raw, bytes.Repeat([]byte("a"), n)...)
+	raw = append(raw, 6)
+	raw = binary.AppendUvarint(raw, uint64(n))
+	raw = append(raw, bytes.Repeat([]byte{1}, n)...)
+	return base64.RawStdEncoding.EncodeToString(raw)
+}
+
 // FuzzReaders looks for bodies that take more memory than their length allows, or end a
 // reader with a panic.
 func FuzzReaders(f *testing.F) {
--- a/internal/wire/nameset.go
+++ b/internal/wire/nameset.go
@@ -26,6 +26,17 @@
 // maxDigits keeps numbers within an int64.
 const maxDigits = 18
 
+// A text of n bytes may stand for some n²/4 bytes of names, as the letters of a form are
+// written once and its names take little more than a byte each. Reading bounds that, and
+// writing repeats long letters, so that what is written can be read.
+const (
+	// maxExpansion is how many bytes of names a byte of the text may stand for.
+	maxExpansion = 64
+	// expansionAllowance is allowed to any set: that of 4,000 machines with names of 200
+	// bytes, as earlier versions write it.
+	expansionAllowance = 1 << 20
+)
+
 // splitName parts a name into letters and a number. Numbers with more digits than
 // fit are left in the letters, where they are safe.
 func splitName(name string) (letters string, digits int, number uint64) {
@@ -52,12 +63,20 @@
 	type key struct {
 		letters string
 		digits  int
+		repeat  int // how often the form was written already, as it is full
 	}
 	forms := map[key][]uint64{}
+	repeats := map[key]int{}
 	var order []key
 	for _, name := range names {
 		letters, digits, number := splitName(name)
-		k := key{letters, digits}
+		k := key{letters: letters, digits: digits}
+		first := k
+		k.repeat = repeats[first]
+		if len(forms[k]) == maxExpansion && len(letters)+digits > maxExpansion {
+			repeats[first]++
+			k.repeat++
+		}
 		if forms[k] == nil {
 			order = append(order, k)
 		}
@@ -80,7 +99,7 @@
 	return base64.RawStdEncoding.EncodeToString(raw)
 }
 
-var errNames = errors.New("names: cut short or damaged")
+var errNames = errors.New("names: cut short, damaged, or far more than the text has room for")
 
 // UnpackNames reads what PackNames wrote.
 func UnpackNames(text string) ([]string, error) {
@@ -97,6 +116,7 @@
 		return v, true
 	}
 	var names []string
+	left := maxExpansion*len(raw) + expansionAllowance // bytes of names
 	for len(raw) > 0 {
 		size, ok := next()
 		if !ok || size > uint64(len(raw)) {
@@ -124,7 +144,7 @@
 			}
 			number += gap
 			num := strconv.FormatUint(number, 10)
-			if len(num) > int(digits) {
+			if left -= len(letters) + int(digits); left < 0 || len(num) > int(digits) {
 				return nil, errNames
 			}
 			names = append(names, letters+strings.Repeat("0", int(digits)-len(num))+num)
