A lease value stands for no more names than its length allows

Cause: shards have the name of their team, which stands once in the value, and a page may be named any number of times: each stands for far more than its bytes.

Change: the names of shards may have 64 bytes for each byte of the value, beside 1 MiB for 4,000 shards of teams with long names; a set that names a page twice is damaged.

--- a/internal/core/leasevalue/pagetable.go
+++ b/internal/core/leasevalue/pagetable.go
@@ -129,6 +129,9 @@
 		if known, ok := t.pages[n]; !ok || known.edition != edition {
 			return nil, nil, fmt.Errorf("%w: %d in edition %d", ErrPageMissing, n, edition)
 		}
+		if slices.Contains(numbers, n) {
+			return nil, nil, fmt.Errorf("lease value: page %d twice in a set", n)
+		}
 		numbers = append(numbers, n)
 	}
 	if len(numbers) == 0 {
--- a/internal/core/leasevalue/read.go
+++ b/internal/core/leasevalue/read.go
@@ -1,6 +1,7 @@
 package leasevalue
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -60,7 +61,7 @@
 		return rec, err
 	}
 	nodes := slices.Sorted(maps.Keys(h.Blocks))
-	if err := h.readShards(nodes, &rec); err != nil {
+	if err := h.readShards(nodes, &rec, maxShardExpansion*len(value)+shardAllowance); err != nil {
 		return rec, err
 	}
 	if err := h.readShares(nodes, &rec); err != nil {
@@ -89,10 +90,24 @@
 	return referenced, nil
 }
 
+// The name of a shard is made of its team's name, which stands in the value once, and takes a
+// byte there.
+const (
+	// maxShardExpansion is how many bytes of names a byte of the value may stand for.
+	maxShardExpansion = 64
+	// shardAllowance is allowed to any value: 4,000 shards of teams with names of 200 bytes.
+	shardAllowance = 1 << 20
+)
+
+var errTooManyShards = errors.New("lease value: names of shards that are far longer than the value")
+
 // readShards reads the owners of the teams' shards. nodes are the sorted names of the
-// blocks.
-func (h *header) readShards(nodes []string, rec *wire.LeaseRecord) error {
+// blocks, and room is how many bytes the names of shards may have in all.
+func (h *header) readShards(nodes []string, rec *wire.LeaseRecord, room int) error {
 	for team, owners := range h.Shards {
+		if room -= len(wire.ShardName(team, len(owners))) * len(owners); room < 0 {
+			return errTooManyShards
+		}
 		for i, owner := range owners {
 			if owner < 0 || owner >= len(nodes) {
 				return fmt.Errorf("lease value: shard %d of %q has no owner", i+1, team)
