Protobuf messages are decoded only if their cost is bounded by their length

Cause: an empty element of a list takes two bytes of a message and a whole struct in memory: a frame of 1 MiB took 57 MB, a batch of records of 8 MiB at the artefact store 441 MB (measured with the decoder alone). Frames in form and limit, that is, can take all memory of a small controller.

Change: package protocost walks through a message by its descriptor and refuses one that may cost more than 64 bytes for each of its bytes, beside 256 KiB.

--- a/internal/artefacts/archive/archive.go
+++ b/internal/artefacts/archive/archive.go
@@ -22,6 +22,7 @@
 	"fawncove/internal/artefacts/artefact"
 	"fawncove/internal/artefacts/artefact/artefactpb"
 	"fawncove/internal/artefacts/segment"
+	"fawncove/internal/protocost"
 )
 
 // Errors of Add and of reading.
@@ -142,7 +143,7 @@
 	}
 	damage, err := a.log.Replay(from, func(at segment.Position, raw []byte) error {
 		r := new(artefactpb.Record)
-		if err := proto.Unmarshal(raw, r); err != nil {
+		if err := protocost.Unmarshal(raw, r); err != nil {
 			a.slog.Error("record cannot be read", "segment", at.Segment, "offset", at.Offset, "err", err)
 			return nil // written by something newer, or a broken writer
 		}
@@ -516,7 +517,7 @@
 		return nil, err
 	}
 	r := new(artefactpb.Record)
-	if err := proto.Unmarshal(raw, r); err != nil {
+	if err := protocost.Unmarshal(raw, r); err != nil {
 		return nil, fmt.Errorf("%w: %w", segment.ErrDamaged, err)
 	}
 	return r, nil
@@ -542,7 +543,7 @@
 		return nil, err
 	}
 	out := new(artefactpb.Output)
-	if err := proto.Unmarshal(data, out); err != nil {
+	if err := protocost.Unmarshal(data, out); err != nil {
 		return nil, fmt.Errorf("%w: output: %w", artefact.ErrInvalid, err)
 	}
 	return out, nil
--- a/internal/artefacts/archive/care.go
+++ b/internal/artefacts/archive/care.go
@@ -12,6 +12,7 @@
 	"fawncove/internal/artefacts/artefact"
 	"fawncove/internal/artefacts/artefact/artefactpb"
 	"fawncove/internal/artefacts/segment"
+	"fawncove/internal/protocost"
 )
 
 // Scrubbed is what a scrub found.
@@ -33,7 +34,7 @@
 	good := map[artefact.ID]segment.Position{}
 	_, err := a.log.Replay(segment.Position{}, func(at segment.Position, raw []byte) error {
 		r := new(artefactpb.Record)
-		if proto.Unmarshal(raw, r) != nil || artefact.Check(r) != nil {
+		if protocost.Unmarshal(raw, r) != nil || artefact.Check(r) != nil {
 			return ctx.Err()
 		}
 		if b := r.GetBlock(); b != nil {
--- a/internal/artefacts/archive/index.go
+++ b/internal/artefacts/archive/index.go
@@ -15,6 +15,7 @@
 	"fawncove/internal/artefacts/artefact"
 	"fawncove/internal/artefacts/artefact/artefactpb"
 	"fawncove/internal/artefacts/segment"
+	"fawncove/internal/protocost"
 )
 
 // The index says where each record is and what there is of each attempt. All of
@@ -243,7 +244,7 @@
 }
 
 func decode(raw []byte, m proto.Message) error {
-	if err := proto.Unmarshal(raw, m); err != nil {
+	if err := protocost.Unmarshal(raw, m); err != nil {
 		return fmt.Errorf("archive: entry of the index: %w", err)
 	}
 	return nil
--- a/internal/artefacts/artefactapi/client.go
+++ b/internal/artefacts/artefactapi/client.go
@@ -15,6 +15,7 @@
 	"fawncove/internal/artefacts/archive"
 	"fawncove/internal/artefacts/artefact"
 	"fawncove/internal/artefacts/artefact/artefactpb"
+	"fawncove/internal/protocost"
 )
 
 // Client speaks to one instance, as a writer, a reader, an operator or another
@@ -196,7 +197,7 @@
 		return nil, err
 	}
 	m := new(artefactpb.IDs)
-	if err := proto.Unmarshal(raw, m); err != nil {
+	if err := protocost.Unmarshal(raw, m); err != nil {
 		return nil, fmt.Errorf("artefact store: answer: %w", err)
 	}
 	return idsOf(m)
@@ -213,7 +214,7 @@
 		return nil, err
 	}
 	batch := new(artefactpb.Batch)
-	if err := proto.Unmarshal(raw, batch); err != nil {
+	if err := protocost.Unmarshal(raw, batch); err != nil {
 		return nil, fmt.Errorf("artefact store: answer: %w", err)
 	}
 	return batch.GetRecords(), nil
--- a/internal/artefacts/artefactapi/server.go
+++ b/internal/artefacts/artefactapi/server.go
@@ -25,6 +25,7 @@
 	"fawncove/internal/artefacts/keys"
 	"fawncove/internal/artefacts/replica"
 	"fawncove/internal/artefacts/segment"
+	"fawncove/internal/protocost"
 )
 
 const (
@@ -188,7 +189,7 @@
 		return nil, refuse(http.StatusBadRequest, "body: %w", err)
 	}
 	batch := new(artefactpb.Batch)
-	if err := proto.Unmarshal(body, batch); err != nil {
+	if err := protocost.Unmarshal(body, batch); err != nil {
 		return nil, refuse(http.StatusBadRequest, "body: %w", err)
 	}
 	if len(batch.GetRecords()) == 0 {
@@ -661,7 +662,7 @@
 		return err
 	}
 	asked := new(artefactpb.IDs)
-	if err := proto.Unmarshal(body, asked); err != nil {
+	if err := protocost.Unmarshal(body, asked); err != nil {
 		return refuse(http.StatusBadRequest, "body: %w", err)
 	}
 	ids, err := idsOf(asked)
--- a/internal/artefacts/capture/spool.go
+++ b/internal/artefacts/capture/spool.go
@@ -17,6 +17,7 @@
 	"fawncove/internal/artefacts/artefact/artefactpb"
 	"fawncove/internal/artefacts/segment"
 	"fawncove/internal/artefacts/wholefile"
+	"fawncove/internal/protocost"
 )
 
 // ErrInUse says that another process has the spool.
@@ -142,7 +143,7 @@
 	size := 0
 	_, err = s.log.Replay(from, func(at segment.Position, raw []byte) error {
 		r := new(artefactpb.Record)
-		if err := proto.Unmarshal(raw, r); err != nil {
+		if err := protocost.Unmarshal(raw, r); err != nil {
 			return fmt.Errorf("capture: spool: %w", err)
 		}
 		if size > most {
--- a/internal/core/controller/renewal.go
+++ b/internal/core/controller/renewal.go
@@ -9,6 +9,7 @@
 	"fawncove/internal/core/cluster"
 	"fawncove/internal/core/eventloop"
 	"fawncove/internal/peerpb"
+	"fawncove/internal/protocost"
 	"fawncove/internal/wire"
 )
 
@@ -160,7 +161,7 @@
 		return nil, err
 	}
 	r := new(peerpb.Renewal)
-	return r, proto.Unmarshal(raw, r)
+	return r, protocost.Unmarshal(raw, r)
 }
 
 // requestQuotaChanges has a renewal sent when there is quota to reserve or to release.
