Bodies that arrive at once stay within a part of the memory in the settings

Cause: each body was bounded by itself only. With 1,000 to 3,000 sockets and 125 to 441 MB, bodies of 64 KiB on all connections take more than there is before any is decoded; answers of the state service may have 16 MiB each, on some hundred connections; a connection of another controller took 1 MiB for the four bytes that announce a frame.

Change: package membudget. Bodies of users and workers share an eighth of cluster.limits.ram_mb, answers of the state service and the cloud a sixteenth, frames of controllers a sixteenth: while they are read, by their length, and while what they are decoded into is needed, by its cost. Answers are bounded by what the protocol has them be: workers 64 KiB, one key 128 KiB, a page 1 MiB, the cloud 1 MiB.

--- a/cmd/fawncove/serve.go
+++ b/cmd/fawncove/serve.go
@@ -23,6 +23,7 @@
 	"fawncove/internal/core/controller"
 	"fawncove/internal/edge/cloud"
 	"fawncove/internal/edge/httpapi"
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/edge/node"
 	"fawncove/internal/edge/peer"
 	"fawncove/internal/edge/statestore"
@@ -98,14 +99,15 @@
 	// All goroutines of the controller belong to this group; they end with its context,
 	// when one of them fails or the controller has departed.
 	group, ctx := errgroup.WithContext(ctx)
-	n := newNode(ctx, settings, params, logger)
-	server := newServer(n)
+	bodies := membudget.NewBodies(settings.Cluster.Limits.ClientMemory())
+	n := newNode(ctx, settings, params, logger, bodies)
+	server := newServer(n, bodies)
 	group.Go(func() error {
 		n.Run(ctx)
 		return nil
 	})
 	group.Go(func() error {
-		peer.Serve(ctx, peers, logger, n.Peer)
+		peer.Serve(ctx, peers, logger, membudget.New(settings.Cluster.Limits.PeerMemory()), n.Peer)
 		return nil
 	})
 	group.Go(func() error {
@@ -135,23 +137,25 @@
 
 // newNode returns the node of a controller, with clients for the services and links to the
 // other controllers.
-func newNode(ctx context.Context, settings *config.Settings, params cluster.Params, logger *slog.Logger) *node.Node {
+func newNode(ctx context.Context, settings *config.Settings, params cluster.Params, logger *slog.Logger, bodies *membudget.Bodies) *node.Node {
 	links := map[string]*peer.Link{}
 	for _, p := range settings.Peers {
 		links[p.HostName] = peer.Dial(ctx, p.Endpoint)
 	}
-	state := settings.Cluster.State
+	state, limits := settings.Cluster.State, settings.Cluster.Limits
+	answers := membudget.NewBodies(limits.ServiceMemory())
+	store := statestore.New(settings.External.State, state.RPS, state.WriteRPS, settings.Controllers())
+	store.LimitMemory(answers, limits.WatchBytes())
+	machines := cloud.New(settings.External.Cloud, settings.Cluster.Cloud.RPS, cloudShare)
+	machines.LimitMemory(answers)
 	core := controller.New(settings, params, logger, wire.Incarnation(time.Now().UnixMilli()))
-	return node.New(core, logger,
-		statestore.New(settings.External.State, state.RPS, state.WriteRPS, settings.Controllers()),
-		cloud.New(settings.External.Cloud, settings.Cluster.Cloud.RPS, cloudShare),
-		links, settings.Cluster.Limits.Sockets)
+	return node.New(core, logger, store, machines, links, limits.Sockets, bodies)
 }
 
 // newServer returns the server for users, workers and health checks.
-func newServer(n *node.Node) *http.Server {
+func newServer(n *node.Node, bodies *membudget.Bodies) *http.Server {
 	return &http.Server{
-		Handler:           httpapi.New(n),
+		Handler:           httpapi.New(n, bodies),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		WriteTimeout:      15 * time.Second,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -96,6 +96,36 @@
 	Sockets int     `toml:"sockets"`
 }
 
+const (
+	// clientMemoryShare and serviceMemoryShare are the parts of the memory that bodies of
+	// users and workers, and answers of the state service and the cloud, may take at once.
+	// What the jobs and machines of the largest fleet take is under three quarters.
+	clientMemoryShare  = 1.0 / 8
+	serviceMemoryShare = 1.0 / 16
+	// peerMemoryShare is the part that frames of other controllers may take at once.
+	peerMemoryShare = 1.0 / 16
+	// watchMemoryShare is the part that one answer to a watch may have as its size.
+	watchMemoryShare = 1.0 / 32
+)
+
+// ClientMemory returns how many bytes bodies of users and workers may take at once; 0: not
+// limited.
+func (l Limits) ClientMemory() int64 { return l.memory(clientMemoryShare) }
+
+// ServiceMemory returns how many bytes answers of the state service and the cloud may take at
+// once; 0: not limited.
+func (l Limits) ServiceMemory() int64 { return l.memory(serviceMemoryShare) }
+
+// PeerMemory returns how many bytes frames of other controllers may take at once; 0: not
+// limited.
+func (l Limits) PeerMemory() int64 { return l.memory(peerMemoryShare) }
+
+// WatchBytes returns how large an answer to a watch may be, in bytes; 0: not limited.
+func (l Limits) WatchBytes() int64 { return l.memory(watchMemoryShare) }
+
+// memory returns a part of the memory in bytes.
+func (l Limits) memory(share float64) int64 { return int64(share * l.RAMMB * (1 << 20)) }
+
 // Seconds returns a number of seconds as a duration.
 func Seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
--- a/internal/edge/client/client.go
+++ b/internal/edge/client/client.go
@@ -4,13 +4,16 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/wire"
 )
 
@@ -18,13 +21,17 @@
 type Client struct {
 	http           *http.Client
 	maxAnswerBytes int64
+	bodies         *membudget.Bodies
 }
 
+// ErrTooLarge reports an answer that is larger than it may be.
+var ErrTooLarge = errors.New("answer too large")
+
 // New returns a client that reads answers of up to most bytes, opens at most
 // perHost connections to each host and keeps at most idle open without use; 0
 // means no limit.
 func New(perHost int, most int64, idle int) *Client {
-	return &Client{maxAnswerBytes: most, http: &http.Client{
+	return &Client{maxAnswerBytes: most, bodies: membudget.NewBodies(0), http: &http.Client{
 		Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second, KeepAlive: -1}).DialContext,
 			MaxConnsPerHost:     perHost,
@@ -61,6 +68,18 @@
 	}
 }
 
+// LimitMemory has answers take their memory from bodies. It must be called before the first
+// request.
+func (c *Client) LimitMemory(bodies *membudget.Bodies) { c.bodies = bodies }
+
+// WithMaxAnswer returns a client that shares the connections and reads answers of up to most
+// bytes.
+func (c *Client) WithMaxAnswer(most int64) *Client {
+	other := *c
+	other.maxAnswerBytes = most
+	return &other
+}
+
 // CloseIdle closes the connections that no request uses.
 func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
 
@@ -103,19 +122,33 @@
 		return 0, fmt.Errorf("%s %s: %w", method, url, err)
 	}
 	defer resp.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswerBytes+1))
-	if err != nil {
+	if !slices.Contains(wanted, resp.StatusCode) {
+		out = nil
+	}
+	if err := c.readAnswer(ctx, resp, out); err != nil {
 		return 0, fmt.Errorf("%s %s: %w", method, url, err)
 	}
-	if int64(len(b)) > c.maxAnswerBytes {
-		return 0, fmt.Errorf("%s %s: answer over %d bytes", method, url, c.maxAnswerBytes)
+	return resp.StatusCode, nil
+}
+
+// readAnswer reads the body of a response, and decodes it unless out is nil.
+func (c *Client) readAnswer(ctx context.Context, resp *http.Response, out any) error {
+	limited := io.LimitReader(resp.Body, c.maxAnswerBytes+1)
+	body, release, err := c.bodies.Read(ctx, limited, resp.ContentLength, c.maxAnswerBytes)
+	if err != nil {
+		return err
 	}
-	for _, w := range wanted {
-		if resp.StatusCode == w && out != nil {
-			if err := wire.Decode(b, out); err != nil {
-				return 0, fmt.Errorf("%s %s: %w", method, url, err)
-			}
-		}
+	defer release()
+	if int64(len(body)) > c.maxAnswerBytes {
+		return fmt.Errorf("%w: over %d bytes", ErrTooLarge, c.maxAnswerBytes)
 	}
-	return resp.StatusCode, nil
+	if out == nil {
+		return nil
+	}
+	free, err := c.bodies.ToDecode(ctx, body)
+	if err != nil {
+		return err
+	}
+	defer free()
+	return wire.Decode(body, out)
 }
--- a/internal/edge/cloud/cloud.go
+++ b/internal/edge/cloud/cloud.go
@@ -13,12 +13,13 @@
 
 	"fawncove/internal/core/eventloop"
 	"fawncove/internal/edge/client"
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/wire"
 )
 
 const (
 	callTimeout    = 5 * time.Second
-	maxAnswerBytes = 4 << 20
+	maxAnswerBytes = 1 << 20 // four times what a page of machines with long names takes
 	// minReadTimeout is the shortest time that an answer to a read is waited for. Reading
 	// again is safe, so a lost answer need not hold up the list for long.
 	minReadTimeout = time.Second
@@ -41,6 +42,10 @@
 		limit: rate.NewLimiter(rate.Limit(rps*share), max(1, int(2*rps*share)))}
 }
 
+// LimitMemory has answers take their memory from bodies. It must be called before the first
+// call.
+func (c *Cloud) LimitMemory(bodies *membudget.Bodies) { c.client.LimitMemory(bodies) }
+
 // do sends a request that may change something. It is never repeated.
 func (c *Cloud) do(ctx context.Context, method, path string, in, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/edge/httpapi/httpapi.go
+++ b/internal/edge/httpapi/httpapi.go
@@ -4,12 +4,13 @@
 
 import (
 	"context"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
 
 	"fawncove/internal/core/eventloop"
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/wire"
 )
 
@@ -27,70 +28,121 @@
 	queryTimeout   = 1850 * time.Millisecond
 )
 
-// New returns the handler for client_listen.
-func New(b Backend) http.Handler {
+// server answers requests.
+type server struct {
+	backend Backend
+	bodies  *membudget.Bodies
+}
+
+// New returns the handler for client_listen. Bodies of requests take their memory from bodies.
+func New(b Backend, bodies *membudget.Bodies) http.Handler {
+	s := &server{b, bodies}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, r *http.Request) {
 		if !b.Healthy() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.HandleFunc("POST /v1/jobs", func(w http.ResponseWriter, r *http.Request) {
-		body, ok := readBody(w, r)
-		if !ok {
-			return
-		}
+	mux.HandleFunc("POST /v1/jobs", s.submit)
+	mux.HandleFunc("GET /v1/jobs/{id}", s.query)
+	mux.HandleFunc("POST /v1/jobs/{id}/cancel", s.cancel)
+	mux.HandleFunc("POST /checkin", s.checkIn)
+	return mux
+}
+
+// submit answers a submission.
+func (s *server) submit(w http.ResponseWriter, r *http.Request) {
+	s.withBody(w, r, func(ctx context.Context, body []byte) {
 		job, err := wire.ParseJob(body)
-		serve(w, r, b, requestTimeout, func(req uint64) eventloop.Event { return eventloop.SubmitRequest{Req: req, Job: job, Err: err} })
-	})
-	mux.HandleFunc("GET /v1/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
-		id := r.PathValue("id")
-		serve(w, r, b, queryTimeout, func(req uint64) eventloop.Event { return eventloop.QueryRequest{Req: req, ID: id} })
+		s.serve(ctx, w, func(req uint64) eventloop.Event { return eventloop.SubmitRequest{Req: req, Job: job, Err: err} })
 	})
-	mux.HandleFunc("POST /v1/jobs/{id}/cancel", func(w http.ResponseWriter, r *http.Request) {
-		if _, ok := readBody(w, r); !ok {
-			return
-		}
+}
+
+// query answers a question for a job's state.
+func (s *server) query(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), queryTimeout)
+	defer cancel()
+	id := r.PathValue("id")
+	s.serve(ctx, w, func(req uint64) eventloop.Event { return eventloop.QueryRequest{Req: req, ID: id} })
+}
+
+// cancel answers a cancellation, whose body says nothing.
+func (s *server) cancel(w http.ResponseWriter, r *http.Request) {
+	s.withBody(w, r, func(ctx context.Context, _ []byte) {
 		id := r.PathValue("id")
-		serve(w, r, b, requestTimeout, func(req uint64) eventloop.Event { return eventloop.CancelRequest{Req: req, ID: id} })
+		s.serve(ctx, w, func(req uint64) eventloop.Event { return eventloop.CancelRequest{Req: req, ID: id} })
 	})
-	mux.HandleFunc("POST /checkin", func(w http.ResponseWriter, r *http.Request) {
-		body, ok := readBody(w, r)
-		if !ok {
-			return
-		}
-		var rep wire.Heartbeat
-		if err := wire.Decode(body, &rep); err != nil {
-			writeReply(w, eventloop.Reply{Code: eventloop.ReplyInvalid, Body: wire.ErrorAnswer{Error: "malformed report"}})
+}
+
+// checkIn answers a worker's heartbeat.
+func (s *server) checkIn(w http.ResponseWriter, r *http.Request) {
+	s.withBody(w, r, func(ctx context.Context, body []byte) {
+		var heartbeat wire.Heartbeat
+		if err := wire.Decode(body, &heartbeat); err != nil {
+			writeReply(w, invalid("malformed report"))
 			return
 		}
-		serve(w, r, b, requestTimeout, func(req uint64) eventloop.Event { return eventloop.HeartbeatRequest{Req: req, Heartbeat: rep} })
+		s.serve(ctx, w, func(req uint64) eventloop.Event {
+			return eventloop.HeartbeatRequest{Req: req, Heartbeat: heartbeat}
+		})
 	})
-	return mux
 }
 
-// readBody returns the body of a request. If it is too large or cut short it writes the
-// refusal and reports false.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
-	if err == nil {
-		return body, true
+// withBody reads the body of a request and has it answered, within the time and the memory
+// that requests may take.
+func (s *server) withBody(w http.ResponseWriter, r *http.Request, answer func(ctx context.Context, body []byte)) {
+	body, release, ok := s.readBody(w, r)
+	if !ok {
+		return
 	}
-	// Too large counts as malformed: on any other status users would try again.
-	writeReply(w, eventloop.Reply{Code: eventloop.ReplyInvalid, Body: wire.ErrorAnswer{Error: "body too large or cut short"}})
-	return nil, false
+	defer release()
+	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+	defer cancel()
+	free, err := s.bodies.ToDecode(ctx, body)
+	if err != nil {
+		writeReply(w, unavailable())
+		return
+	}
+	defer free()
+	answer(ctx, body)
 }
 
-// serve passes a request to the core and writes its reply, or that there is none within
-// the given time.
-func serve(w http.ResponseWriter, r *http.Request, b Backend, within time.Duration, event func(req uint64) eventloop.Event) {
-	ctx, cancel := context.WithTimeout(r.Context(), within)
-	defer cancel()
-	reply, err := b.Ask(ctx, event)
+// readBody returns the body of a request, and what frees the memory that it takes. If it is
+// too large or cut short, or there is no memory for it, it writes the refusal and reports
+// false.
+func (s *server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), ok bool) {
+	limited := http.MaxBytesReader(w, r.Body, wire.MaxBody)
+	body, release, err := s.bodies.Read(r.Context(), limited, r.ContentLength, wire.MaxBody)
+	switch {
+	case err == nil:
+		return body, release, true
+	case errors.Is(err, membudget.ErrNoRoom):
+		writeReply(w, unavailable())
+	default:
+		// Too large counts as malformed: on any other status users would try again.
+		writeReply(w, invalid("body too large or cut short"))
+	}
+	return nil, nil, false
+}
+
+// invalid is the reply to a malformed request.
+func invalid(why string) eventloop.Reply {
+	return eventloop.Reply{Code: eventloop.ReplyInvalid, Body: wire.ErrorAnswer{Error: why}}
+}
+
+// unavailable is the reply to a request that is to be sent again.
+func unavailable() eventloop.Reply {
+	return eventloop.Reply{Code: eventloop.ReplyUnavailable, Body: wire.ErrorAnswer{Error: "not now"}, RetryAfter: 1}
+}
+
+// serve passes a request to the core and writes its reply, or that there is none before ctx
+// ends.
+func (s *server) serve(ctx context.Context, w http.ResponseWriter, event func(req uint64) eventloop.Event) {
+	reply, err := s.backend.Ask(ctx, event)
 	// The right to give this answer is checked when it is written, not when it was
 	// decided: a busy machine may delay the one after the other.
 	if err != nil || (!reply.Until.IsZero() && !time.Now().Before(reply.Until)) {
-		reply = eventloop.Reply{Code: eventloop.ReplyUnavailable, Body: wire.ErrorAnswer{Error: "not now"}, RetryAfter: 1}
+		reply = unavailable()
 	}
 	writeReply(w, reply)
 }
--- a/internal/edge/httpapi/httpapi_test.go
+++ b/internal/edge/httpapi/httpapi_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"fawncove/internal/core/eventloop"
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/wire"
 )
 
@@ -50,7 +51,7 @@
 // is sent over a loopback socket and must get its status.
 func TestRoutesAnswerExpectedStatus(t *testing.T) {
 	b := &fakeBackend{reply: eventloop.Reply{Code: eventloop.ReplyOK, Body: wire.JobAnswer{ID: "wk-000001", State: wire.Pending}}}
-	s := httptest.NewServer(New(b))
+	s := httptest.NewServer(New(b, membudget.NewBodies(0)))
 	t.Cleanup(s.Close)
 	for _, c := range []struct {
 		name, method, path string
@@ -83,7 +84,7 @@
 // ended: the request gets 503 instead.
 func TestExpiredAnswerIsNotSent(t *testing.T) {
 	b := &fakeBackend{reply: eventloop.Reply{Code: eventloop.ReplyOK, Body: wire.HeartbeatAnswer{Token: 5}, Until: time.Now().Add(-time.Millisecond)}}
-	s := httptest.NewServer(New(b))
+	s := httptest.NewServer(New(b, membudget.NewBodies(0)))
 	t.Cleanup(s.Close)
 	body, err := wire.Encode(wire.Heartbeat{Machine: "host-000001", AgentEpoch: 1, Sequence: 1})
 	if err != nil {
@@ -135,7 +136,7 @@
 				t.Fatal(err)
 			}
 			w := httptest.NewRecorder()
-			New(b).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), c.method, c.path, bytes.NewReader(body)))
+			New(b, membudget.NewBodies(0)).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), c.method, c.path, bytes.NewReader(body)))
 			if w.Code != 503 || w.Header().Get("Retry-After") == "" || b.timeLeft > c.clientTimeout-150*time.Millisecond || b.timeLeft < c.clientTimeout/2 {
 				t.Errorf("status %d, Retry-After %q, time left for the answer %v, want 503, a Retry-After and %v to %v", w.Code, w.Header().Get("Retry-After"), b.timeLeft, c.clientTimeout/2, c.clientTimeout-150*time.Millisecond)
 			}
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -17,6 +17,7 @@
 	"fawncove/internal/core/owner"
 	"fawncove/internal/edge/client"
 	"fawncove/internal/edge/cloud"
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/edge/peer"
 	"fawncove/internal/edge/statestore"
 	"fawncove/internal/peerpb"
@@ -37,16 +38,23 @@
 	cloud         *cloud.Cloud
 	workers       *client.Client
 	links         map[string]*peer.Link
-	events        chan eventloop.Event
+	events        chan arrival
 	requests      chan request
 	awaitingReply map[uint64]chan eventloop.Reply
 	lastRequest   uint64
 	usage         usage
 	sockets       *Sockets
+	bodies        *membudget.Bodies
 	healthy       atomic.Bool
 	handedOver    atomic.Bool
 }
 
+// arrival is an event that is to be passed to the core.
+type arrival struct {
+	event   eventloop.Event
+	handled func() // called when the core has handled it; nil: nobody waits for that
+}
+
 // request is one that is to be passed to the core, and where its reply goes.
 type request struct {
 	event func(req uint64) eventloop.Event
@@ -59,13 +67,15 @@
 const idleDirectShare = 0.4
 
 // New returns a node for a core and its edges, on a machine of so many sockets;
-// 0 means no limit.
-func New(core *controller.Core, log *slog.Logger, store *statestore.Store, cl *cloud.Cloud, links map[string]*peer.Link, sockets int) *Node {
-	workers := client.New(2, 1<<20, int(idleDirectShare*float64(sockets)))
+// 0 means no limit. Bodies of users and workers take their memory from bodies.
+func New(core *controller.Core, log *slog.Logger, store *statestore.Store, cl *cloud.Cloud, links map[string]*peer.Link, sockets int, bodies *membudget.Bodies) *Node {
+	workers := client.New(2, wire.MaxBody, int(idleDirectShare*float64(sockets)))
+	workers.LimitMemory(bodies)
 	n := &Node{core: core, log: log, store: store, cloud: cl, links: links,
 		workers:       workers,
+		bodies:        bodies,
 		sockets:       newSockets(sockets, workers.CloseIdle),
-		events:        make(chan eventloop.Event, 256),
+		events:        make(chan arrival, 256),
 		requests:      make(chan request, 256),
 		awaitingReply: map[uint64]chan eventloop.Reply{},
 	}
@@ -79,7 +89,7 @@
 // Leave gives up all that this controller holds, and returns when other controllers have
 // it, or when ctx ends.
 func (n *Node) Leave(ctx context.Context) error {
-	n.events <- eventloop.Shutdown{}
+	n.events <- arrival{event: eventloop.Shutdown{}}
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	for !n.handedOver.Load() {
@@ -111,8 +121,11 @@
 	}
 }
 
-// Peer passes a frame of another controller to the core.
-func (n *Node) Peer(f *peerpb.Frame) { n.events <- eventloop.PeerFrame{Frame: f} }
+// Peer passes a frame of another controller to the core, and calls release when that has
+// handled it.
+func (n *Node) Peer(f *peerpb.Frame, release func()) {
+	n.events <- arrival{eventloop.PeerFrame{Frame: f}, release}
+}
 
 // Run owns the core until ctx ends. It must be called once.
 func (n *Node) Run(ctx context.Context) {
@@ -123,8 +136,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case ev := <-n.events:
-			n.step(ctx, ev)
+		case a := <-n.events:
+			n.step(ctx, a.event)
+			if a.handled != nil {
+				a.handled()
+			}
 		case a := <-n.requests:
 			n.lastRequest++
 			n.awaitingReply[n.lastRequest] = a.reply
@@ -168,7 +184,7 @@
 				return
 			}
 			select {
-			case n.events <- completion:
+			case n.events <- arrival{event: completion}:
 			case <-ctx.Done():
 			}
 		}()
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -19,7 +20,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/peerpb"
+	"fawncove/internal/protocost"
 )
 
 const (
@@ -52,8 +55,18 @@
 	return err
 }
 
-// Read reads one frame.
+// Read reads one frame. The memory that it takes grows with what has arrived, whatever length is
+// announced.
 func Read(r io.Reader) (*peerpb.Frame, error) {
+	body, err := readBody(r)
+	if err != nil {
+		return nil, err
+	}
+	return decode(body)
+}
+
+// readBody reads the encoded frame behind its length.
+func readBody(r io.Reader) ([]byte, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return nil, err
@@ -62,19 +75,29 @@
 	if n > maxFrameBytes {
 		return nil, errors.New("peer frame too large")
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(n)); err != nil {
 		return nil, err
 	}
+	return body.Bytes(), nil
+}
+
+// decode decodes a frame.
+func decode(body []byte) (*peerpb.Frame, error) {
 	f := new(peerpb.Frame)
-	if err := proto.Unmarshal(b, f); err != nil {
+	if err := protocost.Unmarshal(body, f); err != nil {
 		return nil, fmt.Errorf("peer frame: %w", err)
 	}
 	return f, nil
 }
 
-// Serve accepts connections from peers until ctx ends and passes each frame to handle.
-func Serve(ctx context.Context, l net.Listener, log *slog.Logger, handle func(*peerpb.Frame)) {
+// Handler takes a frame that has arrived. It must call release once, when the frame is no longer
+// needed.
+type Handler func(f *peerpb.Frame, release func())
+
+// Serve accepts connections from peers until ctx ends and passes each frame to handle. Frames
+// take their memory from memory until they are released.
+func Serve(ctx context.Context, l net.Listener, log *slog.Logger, memory *membudget.Budget, handle Handler) {
 	context.AfterFunc(ctx, func() { l.Close() })
 	for {
 		conn, err := l.Accept()
@@ -92,7 +115,7 @@
 		}
 		go func() {
 			defer conn.Close()
-			if err := receive(ctx, conn, handle); err != nil {
+			if err := receive(ctx, conn, memory, handle); err != nil {
 				log.Debug("peer connection ended", "err", err)
 			}
 		}()
@@ -100,23 +123,46 @@
 }
 
 // receive reads and acknowledges the frames of one connection until it or ctx ends.
-func receive(ctx context.Context, conn net.Conn, handle func(*peerpb.Frame)) error {
+func receive(ctx context.Context, conn net.Conn, memory *membudget.Budget, handle Handler) error {
 	r := bufio.NewReaderSize(conn, 2<<10)
 	for ctx.Err() == nil {
 		conn.SetReadDeadline(time.Now().Add(idleTimeout))
-		f, err := Read(r)
+		body, err := readBody(r)
+		if err != nil {
+			return err
+		}
+		f, release, err := decodeWithin(ctx, memory, body)
 		if err != nil {
 			return err
 		}
 		conn.SetWriteDeadline(time.Now().Add(ioTimeout))
 		if _, err := conn.Write([]byte{ack}); err != nil {
+			release()
 			return err
 		}
-		handle(f)
+		handle(f, release)
 	}
 	return nil
 }
 
+// decodeWithin decodes a frame when there is memory for it.
+func decodeWithin(ctx context.Context, memory *membudget.Budget, body []byte) (f *peerpb.Frame, release func(), err error) {
+	cost, err := protocost.Cost(body, f.ProtoReflect().Descriptor())
+	if err != nil {
+		return nil, nil, fmt.Errorf("peer frame: %w", err)
+	}
+	waiting, cancel := context.WithTimeout(ctx, ioTimeout)
+	defer cancel()
+	if release, err = memory.Acquire(waiting, cost); err != nil {
+		return nil, nil, fmt.Errorf("peer frame: %w", err)
+	}
+	if f, err = decode(body); err != nil {
+		release()
+		return nil, nil, err
+	}
+	return f, release, nil
+}
+
 // Link sends frames to one peer.
 type Link struct {
 	address string
--- a/internal/edge/peer/peer_test.go
+++ b/internal/edge/peer/peer_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"io"
 	"log/slog"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/peerpb"
 )
 
@@ -21,7 +22,10 @@
 		t.Fatal(err)
 	}
 	frames := make(chan *peerpb.Frame, 8)
-	go Serve(ctx, listener, slog.New(slog.NewTextHandler(io.Discard, nil)), func(f *peerpb.Frame) { frames <- f })
+	go Serve(ctx, listener, slog.New(slog.DiscardHandler), membudget.New(0), func(f *peerpb.Frame, release func()) {
+		frames <- f
+		release()
+	})
 	malformed, err := net.Dial("tcp", listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -76,3 +80,49 @@
 		t.Error("Read of a frame of two gigabytes: error = nil, want an error")
 	}
 }
+
+// TestAnnouncedFramesTakeNoMemory guards against connections that announce a frame of the largest
+// size and send nothing of it: four bytes took a megabyte each.
+func TestAnnouncedFramesTakeNoMemory(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	const connections = 100
+	for range connections {
+		if _, err := Read(bytes.NewReader([]byte{0, 0x0f, 0xff, 0xff, 1})); err == nil {
+			t.Fatal("Read of a frame that is not there: error = nil, want an error")
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if took := (after.TotalAlloc - before.TotalAlloc) / connections; took > 16<<10 {
+		t.Errorf("an announced frame takes %d bytes of memory, want 16 KiB at most", took)
+	}
+}
+
+// TestFramesAtOnceStayWithinMemory guards against frames that are decoded faster than they are
+// handled: the next one waits until there is memory for it.
+func TestFramesAtOnceStayWithinMemory(t *testing.T) {
+	ctx := t.Context()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	releases := make(chan func(), 8)
+	go Serve(ctx, listener, slog.New(slog.DiscardHandler), membudget.New(1), func(_ *peerpb.Frame, release func()) { releases <- release })
+	for range 2 {
+		link := Dial(ctx, listener.Addr().String())
+		link.Send(&peerpb.Frame{From: "n1", Incarnation: 1})
+	}
+	first := <-releases
+	select {
+	case <-releases:
+		t.Fatal("a second frame is decoded though the first takes all memory")
+	case <-time.After(100 * time.Millisecond):
+	}
+	first()
+	select {
+	case release := <-releases:
+		release()
+	case <-time.After(2 * time.Second):
+		t.Error("the second frame is not decoded when the first is released")
+	}
+}
--- a/internal/edge/statestore/statestore.go
+++ b/internal/edge/statestore/statestore.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/url"
 	"strconv"
@@ -14,6 +15,7 @@
 
 	"fawncove/internal/core/eventloop"
 	"fawncove/internal/edge/client"
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/wire"
 )
 
@@ -28,14 +30,23 @@
 // maxBudgetWait bounds how long a call waits for its part of the limits.
 const maxBudgetWait = 1500 * time.Millisecond
 
-// maxAnswerBytes bounds what is read of one answer; watches have no limit of
-// their own, so this one only guards the memory.
-const maxAnswerBytes = 16 << 20
+// What is read of one answer, in bytes.
+const (
+	// maxAnswerBytes is for one key, whose value may be 64 KiB, and the outcome of a
+	// transaction, twice as much.
+	maxAnswerBytes = 128 << 10
+	// maxPageBytes is for a page, which may be 512 KiB, twice as much.
+	maxPageBytes = 1 << 20
+	// maxWatchBytes is for a watch, which has no limit by itself: what is larger is read
+	// again key by key.
+	maxWatchBytes = 16 << 20
+)
 
 // Store calls the state service.
 type Store struct {
 	base          string
 	calls         *client.Client
+	pages         *client.Client
 	watches       *client.Client
 	workBudget    budget
 	leaseBudget   budget
@@ -62,13 +73,25 @@
 	// As many connections as calls can be in flight at once: a service that is slow, or
 	// whose answers are lost, must not keep later calls from going out.
 	open := 8 + int(callTimeout.Seconds()*rps*(workShare/n+leaseRequestShare))
+	calls := client.New(open, maxAnswerBytes, idleConns)
 	return &Store{base: "http://" + addr,
-		calls: client.New(open, maxAnswerBytes, idleConns), watches: client.New(2, maxAnswerBytes, 0),
+		calls: calls, pages: calls.WithMaxAnswer(maxPageBytes), watches: client.New(2, maxWatchBytes, 0),
 		workBudget:    newBudget(rps*workShare/n, writeRPS*workShare/n),
 		leaseBudget:   newBudget(rps*leaseRequestShare, writeRPS*leaseWriteShare),
 		answerTimeout: client.NewAdaptiveTimeout(minAnswerTimeout, callTimeout)}
 }
 
+// LimitMemory has answers take their memory from bodies, and those of watches no more than
+// watchBytes, 0 for no further limit. It must be called before the first call.
+func (s *Store) LimitMemory(bodies *membudget.Bodies, watchBytes int64) {
+	if watchBytes > 0 {
+		s.watches = s.watches.WithMaxAnswer(min(maxWatchBytes, max(watchBytes, maxPageBytes)))
+	}
+	for _, c := range []*client.Client{s.calls, s.pages, s.watches} {
+		c.LimitMemory(bodies)
+	}
+}
+
 // idleConns is how many connections stay open without use.
 const idleConns = 8
 
@@ -146,12 +169,13 @@
 		q.Set("after", after)
 	}
 	status, err := s.call(ctx, s.workBudget, 0, func(ctx context.Context) (int, error) {
-		return s.calls.Do(ctx, "GET", s.base+"/store?"+q.Encode(), nil, &p, 200)
+		return s.pages.Do(ctx, "GET", s.base+"/store?"+q.Encode(), nil, &p, 200)
 	})
 	return client.OutcomeOf(status), p, err
 }
 
-// Watch waits up to hold for changes under a prefix.
+// Watch waits up to hold for changes under a prefix. Compacted says that there are more than
+// can be read at once: the keys have to be read again.
 func (s *Store) Watch(ctx context.Context, prefix string, after wire.Revision, hold time.Duration) (eventloop.Outcome, wire.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, hold+callTimeout)
 	defer cancel()
@@ -162,5 +186,9 @@
 	q := url.Values{"under": {prefix}, "after": {strconv.FormatUint(uint64(after), 10)},
 		"holdMs": {strconv.FormatInt(hold.Milliseconds(), 10)}}
 	status, err := s.watches.Do(ctx, "GET", s.base+"/changes?"+q.Encode(), nil, &c, 200)
+	if errors.Is(err, client.ErrTooLarge) {
+		// Asked for again, the answer would be as large or larger, for ever.
+		return eventloop.Compacted, c, err
+	}
 	return client.OutcomeOf(status), c, err
 }
--- a/internal/edge/statestore/statestore_test.go
+++ b/internal/edge/statestore/statestore_test.go
@@ -12,6 +12,7 @@
 
 	"fawncove/internal/core/eventloop"
 	"fawncove/internal/edge/client"
+	"fawncove/internal/edge/membudget"
 	"fawncove/internal/wire"
 )
 
@@ -121,3 +122,32 @@
 		}
 	}
 }
+
+// TestTooLargeWatchIsReadAgain guards against a controller that asks for ever for more changes
+// than it can read at once, and sees none: it is told to read the keys.
+func TestTooLargeWatchIsReadAgain(t *testing.T) {
+	large := wire.Changes{Revision: 9}
+	value, err := wire.Encode(strings.Repeat("x", 4<<10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 300 {
+		large.Log = append(large.Log, wire.Change{Put: "a/b", Value: value, Version: 9})
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		body, _ := wire.Encode(large)
+		_, _ = w.Write(body)
+	}))
+	t.Cleanup(s.Close)
+	c := New(strings.TrimPrefix(s.URL, "http://"), 100, 100, 1)
+	if outcome, changes, err := c.Watch(t.Context(), "a/", 8, time.Second); outcome != eventloop.Succeeded || len(changes.Log) != 300 || err != nil {
+		t.Errorf("Watch = %s, %d changes, %v, want 300", outcome, len(changes.Log), err)
+	}
+	c.LimitMemory(membudget.NewBodies(8<<20), 1<<20)
+	if outcome, _, err := c.Watch(t.Context(), "a/", 8, time.Second); outcome != eventloop.Compacted {
+		t.Errorf("Watch of more than may be read = %s, %v, want %s", outcome, err, eventloop.Compacted)
+	}
+	if outcome, _, err := c.Get(t.Context(), "a/b"); outcome == eventloop.Succeeded {
+		t.Errorf("Get of far more than a value may be = %s, %v", outcome, err)
+	}
+}
