A block lease counts from its last renewal across changes of leader

Cause: a new leader counted all block leases from the last value of the leader before it, though that value had not renewed the lease of a controller that had ended earlier. With two changes of leader a block lapsed 36 s after its holder had ended, and cancelled tasks on machines of it that hang stayed for longer than cancel_s.

Change: every controller notes when it first saw a value with another renewal of each lease, and the leader of a new term begins with that. A renewal was sent before it was seen, so that the lease has surely ended then. Holders that are alive still have the time to renew with a new leader.

--- a/internal/core/controller/election.go
+++ b/internal/core/controller/election.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"time"
 
 	"fawncove/internal/core/leader"
@@ -18,15 +19,21 @@
 
 // election is what the timeout of the leader and the leases of others count from.
 type election struct {
-	leaderSeenAt      time.Time // the last sign of a leader
-	appliedAt         time.Time // when the current lease value was first seen
-	previousAppliedAt time.Time // and the one before it
+	leaderSeenAt time.Time // the last sign of a leader
+	// renewedAt is when a value with another renewal of a controller's block lease was first
+	// seen, whoever led then. A new leader counts leases from it: counted from a value that an
+	// earlier one has written since, a lease would lapse later with each change of leader.
+	renewedAt map[string]time.Time
 }
 
-// leaseApplied notes that the lease value has changed.
-func (e *election) leaseApplied(now time.Time) {
+// leaseApplied notes that the lease value has changed, from these blocks to those.
+func (e *election) leaseApplied(before, after map[string]wire.Block, now time.Time) {
 	e.leaderSeenAt = now
-	e.previousAppliedAt, e.appliedAt = e.appliedAt, now
+	if e.renewedAt == nil {
+		e.renewedAt = map[string]time.Time{}
+	}
+	leader.NoteRenewals(e.renewedAt, before, after, now)
+	maps.DeleteFunc(e.renewedAt, func(node string, _ time.Time) bool { _, ok := after[node]; return !ok })
 }
 
 // leaderResigned shortens the wait for the leader's timeout to that for the candidates
--- a/internal/core/controller/leader.go
+++ b/internal/core/controller/leader.go
@@ -21,7 +21,7 @@
 func (c *Core) becomeLeader(term wire.Term) {
 	c.log.Info("leadership won", "term", term)
 	c.stopLeading()
-	c.leader = leader.New(&c.loop, c.view, &c.leaseReader.pages, leaderHost{c.owner, c}, c.log, c.blockLease.Incarnation(), term, c.election.previousAppliedAt)
+	c.leader = leader.New(&c.loop, c.view, &c.leaseReader.pages, leaderHost{c.owner, c}, c.log, c.blockLease.Incarnation(), term, c.election.renewedAt)
 	c.leader.PublishStored(c.leaseWriter.sentAt)
 	c.view.IsLeader = true
 }
--- a/internal/core/controller/lease_apply.go
+++ b/internal/core/controller/lease_apply.go
@@ -22,7 +22,7 @@
 	if c.leader != nil {
 		c.leader.LeaseApplied(before)
 	}
-	c.election.leaseApplied(c.loop.Now)
+	c.election.leaseApplied(before, c.view.Lease.Blocks, c.loop.Now)
 	c.followLeadership(&rec)
 	c.followBlock(&rec)
 }
--- a/internal/core/leader/leader.go
+++ b/internal/core/leader/leader.go
@@ -96,11 +96,11 @@
 	levelBlockers  []string  // what keeps the level from being raised
 }
 
-// New returns the leader of a term. valueSeen is when the value that it replaces was
-// first read here: all renewals which that value acknowledges were sent before, so
-// leases count as renewed then, however long the election took. Controllers that are
-// alive are given the time to renew with the new leader all the same.
-func New(loop *eventloop.Loop, view *cluster.View, pageTable *leasevalue.PageTable, local LocalController, log *slog.Logger, incarnation wire.Incarnation, term wire.Term, valueSeen time.Time) *Leader {
+// New returns the leader of a term. renewedAt is when each block lease was last seen renewed here,
+// by whichever leader: leases count from then, however often the leader has changed since. A
+// holder of which it says nothing counts as renewed now. Controllers that are alive are given the
+// time to renew with the new leader all the same.
+func New(loop *eventloop.Loop, view *cluster.View, pageTable *leasevalue.PageTable, local LocalController, log *slog.Logger, incarnation wire.Incarnation, term wire.Term, renewedAt map[string]time.Time) *Leader {
 	l := &Leader{loop: loop, view: view, pageTable: pageTable, local: local, log: log, incarnation: incarnation,
 		term: term, startedAt: loop.Now, publishPending: true,
 		renewals:        map[string]*peerpb.Renewal{},
@@ -118,11 +118,15 @@
 	l.autoscaler.init()
 	l.levelRaiser.Delay = view.Params.RaiseLevelAfter
 	earliest := loop.Now.Add(l.rebuildPeriod() - cluster.RemoteDuration(view.Params.LeaseDuration))
-	if valueSeen.Before(earliest) {
-		valueSeen = earliest
-	}
 	for node := range view.Lease.Blocks {
-		l.leaseRenewed[node] = valueSeen
+		at, ok := renewedAt[node]
+		switch {
+		case !ok:
+			at = loop.Now
+		case at.Before(earliest):
+			at = earliest
+		}
+		l.leaseRenewed[node] = at
 	}
 	return l
 }
--- a/internal/core/leader/leader_test.go
+++ b/internal/core/leader/leader_test.go
@@ -38,7 +38,7 @@
 	view.ApplyLease(rec, 5)
 	loop := &eventloop.Loop{}
 	loop.Begin(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC))
-	l := New(loop, view, new(leasevalue.PageTable), &fakeController{}, slog.New(slog.NewTextHandler(io.Discard, nil)), 7, rec.Term, loop.Now)
+	l := New(loop, view, new(leasevalue.PageTable), &fakeController{}, slog.New(slog.NewTextHandler(io.Discard, nil)), 7, rec.Term, nil)
 	l.startedAt, l.autoscaler.inventory.complete = loop.Now.Add(-time.Minute), true
 	return l
 }
--- a/internal/core/leader/renewals.go
+++ b/internal/core/leader/renewals.go
@@ -41,9 +41,15 @@
 // learnt of: a write without an answer may be executed late, and its holders then have
 // the time that it gives them.
 func (l *Leader) LeaseApplied(before map[string]wire.Block) {
-	for node, block := range l.view.Lease.Blocks {
-		if old := before[node]; block.Renewal != old.Renewal || block.Incarnation != old.Incarnation {
-			l.leaseRenewed[node] = l.loop.Now
+	NoteRenewals(l.leaseRenewed, before, l.view.Lease.Blocks, l.loop.Now)
+}
+
+// NoteRenewals notes in renewedAt, by controller, which block leases a newer value renews: those
+// with another renewal than before, or of another process.
+func NoteRenewals(renewedAt map[string]time.Time, before, after map[string]wire.Block, now time.Time) {
+	for node, block := range after {
+		if old, ok := before[node]; !ok || block.Renewal != old.Renewal || block.Incarnation != old.Incarnation {
+			renewedAt[node] = now
 		}
 	}
 }
