--- a/internal/testkit/simtest/hang_handover_test.go
+++ b/internal/testkit/simtest/hang_handover_test.go
@@ -107,16 +107,27 @@
 // anew whenever it changes hands or its holder's clocks begin anew, until after cancel_s.
 func TestHangAcrossHandovers(t *testing.T) {
 	for trouble := range handoverTroubles {
-		for _, at := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 5 * time.Second, 9 * time.Second} {
-			for _, hungAt := range []time.Duration{0, -3 * time.Second, -8 * time.Second} {
-				for _, hung := range []int{1, 8} {
-					for _, leads := range []bool{false, true} {
-						hangCourse{trouble, at, hungAt, hung, leads}.playSeeds(t)
-					}
+		t.Run(handoverTroubles[trouble].name, func(t *testing.T) {
+			t.Parallel()
+			for _, c := range hangCourses(trouble) {
+				c.playSeeds(t)
+			}
+		})
+	}
+}
+
+// hangCourses returns the courses with one trouble.
+func hangCourses(trouble int) (courses []hangCourse) {
+	for _, at := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second, 5 * time.Second, 9 * time.Second} {
+		for _, hungAt := range []time.Duration{0, -3 * time.Second, -8 * time.Second} {
+			for _, hung := range []int{1, 8} {
+				for _, leads := range []bool{false, true} {
+					courses = append(courses, hangCourse{trouble, at, hungAt, hung, leads})
 				}
 			}
 		}
 	}
+	return courses
 }
 
 // playSeeds plays the course with as many seeds as asked for, and reports what broke.
