A process that has just started does not give up machines on which nothing cancelled is known

Cause: what was cancelled before a process read the state counted as cancelled a block lease before, and time for another controller was left wherever a cancelled task might be. Together that gave up each machine within 2.5 report intervals that hung while its controller started anew, though nothing had been cancelled: TestHandoverModel, "an earlier process's machines are taken for known", did not come to its point, and TestHandoverModelCries had got a shorter course.

Change: a process counts as having been away for 10 s, and time for another controller is left only where a cancelled task is known to be on the machine. The course of TestHandoverModelCries is as it was.

--- a/internal/core/owner/cancelled.go
+++ b/internal/core/owner/cancelled.go
@@ -109,51 +109,67 @@
 	return config.Seconds(o.view.Settings.Cluster.Workers.CancelS)
 }
 
-// cancelledSince returns since when a user may have been told that a job is cancelled of which a
-// task may be on the machine; ok is false if no such task may be there.
-func (o *Owner) cancelledSince(m *machine) (since time.Time, ok bool) {
-	earliest := func(at time.Time) {
-		if !ok || at.Before(since) {
-			since, ok = at, true
+// returnDue returns when a silent machine is to be given up because of cancelled tasks; ok is false
+// if no such task may be there.
+func (o *Owner) returnDue(m *machine) (due time.Time, ok bool) {
+	inTime := o.cancelTime() - returnReserve
+	since, listed := o.listedCancelledSince(m)
+	if listed {
+		due = since.Add(inTime)
+		if m.commands.unanswered > 0 {
+			// It does not answer direct commands either. Another controller, should this
+			// one end, is to have the time to find it silent and return it: until the
+			// block has lapsed nobody can.
+			due = due.Add(-o.handoverTime())
 		}
 	}
+	if since, possible := o.possiblyCancelledSince(m); possible && (!listed || since.Add(inTime).Before(due)) {
+		return since.Add(inTime), true
+	}
+	return due, listed
+}
+
+// listedCancelledSince returns since when a user may have been told that a job is cancelled of which
+// a task is known to be on the machine; ok is false if there is none.
+func (o *Owner) listedCancelledSince(m *machine) (since time.Time, ok bool) {
 	for _, a := range m.attempts {
-		if at, cancelled := o.attemptCancelledSince(a); cancelled {
-			earliest(at)
+		at, cancelled := o.attemptCancelledSince(a)
+		if cancelled && (!ok || at.Before(since)) {
+			since, ok = at, true
 		}
 	}
+	return since, ok
+}
+
+// possiblyCancelledSince returns since when a user may have been told that a job is cancelled of
+// which a task may be on a machine whose tasks are not known; ok is false if there is none.
+func (o *Owner) possiblyCancelledSince(m *machine) (since time.Time, ok bool) {
 	if !m.needsReconciliation {
-		return since, ok
+		return since, false
+	}
+	if o.loop.Now.Before(o.cancelled.knownSince.Add(o.cancelTime())) {
+		since, ok = o.unknownCancelledSince(), true
 	}
 	for _, job := range o.cancelled.jobs {
-		if job.mayRunOn(m) {
-			earliest(job.since)
-			break // the others were learnt of later
+		if !job.mayRunOn(m) {
+			continue
 		}
-	}
-	if o.loop.Now.Before(o.cancelled.knownSince.Add(o.cancelTime())) {
-		earliest(o.unknownCancelledSince())
+		if !ok || job.since.Before(since) {
+			since = job.since
+		}
+		return since, true // the others were learnt of later
 	}
 	return since, ok
 }
 
+// maxRestartTime is for how long a process is taken to have been away that has just read the state.
+// Platforms start it again within seconds; after twice that its block is another's.
+const maxRestartTime = 10 * time.Second
+
 // unknownCancelledSince returns since when users may have been told of cancellations that are not
-// known here, as this process had not begun: it was away for no longer than a lease, or its
-// machines are another's.
+// known here, as this process was away.
 func (o *Owner) unknownCancelledSince() time.Time {
-	return o.cancelled.knownSince.Add(-cluster.RemoteDuration(o.view.Params.LeaseDuration))
-}
-
-// returnDue returns when a silent machine is to be given up on which a task may be of a job whose
-// user was told since then that it is cancelled. One that does not answer direct commands either
-// is given up so early that another controller, should this one end, has the time to find it
-// silent and return it: until the block has lapsed nobody can.
-func (o *Owner) returnDue(m *machine, since time.Time) time.Time {
-	due := since.Add(o.cancelTime() - returnReserve)
-	if m.commands.unanswered > 0 {
-		due = due.Add(-o.handoverTime())
-	}
-	return due
+	return o.cancelled.knownSince.Add(-maxRestartTime)
 }
 
 // handoverTime returns how long it takes until another controller finds a machine silent, if its
--- a/internal/core/owner/health.go
+++ b/internal/core/owner/health.go
@@ -165,9 +165,9 @@
 	silent := config.Seconds(silentReports * workers.ReportS)
 	mayRunCancelled := false
 	if o.silence(m) > silent {
-		var since time.Time
-		if since, mayRunCancelled = o.cancelledSince(m); mayRunCancelled {
-			limit = min(limit, max(silent, o.returnDue(m, since).Sub(m.lastHeartbeat)))
+		var due time.Time
+		if due, mayRunCancelled = o.returnDue(m); mayRunCancelled {
+			limit = min(limit, max(silent, due.Sub(m.lastHeartbeat)))
 		}
 	}
 	if o.loop.Now.Before(o.workers.zoneCutOffUntil[m.zone]) {
--- a/internal/testkit/simtest/handover_model_test.go
+++ b/internal/testkit/simtest/handover_model_test.go
@@ -427,7 +427,7 @@
 		from, course string
 		rule         string
 	}{
-		{func(h *handover) { h.blind = true }, "runs", "leave@1, lapse, report 0, report 1, moment, report 1, hang 0, drain, wait, drain, moment", "ran_twice"},
+		{func(h *handover) { h.blind = true }, "runs", "leave@1, lapse, report 0, report 1, moment, report 1, hang 0, wait, wait, drain, wait, drain, moment", "ran_twice"},
 		{func(h *handover) { h.w.cfg.Workers.CancelS = 12 }, "split", "submit@1, moment, drain, third, lag@1, cut@1, cancel@0, wait, wait, wait, wait, wait, wait", "ran_cancelled"},
 	} {
 		for _, planted := range []bool{false, true} {
