The log says whether a silent machine was given up for cancelled tasks

machine unreachable has reconciled and cancelled_tasks, which tell the reasons apart for which a machine is given up early. A frame's cost is worked out once where it arrives.

--- a/internal/core/owner/health.go
+++ b/internal/core/owner/health.go
@@ -151,9 +151,10 @@
 	limit := o.silenceLimit(m, z, late)
 	reclaimed := !m.reclaimAt.IsZero() && o.loop.Now.Sub(m.reclaimAt) > reclaimGrace && o.isLate(m)
 	if o.silence(m) > limit || reclaimed {
+		_, mayRunCancelled := o.returnDue(m)
 		m.giveUp()
 		o.blockLease.RequestRenewal()
-		o.log.Info("machine unreachable", "machine", m.name, "duration", o.silence(m))
+		o.log.Info("machine unreachable", "machine", m.name, "duration", o.silence(m), "reconciled", !m.needsReconciliation, "cancelled_tasks", mayRunCancelled)
 	}
 }
 
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := cost(body); err != nil {
+		return nil, err
+	}
 	return decode(body)
 }
 
@@ -82,10 +85,19 @@
 	return body.Bytes(), nil
 }
 
-// decode decodes a frame.
+// cost returns what decoding a frame may cost at most, in bytes of memory.
+func cost(body []byte) (int, error) {
+	cost, err := protocost.Cost(body, (*peerpb.Frame)(nil).ProtoReflect().Descriptor())
+	if err != nil {
+		return 0, fmt.Errorf("peer frame: %w", err)
+	}
+	return cost, nil
+}
+
+// decode decodes a frame whose cost is bounded.
 func decode(body []byte) (*peerpb.Frame, error) {
 	f := new(peerpb.Frame)
-	if err := protocost.Unmarshal(body, f); err != nil {
+	if err := proto.Unmarshal(body, f); err != nil {
 		return nil, fmt.Errorf("peer frame: %w", err)
 	}
 	return f, nil
@@ -147,13 +159,13 @@
 
 // decodeWithin decodes a frame when there is memory for it.
 func decodeWithin(ctx context.Context, memory *membudget.Budget, body []byte) (f *peerpb.Frame, release func(), err error) {
-	cost, err := protocost.Cost(body, f.ProtoReflect().Descriptor())
+	bytes, err := cost(body)
 	if err != nil {
-		return nil, nil, fmt.Errorf("peer frame: %w", err)
+		return nil, nil, err
 	}
 	waiting, cancel := context.WithTimeout(ctx, ioTimeout)
 	defer cancel()
-	if release, err = memory.Acquire(waiting, cost); err != nil {
+	if release, err = memory.Acquire(waiting, bytes); err != nil {
 		return nil, nil, fmt.Errorf("peer frame: %w", err)
 	}
 	if f, err = decode(body); err != nil {
