--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -159,13 +159,13 @@
 
 // decodeWithin decodes a frame when there is memory for it.
 func decodeWithin(ctx context.Context, memory *membudget.Budget, body []byte) (f *peerpb.Frame, release func(), err error) {
-	bytes, err := cost(body)
+	needed, err := cost(body)
 	if err != nil {
 		return nil, nil, err
 	}
 	waiting, cancel := context.WithTimeout(ctx, ioTimeout)
 	defer cancel()
-	if release, err = memory.Acquire(waiting, bytes); err != nil {
+	if release, err = memory.Acquire(waiting, needed); err != nil {
 		return nil, nil, fmt.Errorf("peer frame: %w", err)
 	}
 	if f, err = decode(body); err != nil {
