Ends that were stored before a process began are no news of a cancellation

Cause: a user who asks for a job that was cancelled long ago has its end read and applied. With that it counted as cancelled at the moment, and anywhere: machines just taken over had no time for a cut then, though nothing cancelled could be there.

Change: an end counts as news when it was not known here and was stored after this process read the state. What was cancelled before is covered by the time for which that is not known.

Result: TestOldCancellationsAreNoNews, which fails without the comparison of revisions.

--- a/internal/core/controller/watch.go
+++ b/internal/core/controller/watch.go
@@ -142,13 +142,15 @@
 		c.resolveOtherEnd(id)
 		return
 	}
+	news := !c.HasEnded(id)
 	c.ended.add(id, rec, version)
 	if j := c.owner.Job(id); j != nil {
 		c.owner.EndJob(j)
 	}
-	if rec.State == wire.Cancelled {
-		c.owner.NoteCancelled(id)
-	} else {
+	switch {
+	case rec.State != wire.Cancelled:
 		c.owner.NoteDone(id)
+	case news:
+		c.owner.NoteCancelled(id, version)
 	}
 }
--- a/internal/core/owner/cancelled.go
+++ b/internal/core/owner/cancelled.go
@@ -44,17 +44,24 @@
 	// knownSince is the time before which cancellations may have been confirmed that are not
 	// known here, as the process began then; zero: the state has not been read yet.
 	knownSince time.Time
+	// readAt is the revision of the state when it was first read. What was cancelled up to it
+	// was cancelled before knownSince.
+	readAt wire.Revision
 	// knownUntil is the time before which all confirmed cancellations since then are known.
 	knownUntil time.Time
 }
 
 func newCancelledJobs() cancelledJobs { return cancelledJobs{byID: map[string]*cancelledJob{}} }
 
-// advance notes that all cancellations confirmed before a time are known.
-func (c *cancelledJobs) advance(at time.Time) {
+// noteRead notes the revision of the state and the time as of which it was first read.
+func (c *cancelledJobs) noteRead(revision wire.Revision, at time.Time) {
 	if c.knownSince.IsZero() {
-		c.knownSince = at
+		c.knownSince, c.readAt = at, revision
 	}
+}
+
+// advance notes that all cancellations since then that were confirmed before a time are known.
+func (c *cancelledJobs) advance(at time.Time) {
 	if at.After(c.knownUntil) {
 		c.knownUntil = at
 	}
@@ -89,14 +96,24 @@
 	}
 }
 
-// NoteCancelled notes that a job was cancelled whose record may not be known here.
-func (o *Owner) NoteCancelled(id string) { o.cancelled.add(id, nil, o.loop.Now) }
+// NoteCancelled notes that a job was cancelled whose record may not be known here, by an end that
+// was stored at a revision. One that was stored before this process read the state may be of any
+// age: users ask for jobs at any later time.
+func (o *Owner) NoteCancelled(id string, revision wire.Revision) {
+	if revision > o.cancelled.readAt {
+		o.cancelled.add(id, nil, o.loop.Now)
+	}
+}
 
 // NoteDone notes that a job that has ended was done.
 func (o *Owner) NoteDone(id string) { o.cancelled.markDone(id) }
 
-// InheritCancellations takes over what another owner of this process knew of cancellations.
-func (o *Owner) InheritCancellations(earlier *Owner) { o.cancelled = earlier.cancelled }
+// InheritCancellations takes over what another owner of this process knew of cancellations, before
+// a recovery: revisions count anew since.
+func (o *Owner) InheritCancellations(earlier *Owner) {
+	o.cancelled = earlier.cancelled
+	o.cancelled.readAt = 0
+}
 
 // forgetCancelled forgets cancellations so old that whoever held the machines then has dealt with
 // them: they are in effect after cancel_s, or their block has changed hands after a lease.
--- a/internal/core/owner/cancelled_test.go
+++ b/internal/core/owner/cancelled_test.go
@@ -112,6 +112,22 @@
 	}
 }
 
+// TestOldCancellationsAreNoNews guards against a zone that is cut off and given up early, as somebody
+// asked for a job that was cancelled long ago: its end was stored before this process began.
+func TestOldCancellationsAreNoNews(t *testing.T) {
+	for _, revision := range []wire.Revision{4, 9} {
+		o, now := takenOver(t, 2*time.Minute, func(o *Owner, left int) {
+			if left == 5 {
+				o.NoteCancelled("wk-000001", revision)
+			}
+		})
+		isNews := revision > o.view.LeaseVersion // as of which the state was read
+		if took := givenUpAfter(o, now); (took < 20*time.Second) != isNews {
+			t.Errorf("cancelled at revision %d: given up after %v", revision, took)
+		}
+	}
+}
+
 // TestSuspensionDoesNotExtendACancellation guards against a holder that was suspended and counts the
 // silence of a machine with a cancelled task anew.
 func TestSuspensionDoesNotExtendACancellation(t *testing.T) {
