The silence of a machine and the end of a worker's lease are worked out in one place each

Cause: after how many report intervals a machine is silent stood five times, and when a worker's lease has surely ended twice: in what gives machines up, in the proof of a foreign worker and, written again, in MinCancelTime, which check-config compares cancel_s with. Changed in one place only, the warning and the behaviour would part.

Change: silentAfter, leaseOverAfter and handoverTime are functions of the settings, and all callers use them. Behaviour, bounds and tests are as they were.

--- a/internal/core/owner/cancelled.go
+++ b/internal/core/owner/cancelled.go
@@ -137,7 +137,7 @@
 			// It does not answer direct commands either. Another controller, should this
 			// one end, is to have the time to find it silent and return it: until the
 			// block has lapsed nobody can.
-			due = due.Add(-o.handoverTime())
+			due = due.Add(-handoverTime(o.view.Settings.Cluster.Workers, o.view.Params))
 		}
 	}
 	if since, possible := o.possiblyCancelledSince(m); possible && (!listed || since.Add(inTime).Before(due)) {
@@ -191,18 +191,15 @@
 
 // handoverTime returns how long it takes until another controller finds a machine silent, if its
 // holder ends: the block lease lapses, and reports are missing.
-func (o *Owner) handoverTime() time.Duration {
-	return cluster.RemoteDuration(o.view.Params.LeaseDuration) + config.Seconds(silentReports*o.view.Settings.Cluster.Workers.ReportS)
+func handoverTime(workers config.Workers, params cluster.Params) time.Duration {
+	return cluster.RemoteDuration(params.LeaseDuration) + silentAfter(workers)
 }
 
 // MinCancelTime returns the least cancel_s that can be kept with these settings where a machine
 // hangs as a job on it is cancelled, and its holder ends at any moment after that. Either the holder
 // has given the machine up by then, or another has the time to find it silent and return it.
 func MinCancelTime(workers config.Workers, params cluster.Params) time.Duration {
-	silent := config.Seconds(silentReports * workers.ReportS)
-	handover := silent + cluster.RemoteDuration(params.LeaseDuration) + silent
-	ownLease := cluster.RemoteDuration(config.Seconds(workers.LeaseS)) + time.Second
-	return max(handover, ownLease) + returnReserve
+	return max(silentAfter(workers)+handoverTime(workers, params), leaseOverAfter(workers)) + returnReserve
 }
 
 // attemptCancelledSince returns since when a user may have been told that the job of an attempt
--- a/internal/core/owner/foreign.go
+++ b/internal/core/owner/foreign.go
@@ -64,7 +64,7 @@
 // machine is alive. A machine that has died since would otherwise not be released, and
 // everything that may have run on it would wait.
 func (o *Owner) foreignHeartbeatTTL() time.Duration {
-	return min(maxForeignTTL, config.Seconds(silentReports*o.view.Settings.Cluster.Workers.ReportS))
+	return min(maxForeignTTL, silentAfter(o.view.Settings.Cluster.Workers))
 }
 
 // handleForeignHeartbeat handles the heartbeat of a machine that is not in this controller's
--- a/internal/core/owner/health.go
+++ b/internal/core/owner/health.go
@@ -56,9 +56,19 @@
 // silence returns how long ago the machine's last heartbeat was.
 func (o *Owner) silence(m *machine) time.Duration { return o.loop.Now.Sub(m.lastHeartbeat) }
 
+// silentAfter returns after which time without a heartbeat a machine is silent.
+func silentAfter(workers config.Workers) time.Duration {
+	return config.Seconds(silentReports * workers.ReportS)
+}
+
+// leaseOverAfter returns after which time without a heartbeat the lease of a worker has surely ended.
+func leaseOverAfter(workers config.Workers) time.Duration {
+	return cluster.RemoteDuration(config.Seconds(workers.LeaseS)) + time.Second
+}
+
 // isSilent reports whether a machine is silent.
 func (o *Owner) isSilent(m *machine) bool {
-	return o.silence(m) > config.Seconds(silentReports*o.view.Settings.Cluster.Workers.ReportS)
+	return o.silence(m) > silentAfter(o.view.Settings.Cluster.Workers)
 }
 
 // isLate reports whether a machine's heartbeat is late.
@@ -162,10 +172,9 @@
 // a spot machine as suspected that was most likely reclaimed.
 func (o *Owner) silenceLimit(m *machine, z *zoneCensus, late int) time.Duration {
 	workers := o.view.Settings.Cluster.Workers
-	limit := cluster.RemoteDuration(config.Seconds(workers.LeaseS)) + time.Second
-	silent := config.Seconds(silentReports * workers.ReportS)
+	limit, silent := leaseOverAfter(workers), silentAfter(workers)
 	mayRunCancelled := false
-	if o.silence(m) > silent {
+	if o.isSilent(m) {
 		var due time.Time
 		if due, mayRunCancelled = o.returnDue(m); mayRunCancelled {
 			limit = min(limit, max(silent, due.Sub(m.lastHeartbeat)))
