Tests: answered direct commands that arrive once more

Cause: on a large deployment a task ran on two machines, and one of a cancelled job stayed for 49 s after its time to be gone. The records show a direct command that was carried out and answered and reached its worker once more, 2.2 s later and 0.3 s after the worker was told to forget the attempt. No test had such copies: a command that arrived late was one without an answer, carried out once.

Change: the simulation delivers a share of the answered direct commands once more, 0.3 to 16 s later, drawn apart so that worlds without it keep their course. Behaviour is unchanged.

--- a/internal/testkit/simtest/effects.go
+++ b/internal/testkit/simtest/effects.go
@@ -237,6 +237,7 @@
 		k.whenAwake(func() {
 			outcome, r := k.commands(e.Body)
 			w.forgetStarts(flight)
+			w.handleAnswered(k, e.Body)
 			w.send(name, n.name, func() { call.finish(eventloop.Completion{Outcome: outcome, Heartbeat: r}, false) })
 		})
 	})
--- a/internal/testkit/simtest/hang_handover_test.go
+++ b/internal/testkit/simtest/hang_handover_test.go
@@ -47,11 +47,12 @@
 	hungAt  time.Duration // when the machines begin to hang
 	hung    int           // machines that hang: one, or half of the zone
 	leads   bool          // the trouble is that of the leader, too
+	repeats int           // of a hundred answered direct commands that arrive once more
 }
 
 // String names the course.
 func (c hangCourse) String() string {
-	return fmt.Sprintf("%d machines hang at %v, %s at %v, leads %v", c.hung, c.hungAt, handoverTroubles[c.trouble].name, c.at, c.leads)
+	return fmt.Sprintf("%d machines hang at %v, %s at %v, leads %v, %d%% of commands repeated", c.hung, c.hungAt, handoverTroubles[c.trouble].name, c.at, c.leads, c.repeats)
 }
 
 // play plays the course and returns what broke. played is false where the machines of the leader,
@@ -65,6 +66,9 @@
 		State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
 		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
 	})
+	if c.repeats > 0 {
+		w.RepeatCommands(uint64(seed), c.repeats, 10*time.Minute)
+	}
 	w.Run(3 * time.Second)
 	users := w.replicas(1, 6, "red", 3)
 	for end := w.now + time.Minute; w.now < end && w.used["red"] < 36; {
@@ -129,7 +133,7 @@
 		for _, hungAt := range hungBefore {
 			for _, hung := range []int{1, 8} {
 				for _, leads := range []bool{false, true} {
-					courses = append(courses, hangCourse{trouble, at, hungAt, hung, leads})
+					courses = append(courses, hangCourse{trouble: trouble, at: at, hungAt: hungAt, hung: hung, leads: leads})
 				}
 			}
 		}
--- a/internal/testkit/simtest/night_test.go
+++ b/internal/testkit/simtest/night_test.go
@@ -45,13 +45,7 @@
 	}},
 	{"silent controllers", func(w *World, d time.Duration) { w.Freeze(w.anyOf(), d) }},
 	{"machines back in a moment", func(w *World, d time.Duration) {
-		w.some(30, func(k *worker) {
-			k.clear()
-			k.session, k.lease, k.known, k.tasks = k.session+1, w.now, map[string]bool{}, nil
-			if w.rng.IntN(2) == 0 { // its worker remembers nothing at all
-				k.session, k.seq, k.token = 1, 0, 0
-			}
-		})
+		w.some(30, func(k *worker) { k.restart(w.rng.IntN(2) != 0) })
 	}},
 	{"machines late or never", func(w *World, d time.Duration) {
 		w.night.boot = func(usual time.Duration) time.Duration {
@@ -110,37 +104,50 @@
 // to be known 75 s after the last trouble, at least half of each team, class and
 // class's largest jobs to begin, and the largest within four minutes.
 func TestBadNights(t *testing.T) {
-	n := uint64(len(trials))
 	for seed := *first; seed < *first+*nights; seed++ {
-		a, b := trials[seed%n], trials[(seed*7+seed/n)%n]
+		a, b := nightTrials(seed)
 		t.Run(fmt.Sprintf("%d %s, %s", seed, a.name, b.name), func(t *testing.T) {
 			t.Parallel()
-			w := NewNight(seed)
-			for i := range 75 {
-				w.SubmitNight(i, time.Duration(w.rng.IntN(120))*time.Second)
-			}
-			end := time.Duration(0)
-			for i, x := range []trial{a, b} {
-				at, d := time.Duration(30+w.rng.IntN(40))*time.Second, time.Duration(15+w.rng.IntN(55))*time.Second
-				if i == 0 || b.name != a.name {
-					w.after(at, func() { x.do(w, d) })
-				}
-				end = max(end, at+d)
-			}
-			w.night.calmAt = end + 3*time.Duration(w.cfg.Workers.LeaseS)*time.Second // copies come so late
-			w.Run(480 * time.Second)
-			w.complain(t)
-			for _, x := range w.Unserved() {
-				t.Error(x)
-			}
-			if left := w.Unfinished(); len(left) > 0 {
-				t.Errorf("not over long after the troubles: %v", left)
-			}
-			t.Logf("%d starts, %d completions", w.Starts, w.Dones)
+			playNight(t, seed, func(*World) {})
 		})
 	}
 }
 
+// nightTrials returns the two troubles of a bad night.
+func nightTrials(seed uint64) (a, b trial) {
+	n := uint64(len(trials))
+	return trials[seed%n], trials[(seed*7+seed/n)%n]
+}
+
+// playNight plays a bad night, beside what else begins with the world.
+func playNight(t *testing.T, seed uint64, begin func(w *World)) {
+	t.Helper()
+	a, b := nightTrials(seed)
+	w := NewNight(seed)
+	begin(w)
+	for i := range 75 {
+		w.SubmitNight(i, time.Duration(w.rng.IntN(120))*time.Second)
+	}
+	end := time.Duration(0)
+	for i, x := range []trial{a, b} {
+		at, d := time.Duration(30+w.rng.IntN(40))*time.Second, time.Duration(15+w.rng.IntN(55))*time.Second
+		if i == 0 || b.name != a.name {
+			w.after(at, func() { x.do(w, d) })
+		}
+		end = max(end, at+d)
+	}
+	w.night.calmAt = end + 3*time.Duration(w.cfg.Workers.LeaseS)*time.Second // copies come so late
+	w.Run(480 * time.Second)
+	w.complain(t)
+	for _, x := range w.Unserved() {
+		t.Error(x)
+	}
+	if left := w.Unfinished(); len(left) > 0 {
+		t.Errorf("not over long after the troubles: %v", left)
+	}
+	t.Logf("%d starts, %d completions, %d repeated commands", w.Starts, w.Dones, w.repeats.count)
+}
+
 // TestNightsCheckersBite plants one fault for each of the added rules: nobody can
 // answer, the cloud has no machines, and it has them after five minutes.
 func TestNightsCheckersBite(t *testing.T) {
--- a/internal/testkit/simtest/world_test.go
+++ b/internal/testkit/simtest/world_test.go
@@ -114,36 +114,43 @@
 	for seed := *first; seed < *first+*seeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			w := New(seed)
-			for i := range 45 {
-				w.Submit(i, time.Duration(w.rng.IntN(200))*time.Second)
-			}
-			w.trouble(220 * time.Second)
-			w.Run(260 * time.Second)
-			for _, b := range w.Broken() {
-				t.Error(b)
-			}
-			if t.Failed() {
-				return
-			}
-			w.Run(300 * time.Second)
-			for _, b := range w.Broken() {
-				t.Error(b)
-			}
-			if left := w.Unfinished(); len(left) > 0 {
-				t.Errorf("not over long after the troubles: %v", left)
-			}
-			if w.Starts == 0 || w.Dones == 0 {
-				t.Errorf("nothing ran: %d starts, %d completions", w.Starts, w.Dones)
-			}
-			// Jobs that stop each other in turn show as starts without end.
-			if w.Starts > 4*w.Dones+300 {
-				t.Errorf("%d starts for %d completions", w.Starts, w.Dones)
-			}
+			playSeededDay(t, seed, func(*World) {})
 		})
 	}
 }
 
+// playSeededDay plays a day of TestSeededDays, beside what else begins with the world.
+func playSeededDay(t *testing.T, seed uint64, begin func(w *World)) {
+	t.Helper()
+	w := New(seed)
+	begin(w)
+	for i := range 45 {
+		w.Submit(i, time.Duration(w.rng.IntN(200))*time.Second)
+	}
+	w.trouble(220 * time.Second)
+	w.Run(260 * time.Second)
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+	if t.Failed() {
+		return
+	}
+	w.Run(300 * time.Second)
+	for _, b := range w.Broken() {
+		t.Error(b)
+	}
+	if left := w.Unfinished(); len(left) > 0 {
+		t.Errorf("not over long after the troubles: %v", left)
+	}
+	if w.Starts == 0 || w.Dones == 0 {
+		t.Errorf("nothing ran: %d starts, %d completions", w.Starts, w.Dones)
+	}
+	// Jobs that stop each other in turn show as starts without end.
+	if w.Starts > 4*w.Dones+300 {
+		t.Errorf("%d starts for %d completions", w.Starts, w.Dones)
+	}
+}
+
 // TestLargeFleet plays days of a fleet of up to 1,200 machines and five
 // controllers, with a state service that takes few changes and small values:
 // waves of losses, cuts, machines that hang, slow controllers, all of them
