One type decides whether a start may still take effect

Cause: the states of a delivery, the sequence of the answered heartbeat and the token from which a start is void stood in three fields of an attempt, and commands.go, observe.go and delivery.go each asked a part of the question.

Change: startDelivery holds them and answers, from what the newest status of the worker proves (startEvidence). Behaviour is as it was.

--- a/internal/core/owner/attempt.go
+++ b/internal/core/owner/attempt.go
@@ -37,9 +37,7 @@
 	stopping bool // it is to be halted
 	counted  bool // in what its team uses
 
-	delivery         delivery
-	answeredSequence uint64            // inHeartbeatAnswer: the heartbeat that was answered
-	voidFromToken    wire.FencingToken // commandUnconfirmed: a worker that has seen this token ignores the start
+	delivery startDelivery
 
 	startedAt time.Time
 }
--- a/internal/core/owner/commands.go
+++ b/internal/core/owner/commands.go
@@ -25,8 +25,8 @@
 // markUrgent notes that a machine has commands that should not wait for a heartbeat.
 func (w *workerRegistry) markUrgent(m *machine) { w.urgent[m.name] = true }
 
-// commandsFor returns what the worker is to do, and marks the starts among it as sent.
-func (o *Owner) commandsFor(m *machine, how delivery) []wire.Command {
+// commandsFor returns what the worker is to do, and marks the starts among it as sent in this way.
+func (o *Owner) commandsFor(m *machine, delivery startDelivery) []wire.Command {
 	delete(o.workers.urgent, m.name)
 	if !m.needsCommands() {
 		return []wire.Command{}
@@ -35,7 +35,7 @@
 	commands := o.forgetsAndHalts(m, keys)
 	// A direct command only while the tokens prove that the worker receives: a command in
 	// flight is void once a higher token has come, and that may come together with it.
-	if !o.mayStart() || m.released() || (how == byCommand && !m.hasShownToken()) {
+	if !o.mayStart() || m.released() || (delivery.state == sentByCommand && !m.hasShownToken()) {
 		return commands
 	}
 	for _, key := range keys {
@@ -43,7 +43,7 @@
 		if a.state != attemptQueued || len(commands) > maxCommands {
 			continue
 		}
-		o.markSent(a, how)
+		a.state, a.delivery = attemptSent, delivery
 		commands = append(commands, wire.Command{Op: wire.CommandStart, Task: a.task, Attempt: a.number})
 	}
 	return commands
@@ -89,18 +89,10 @@
 	return 0
 }
 
-// markSent notes that the start of an attempt is sent now.
-func (o *Owner) markSent(a *attempt, how delivery) {
-	m := a.machine
-	a.state, a.delivery = attemptSent, how
-	a.answeredSequence = m.sequence
-	a.voidFromToken = o.fencingToken(m) + 1
-}
-
 // mayForget reports whether the worker may forget an ended attempt: its completion is
 // stored and no copy of its start can still arrive.
 func (o *Owner) mayForget(a *attempt) bool {
-	if a.commandMayArrive() {
+	if a.delivery.mayArriveByCommand(a.machine.token) {
 		return false
 	}
 	return a.job == nil || a.job.Ended || !a.job.isDone(a.index) || a.job.isStored(a.index)
@@ -121,7 +113,7 @@
 		if !o.acceptsCommand(m) || m.released() || m.agentEpoch == 0 {
 			continue
 		}
-		if commands := o.commandsFor(m, byCommand); len(commands) > 0 {
+		if commands := o.commandsFor(m, byCommand(o.fencingToken(m))); len(commands) > 0 {
 			o.sendUrgent(m, commands)
 		}
 	}
@@ -162,7 +154,7 @@
 func (o *Owner) handleCommandResult(m *machine, started []*attempt, d eventloop.Completion) {
 	m.commands.end()
 	for _, a := range started {
-		a.endCommand()
+		a.delivery.endCommand()
 	}
 	if o.workers.machines[m.name] != m {
 		return
@@ -171,7 +163,7 @@
 	switch {
 	case d.Outcome == eventloop.Succeeded && hasStatus:
 		for _, a := range started {
-			a.confirmCommand()
+			a.delivery.confirmCommand()
 		}
 		o.observe(m, d.Heartbeat, statusInAnswer)
 	case d.Outcome == eventloop.Conflict || d.Outcome == eventloop.Rejected || d.Outcome == eventloop.NotSent:
--- a/internal/core/owner/heartbeat.go
+++ b/internal/core/owner/heartbeat.go
@@ -59,7 +59,7 @@
 	o.placeSoon()
 	m.answeringHeartbeat = false
 	deadline := o.answerDeadline()
-	commands := o.commandsFor(m, inHeartbeatAnswer)
+	commands := o.commandsFor(m, inAnswer(m.sequence))
 	if slices.ContainsFunc(commands, func(c wire.Command) bool { return c.Op == wire.CommandStart }) {
 		deadline = o.startDeadline()
 	}
--- a/internal/core/owner/observe.go
+++ b/internal/core/owner/observe.go
@@ -153,12 +153,13 @@
 // dropUnlisted drops the attempts that the worker does not list and that therefore are
 // certainly not running. One whose start may still arrive stays.
 func (o *Owner) dropUnlisted(m *machine, hb *wire.Heartbeat, listed map[attemptKey]bool, source heartbeatSource, epochEnded bool) {
+	evidence := startEvidence{shownToken: m.token, sequence: hb.Sequence, source: source}
 	for key, a := range m.attempts {
 		if listed[key] || a.state == attemptQueued {
 			continue
 		}
 		// Otherwise it was killed with its agent epoch, or forgotten.
-		if !epochEnded && !a.reported && a.mayStillStart(hb, source) {
+		if !epochEnded && !a.reported && a.delivery.mayTakeEffect(evidence) {
 			continue
 		}
 		o.dropAttempt(a, a.whyUnlisted(epochEnded))
@@ -176,13 +177,3 @@
 		return attemptNotListed
 	}
 }
-
-// mayStillStart reports whether the start of an attempt that its worker has never listed may
-// still be executed.
-func (a *attempt) mayStillStart(hb *wire.Heartbeat, source heartbeatSource) bool {
-	if a.delivery == inHeartbeatAnswer {
-		// The worker executes the answer, or drops it, before its next heartbeat.
-		return source != heartbeatReceived || hb.Sequence <= a.answeredSequence
-	}
-	return a.commandMayArrive()
-}
