An ended attempt is forgotten only once every copy of its start is void

Callers saw a task on two machines at once, and a task of a cancelled job on its machine long after cancel_s.

Cause: the answer to a direct command was taken for proof that no copy of the command is on its way. It proves only that the command was carried out. So the worker was told to forget the attempt as soon as it had ended; after that a copy of the start runs it again, as the protocol says.

Evidence: the records (start carried out and answered at 26.58 s, forget carried out at 28.48, the answered call arrives once more at 28.78 and the start in it is carried out, while the task's next attempt is on another machine).

Change: a start that was sent by a direct command may take effect until the worker has shown a higher token, answered or not. The token is raised in the answer to the next heartbeat once an attempt that was so started has ended, one raise for all, and the forget follows when the worker has shown it. The worker refuses a direct command below a token that it was sent, so while it has not shown the raised one a start waits for a command without starts, whose answer shows it. An attempt that is adopted under the grant it was started with counts as sent by a command.

Why it works: the worker itself checks the token, so a copy can no longer be carried out from the moment from which the attempt may be forgotten.

--- a/internal/core/owner/attempt.go
+++ b/internal/core/owner/attempt.go
@@ -70,6 +70,9 @@
 // which is then halted.
 func (o *Owner) adoptAttempt(m *machine, t *wire.TaskStatus) *attempt {
 	a := &attempt{task: t.Task, number: t.Attempt, machine: m, stopping: true, startedAt: o.loop.Now}
+	if wire.FencingToken(t.Attempt).Grant() >= m.firstToken.Grant() {
+		a.delivery = byCommand(o.fencingToken(m)) // this controller has sent it, and does not know how any more
+	}
 	m.attempts[a.key()] = a
 	id, i, ok := splitTask(t.Task)
 	j := o.jobs[id]
--- a/internal/core/owner/commands.go
+++ b/internal/core/owner/commands.go
@@ -33,9 +33,7 @@
 	}
 	keys := sortedAttempts(m)
 	commands := o.forgetsAndHalts(m, keys)
-	// A direct command only while the tokens prove that the worker receives: a command in
-	// flight is void once a higher token has come, and that may come together with it.
-	if !o.mayStart() || m.released() || (delivery.state == sentByCommand && !m.hasShownToken()) {
+	if !o.mayStart() || m.released() || (delivery.state == sentByCommand && !m.acceptsDirectStarts()) {
 		return commands
 	}
 	for _, key := range keys {
@@ -49,6 +47,12 @@
 	return commands
 }
 
+// acceptsDirectStarts reports whether starts may be sent to the machine by direct commands: while
+// the tokens prove that the worker receives, as a command in flight is void once a higher token
+// has come, and that may come together with it; and while the worker has shown the highest that
+// was sent to it, as it refuses a lower one.
+func (m *machine) acceptsDirectStarts() bool { return m.hasShownToken() && m.token >= m.sentToken }
+
 // needsCommands reports whether an attempt on the machine is to be started, halted or
 // forgotten.
 func (m *machine) needsCommands() bool {
@@ -67,8 +71,8 @@
 		a := m.attempts[key]
 		switch {
 		case a.ended():
-			// A start that may still be in flight would run again after a forget: the
-			// ended entry stays until the token has moved.
+			// A start that may still arrive would run again after a forget: the ended
+			// entry stays until the worker has shown a higher token.
 			if o.mayForget(a) {
 				commands = append(commands, wire.Command{Op: wire.CommandForget, Task: a.task, Attempt: a.number})
 			}
@@ -113,12 +117,30 @@
 		if !o.acceptsCommand(m) || m.released() || m.agentEpoch == 0 {
 			continue
 		}
-		if commands := o.commandsFor(m, byCommand(o.fencingToken(m))); len(commands) > 0 {
+		commands := o.commandsFor(m, byCommand(o.startToken(m)))
+		// Without a command its answer shows the token that the starts wait for.
+		if len(commands) > 0 || (m.hasQueued() && m.token < m.sentToken) {
 			o.sendUrgent(m, commands)
 		}
 	}
 }
 
+// startToken returns the token with which starts are sent to the machine by direct commands. Under
+// a new grant the worker has shown a token of the one before. A controller that keeps the worker
+// while such a command is in flight raises the token shown: a start with a token above that would
+// outlive all raises.
+func (o *Owner) startToken(m *machine) wire.FencingToken { return min(o.fencingToken(m), m.token) }
+
+// hasQueued reports whether the start of an attempt on the machine is still to be sent.
+func (m *machine) hasQueued() bool {
+	for _, a := range m.attempts {
+		if a.state == attemptQueued {
+			return true
+		}
+	}
+	return false
+}
+
 // acceptsCommand reports whether a direct command may be sent to the machine now.
 func (o *Owner) acceptsCommand(m *machine) bool {
 	return m.commands.mayBeSent(o.loop.Now) && !m.answeringHeartbeat && m.endpoint != ""
@@ -132,12 +154,9 @@
 			started = append(started, a)
 		}
 	}
-	token := o.fencingToken(m)
-	if len(started) > 0 {
-		// Under a new grant the worker has shown a token of the one before. A controller
-		// that keeps the worker while this command is in flight raises the token shown: a
-		// start with a token above that would outlive all raises.
-		token = min(token, m.token)
+	token := o.startToken(m)
+	if len(started) == 0 {
+		token = o.tokenToSend(m)
 	}
 	body := wire.Commands{Token: token, AgentEpoch: m.agentEpoch, Commands: commands}
 	o.sendDirect(m, body, o.startDeadline(), func(d eventloop.Completion) { o.handleCommandResult(m, started, d) })
@@ -153,19 +172,16 @@
 // handleCommandResult applies the result of a direct command that started some attempts.
 func (o *Owner) handleCommandResult(m *machine, started []*attempt, d eventloop.Completion) {
 	m.commands.end()
-	for _, a := range started {
-		a.delivery.endCommand()
-	}
 	if o.workers.machines[m.name] != m {
 		return
 	}
 	hasStatus := d.Heartbeat != nil && d.Heartbeat.Machine == m.name
 	switch {
 	case d.Outcome == eventloop.Succeeded && hasStatus:
-		for _, a := range started {
-			a.delivery.confirmCommand()
-		}
 		o.observe(m, d.Heartbeat, statusInAnswer)
+		if m.hasQueued() {
+			o.workers.markUrgent(m)
+		}
 	case d.Outcome == eventloop.Conflict || d.Outcome == eventloop.Rejected || d.Outcome == eventloop.NotSent:
 		o.dropUnexecutedStarts(m, started)
 		if d.Outcome == eventloop.Conflict && hasStatus {
--- a/internal/core/owner/delivery.go
+++ b/internal/core/owner/delivery.go
@@ -4,26 +4,25 @@
 
 // deliveryState says how the start of an attempt was sent.
 //
-//	notSent → sentInAnswer                  in the answer to a heartbeat; final
-//	notSent → sentByCommand                 by a direct command
-//	sentByCommand → commandUnconfirmed      the command has a result, which may be that no answer came
-//	commandUnconfirmed → commandConfirmed   the result was the worker's answer; final
+//	notSent → sentInAnswer    in the answer to a heartbeat; final
+//	notSent → sentByCommand   by a direct command; final
 type deliveryState int
 
 const (
-	notSent            deliveryState = iota
-	sentInAnswer                     // executed before the worker's next heartbeat, or never
-	sentByCommand                    // in a direct command that has no result yet
-	commandUnconfirmed               // may be executed until the worker has seen a higher token
-	commandConfirmed                 // answered by the worker: no copy is in flight
+	notSent       deliveryState = iota // here: it was queued, or another controller sent it under an earlier grant
+	sentInAnswer                       // executed before the worker's next heartbeat, or never
+	sentByCommand                      // may be executed, also once more, until the worker has seen a higher token
 )
 
 // startDelivery is how the start of an attempt was sent. It alone decides whether the start may
 // still take effect at the worker.
+//
+// The answer to a direct command proves that the command was executed, not that no copy of it
+// remains. Only what the worker checks itself makes a copy void: its token and its agent epoch.
 type startDelivery struct {
 	state            deliveryState
 	answeredSequence uint64            // sentInAnswer: the heartbeat that was answered
-	voidFromToken    wire.FencingToken // commandUnconfirmed: a worker that has seen this token ignores the start
+	voidFromToken    wire.FencingToken // sentByCommand: a worker that has seen this token ignores the start
 }
 
 // startEvidence is what the newest status of a worker proves of the starts that were sent to it.
@@ -38,36 +37,15 @@
 	return startDelivery{state: sentInAnswer, answeredSequence: sequence}
 }
 
-// byCommand returns the delivery of a start in a direct command with this token.
+// byCommand returns the delivery of a start in a direct command with this token, or a lower one.
 func byCommand(token wire.FencingToken) startDelivery {
 	return startDelivery{state: sentByCommand, voidFromToken: token + 1}
 }
 
-// endCommand applies that the direct command with the start has a result.
-func (d *startDelivery) endCommand() {
-	if d.state == sentByCommand {
-		d.state = commandUnconfirmed
-	}
-}
-
-// confirmCommand applies that the worker has answered the direct command with the start.
-func (d *startDelivery) confirmCommand() {
-	if d.state == commandUnconfirmed {
-		d.state = commandConfirmed
-	}
-}
-
 // mayArriveByCommand reports whether a direct command with the start may still be executed by a
 // worker that has shown this token.
 func (d *startDelivery) mayArriveByCommand(shownToken wire.FencingToken) bool {
-	switch d.state {
-	case sentByCommand:
-		return true
-	case commandUnconfirmed:
-		return shownToken < d.voidFromToken
-	default:
-		return false
-	}
+	return d.state == sentByCommand && shownToken < d.voidFromToken
 }
 
 // mayTakeEffect reports whether the start may still be executed by a worker that does not list its
--- a/internal/core/owner/fencing.go
+++ b/internal/core/owner/fencing.go
@@ -20,6 +20,12 @@
 	return o.blockLease.Token(m.tokenIncrement)
 }
 
+// tokenToSend returns the token that is now sent to the machine's worker.
+func (o *Owner) tokenToSend(m *machine) wire.FencingToken {
+	m.sentToken = max(m.sentToken, o.fencingToken(m))
+	return o.fencingToken(m)
+}
+
 // hasShownToken reports whether the tokens in the worker's heartbeats prove that it receives
 // what this controller sends. A worker that receives no answers still sends heartbeats, to
 // one controller after another, until its lease ends. So after an unanswered command, or an
@@ -44,6 +50,19 @@
 	}
 }
 
+// fenceEndedAttempts raises the token of a machine with ended attempts whose starts may arrive once
+// more, so that the worker can forget them once it has shown that token. One raise serves all that
+// have ended. The worker need not show it to be sent commands: the token of a lost answer is sent
+// again with the next one.
+func (o *Owner) fenceEndedAttempts(m *machine) {
+	for _, a := range m.attempts {
+		if a.ended() && a.delivery.mayArriveByCommand(o.fencingToken(m)) {
+			m.tokenIncrement++
+			return
+		}
+	}
+}
+
 // adoptRaisedToken continues from a token that another controller has raised within this
 // grant, see raiseForeignToken.
 func (o *Owner) adoptRaisedToken(m *machine, token wire.FencingToken) {
--- a/internal/core/owner/heartbeat.go
+++ b/internal/core/owner/heartbeat.go
@@ -45,7 +45,7 @@
 		// Superseded by a newer heartbeat, or from before this controller had the
 		// machine. It may be a copy whose answer nobody reads; if the worker does wait
 		// for it, the answer renews its lease and tells it the token.
-		o.answerHeartbeat(e.Req, o.answerDeadline(), o.fencingToken(m), []wire.Command{})
+		o.answerHeartbeat(e.Req, o.answerDeadline(), o.tokenToSend(m), []wire.Command{})
 		return
 	}
 	o.answerOwnWorker(e.Req, m)
@@ -54,6 +54,7 @@
 // answerOwnWorker answers the newest heartbeat of a machine of the block, with commands.
 func (o *Owner) answerOwnWorker(req uint64, m *machine) {
 	o.fenceOverdueCommand(m)
+	o.fenceEndedAttempts(m)
 	m.lastAnswered = o.loop.Now
 	m.answeringHeartbeat = true
 	o.placeSoon()
@@ -63,7 +64,7 @@
 	if slices.ContainsFunc(commands, func(c wire.Command) bool { return c.Op == wire.CommandStart }) {
 		deadline = o.startDeadline()
 	}
-	o.answerHeartbeat(req, deadline, o.fencingToken(m), commands)
+	o.answerHeartbeat(req, deadline, o.tokenToSend(m), commands)
 }
 
 // answerHeartbeat answers a heartbeat, which renews the worker's lease, unless the answer
--- a/internal/core/owner/machine.go
+++ b/internal/core/owner/machine.go
@@ -42,6 +42,7 @@
 	token          wire.FencingToken // highest that the worker has reported
 	tokenIncrement uint64            // raises this machine's token above earlier starts
 	firstToken     wire.FencingToken // first token of this block lease; a heartbeat below it may be a copy of any age
+	sentToken      wire.FencingToken // highest that was sent to the worker
 	minAckToken    wire.FencingToken // token that the worker has to show to count as one that receives commands
 	lastAnswered   time.Time         // when a heartbeat of this agent epoch was last answered here
 
--- a/internal/core/owner/probe.go
+++ b/internal/core/owner/probe.go
@@ -91,7 +91,7 @@
 		epoch = m.expectedEpoch
 	}
 	o.workers.probesInFlight++
-	body := wire.Commands{Token: o.fencingToken(m), AgentEpoch: epoch, Commands: []wire.Command{}}
+	body := wire.Commands{Token: o.tokenToSend(m), AgentEpoch: epoch, Commands: []wire.Command{}}
 	o.sendDirect(m, body, o.blockLease.Expires(), func(d eventloop.Completion) {
 		o.workers.probesInFlight--
 		o.handleCommandResult(m, nil, d)
