An attempt that is listed alive after its end is halted or counts again

Callers saw a task of a cancelled job on its machine for as long as it ran: its controller had the attempt as ended and sent it nothing but a forget, which does nothing to a running task.

Cause: a check in one path and not in another. A worker's status of an attempt that is not in the books goes to adoptAttempt, which halts what must not run. One that is in the books as ended was not looked at any more, so nobody counted or halted it and the cancellation passed it by.

Evidence: the records. From 29.08 s to 108.60 s the owner sends forget for the attempt 13 times and never a halt; the task stands on its machine at 134.0 s.

Why it works: the status is newer than the one with the end, so the attempt does run, whatever the reason; adoptAttempt is the one place that decides what becomes of an attempt that runs.

--- a/internal/core/controller/status.go
+++ b/internal/core/controller/status.go
@@ -79,3 +79,7 @@
 
 // MachineCount returns how many machines are in this controller's block.
 func (c *Core) MachineCount() int { return c.owner.MachineCount() }
+
+// EndedAttemptsListedAlive returns how many attempts workers of this controller listed alive after
+// they had reported their end, since it started.
+func (c *Core) EndedAttemptsListedAlive() int { return c.owner.EndedAttemptsListedAlive() }
--- a/internal/core/owner/attempt.go
+++ b/internal/core/owner/attempt.go
@@ -97,6 +97,21 @@
 	return a
 }
 
+// adoptListedAlive takes up an attempt anew that the worker lists alive though it had ended. Only its
+// start, executed once more, can have done that.
+func (o *Owner) adoptListedAlive(ended *attempt, t *wire.TaskStatus, hb *wire.Heartbeat) *attempt {
+	m := ended.machine
+	o.workers.endedListedAlive++
+	o.log.Error("ended attempt is listed alive", "task", t.Task, "attempt", t.Attempt, "machine", m.name, "state", t.State,
+		"token", hb.Token, "void_from_token", ended.delivery.voidFromToken, "epoch", hb.AgentEpoch)
+	delete(m.attempts, ended.key())
+	a := o.adoptAttempt(m, t)
+	if a.stopping {
+		o.workers.markUrgent(m)
+	}
+	return a
+}
+
 // detach takes an attempt that is certainly not running, for this reason, off its job. The
 // task waits again if it is not completed.
 func (o *Owner) detach(a *attempt, reason uncountReason) {
--- a/internal/core/owner/observe.go
+++ b/internal/core/owner/observe.go
@@ -120,8 +120,11 @@
 		key := attemptKey{t.Task, t.Attempt}
 		listed[key] = true
 		a := m.attempts[key]
-		if a == nil {
+		switch {
+		case a == nil:
 			a = o.adoptAttempt(m, t)
+		case a.ended() && t.State != wire.TaskEnded:
+			a = o.adoptListedAlive(a, t, hb)
 		}
 		a.reported = true
 		if a.job == nil && t.State != wire.TaskEnded {
--- a/internal/core/owner/registry.go
+++ b/internal/core/owner/registry.go
@@ -20,6 +20,8 @@
 	unheardSince  time.Time         // since when machines of the block need reconciliation; zero: none does
 	highestToken  wire.FencingToken // that any worker has shown
 
+	endedListedAlive int // attempts that were listed alive after their end
+
 	urgent          map[string]bool      // machines with commands that should not wait for a heartbeat
 	toProbe         map[string]bool      // machines to be asked for their tasks
 	probesInFlight  int                  // at most maxProbesInFlight
@@ -101,6 +103,10 @@
 // HighestToken returns the highest fencing token that any worker has shown here.
 func (o *Owner) HighestToken() wire.FencingToken { return o.workers.highestToken }
 
+// EndedAttemptsListedAlive returns how many attempts were listed alive after workers had reported
+// their end.
+func (o *Owner) EndedAttemptsListedAlive() int { return o.workers.endedListedAlive }
+
 // UnreconciledMachines returns how many machines may run tasks that are not known here.
 func (o *Owner) UnreconciledMachines() int {
 	n := 0
