A worker that comes back without its token is reconciled anew

Callers saw, on a like service, a task on two machines and a cancelled one run again after a machine had come back within a second. Here it can happen: in TestAnsweredStartArrivesAfterARestart a late copy of an answered start ran again in all four cases (moved, cancelled, completed, job over) where the machine remembers nothing, also with the ended attempt still listed.

The owner goes by the highest token that the worker ever showed and takes its newest list for complete.

Change: three things that a worker within one agent epoch never does show that it has restarted: its token falls; the answer to a direct command, which is no late copy, has no higher sequence than was known when it was sent; an attempt that it has listed and was not told to forget is missing. Then its token is raised and the machine is reconciled as after a takeover: nothing of it is taken for ended, and nothing is placed on it, until it has shown the raised token, which makes every earlier start void. An outdated heartbeat with a lower token may be a late copy; it is answered with a token above the one shown, once, in case its worker waits for the answer.

What no controller can close: a copy that arrives at the new process before the first answer does.

--- a/internal/core/controller/status.go
+++ b/internal/core/controller/status.go
@@ -83,3 +83,7 @@
 // EndedAttemptsListedAlive returns how many attempts workers of this controller listed alive after
 // they had reported their end, since it started.
 func (c *Core) EndedAttemptsListedAlive() int { return c.owner.EndedAttemptsListedAlive() }
+
+// WorkerRestarts returns how many times workers of this controller are known to have come back
+// without what they had seen, since it started.
+func (c *Core) WorkerRestarts() int { return c.owner.WorkerRestarts() }
--- a/internal/core/owner/attempt.go
+++ b/internal/core/owner/attempt.go
@@ -32,10 +32,11 @@
 	number  uint64
 	machine *machine
 
-	state    attemptState
-	reported bool // the worker has reported it
-	stopping bool // it is to be halted
-	counted  bool // in what its team uses
+	state      attemptState
+	reported   bool // the worker has reported it
+	stopping   bool // it is to be halted
+	forgetSent bool // the worker was told to forget it
+	counted    bool // in what its team uses
 
 	delivery startDelivery
 
--- a/internal/core/owner/commands.go
+++ b/internal/core/owner/commands.go
@@ -74,6 +74,7 @@
 			// A start that may still arrive would run again after a forget: the ended
 			// entry stays until the worker has shown a higher token.
 			if o.mayForget(a) {
+				a.forgetSent = true
 				commands = append(commands, wire.Command{Op: wire.CommandForget, Task: a.task, Attempt: a.number})
 			}
 		case a.stopping && a.state != attemptQueued:
@@ -165,7 +166,7 @@
 // sendDirect sends a direct command unless that cannot be done by the deadline; done gets
 // its result.
 func (o *Owner) sendDirect(m *machine, body wire.Commands, deadline time.Time, done func(eventloop.Completion)) {
-	m.commands.begin(o.loop.Now)
+	m.commands.begin(o.loop.Now, m.agentEpoch, m.sequence)
 	o.loop.Emit(eventloop.WorkerCommands{Endpoint: m.endpoint, Until: deadline, Body: body, ID: o.loop.OnCompletion(done)})
 }
 
@@ -178,7 +179,7 @@
 	hasStatus := d.Heartbeat != nil && d.Heartbeat.Machine == m.name
 	switch {
 	case d.Outcome == eventloop.Succeeded && hasStatus:
-		o.observe(m, d.Heartbeat, statusInAnswer)
+		o.observeAnswer(m, d.Heartbeat)
 		if m.hasQueued() {
 			o.workers.markUrgent(m)
 		}
@@ -186,7 +187,7 @@
 		o.dropUnexecutedStarts(m, started)
 		if d.Outcome == eventloop.Conflict && hasStatus {
 			o.adoptRaisedToken(m, d.Heartbeat.Token)
-			o.observe(m, d.Heartbeat, statusInAnswer)
+			o.observeAnswer(m, d.Heartbeat)
 		}
 		m.commands.pauseUntil(o.loop.Now.Add(rejectedCommandBackoff))
 	default:
@@ -199,6 +200,17 @@
 	o.updateIdle(m)
 }
 
+// observeAnswer applies the status in the answer to a direct command. It was made after the command
+// was sent, so it is newer than any that was known then, unless the worker has restarted.
+func (o *Owner) observeAnswer(m *machine, hb *wire.Heartbeat) {
+	if !isNewer(hb, m.commands.knownEpoch, m.commands.knownSequence) {
+		o.handleWorkerRestart(m, hb, sequenceFell)
+		return
+	}
+	m.expectedEpoch = hb.AgentEpoch
+	o.observe(m, hb, statusInAnswer)
+}
+
 // dropUnexecutedStarts drops the attempts of a command of which nothing was executed, and
 // never will be.
 func (o *Owner) dropUnexecutedStarts(m *machine, started []*attempt) {
--- a/internal/core/owner/direct_commands.go
+++ b/internal/core/owner/direct_commands.go
@@ -21,6 +21,9 @@
 	commandSentAt time.Time // of the newest command
 	unanswered    int       // since the worker last acknowledged
 	notBefore     time.Time // when the next one may be sent
+
+	// The newest status of the worker that was known when the newest command was sent; 0: none.
+	knownEpoch, knownSequence uint64
 }
 
 // inFlight reports whether a command is sent that has no result yet.
@@ -31,8 +34,16 @@
 	return !c.inFlight() && !now.Before(c.notBefore)
 }
 
-// begin applies that a command is sent now.
-func (c *directCommands) begin(now time.Time) { c.state, c.commandSentAt = commandInFlight, now }
+// begin applies that a command is sent now, while the newest status known has this agent epoch and
+// sequence.
+func (c *directCommands) begin(now time.Time, knownEpoch, knownSequence uint64) {
+	c.state, c.commandSentAt = commandInFlight, now
+	c.knownEpoch, c.knownSequence = knownEpoch, knownSequence
+}
+
+// forgetKnown applies that what was known when the newest command was sent is of an earlier process
+// of the worker.
+func (c *directCommands) forgetKnown() { c.knownEpoch, c.knownSequence = 0, 0 }
 
 // end applies that the command in flight has a result.
 func (c *directCommands) end() { c.state = noCommandInFlight }
--- a/internal/core/owner/heartbeat.go
+++ b/internal/core/owner/heartbeat.go
@@ -45,6 +45,7 @@
 		// Superseded by a newer heartbeat, or from before this controller had the
 		// machine. It may be a copy whose answer nobody reads; if the worker does wait
 		// for it, the answer renews its lease and tells it the token.
+		o.fenceStaleHeartbeat(m, hb)
 		o.answerHeartbeat(e.Req, o.answerDeadline(), o.tokenToSend(m), []wire.Command{})
 		return
 	}
--- a/internal/core/owner/observe.go
+++ b/internal/core/owner/observe.go
@@ -22,13 +22,17 @@
 // observe applies a worker's status to what is known of its machine and its attempts.
 //
 // It returns false for a status that says nothing: one that is older than the newest known,
-// or below this block lease's first token. Copies of heartbeats come late, by more than a
+// or below this block lease's first token, or from a worker that has restarted. Copies of heartbeats come late, by more than a
 // worker's lease, and a controller that has just taken a machine over knows no newer one:
 // from such a heartbeat it learns only the endpoint to probe.
 func (o *Owner) observe(m *machine, hb *wire.Heartbeat, source heartbeatSource) bool {
 	if !isNewer(hb, m.agentEpoch, m.sequence) {
 		return false
 	}
+	if m.agentEpoch != 0 && hb.Token < m.token {
+		o.handleWorkerRestart(m, hb, tokenFell)
+		return false
+	}
 	if hb.Token < m.firstToken {
 		o.learnEndpoint(m, machineInfo(hb))
 		m.expectedEpoch = max(m.expectedEpoch, hb.AgentEpoch)
@@ -43,7 +47,8 @@
 	o.observeLiveness(m, source)
 	o.observeMachine(m, hb)
 	o.observeReclaimNotice(m, hb)
-	if m.needsReconciliation {
+	reconciles := m.needsReconciliation
+	if reconciles {
 		// The worker has seen this controller's token: it executes no command of an earlier
 		// holder any more, and its list of tasks is complete.
 		m.needsReconciliation = false
@@ -53,7 +58,12 @@
 		}
 	}
 	listed := o.observeTasks(m, hb)
-	o.dropUnlisted(m, hb, listed, source, epochEnded)
+	if !epochEnded && !reconciles && m.missesAttempts(listed) {
+		o.handleWorkerRestart(m, hb, attemptsMissing)
+		return false
+	}
+	o.dropUnlisted(m, listed, endOfUnlisted{epochEnded: epochEnded, reconciles: reconciles},
+		startEvidence{shownToken: m.token, sequence: hb.Sequence, source: source})
 	o.updateIdle(m)
 	return true
 }
@@ -153,27 +163,34 @@
 	}
 }
 
+// endOfUnlisted is what proves that attempts which a worker does not list have ended, whatever their
+// starts.
+type endOfUnlisted struct {
+	epochEnded bool // they were killed with their agent epoch
+	reconciles bool // the status is the first under a token that makes all earlier starts void
+}
+
 // dropUnlisted drops the attempts that the worker does not list and that therefore are
 // certainly not running. One whose start may still arrive stays.
-func (o *Owner) dropUnlisted(m *machine, hb *wire.Heartbeat, listed map[attemptKey]bool, source heartbeatSource, epochEnded bool) {
-	evidence := startEvidence{shownToken: m.token, sequence: hb.Sequence, source: source}
+func (o *Owner) dropUnlisted(m *machine, listed map[attemptKey]bool, end endOfUnlisted, evidence startEvidence) {
 	for key, a := range m.attempts {
 		if listed[key] || a.state == attemptQueued {
 			continue
 		}
-		// Otherwise it was killed with its agent epoch, or forgotten.
-		if !epochEnded && !a.reported && a.delivery.mayTakeEffect(evidence) {
+		if !end.epochEnded && !end.reconciles && !a.reported && a.delivery.mayTakeEffect(evidence) {
 			continue
 		}
-		o.dropAttempt(a, a.whyUnlisted(epochEnded))
+		o.dropAttempt(a, a.whyUnlisted(end))
 	}
 }
 
 // whyUnlisted says why an attempt that its worker does not list is not running.
-func (a *attempt) whyUnlisted(epochEnded bool) uncountReason {
+func (a *attempt) whyUnlisted(end endOfUnlisted) uncountReason {
 	switch {
-	case epochEnded:
+	case end.epochEnded:
 		return agentEpochOver
+	case end.reconciles:
+		return workerRestarted
 	case a.reported:
 		return attemptForgotten
 	default:
--- a/internal/core/owner/quota_count.go
+++ b/internal/core/owner/quota_count.go
@@ -32,6 +32,7 @@
 	attemptForgotten                   // the worker had listed it and does not any more
 	attemptNotListed                   // never listed, and its start cannot be executed any more
 	agentEpochOver                     // ended with the worker's lease
+	workerRestarted                    // ended with the worker's process
 	startNotExecuted                   // the worker refused it, or it was not sent in time
 	startNotSent                       // it was taken back before
 	machineTerminated                  // the cloud has confirmed that
@@ -39,7 +40,7 @@
 )
 
 // uncountReasonNames are the keys of the reasons in the log.
-var uncountReasonNames = [uncountReasons]string{"ended", "forgotten", "not_listed", "epoch_over", "start_not_executed", "start_not_sent", "machine_terminated"}
+var uncountReasonNames = [uncountReasons]string{"ended", "forgotten", "not_listed", "epoch_over", "worker_restarted", "start_not_executed", "start_not_sent", "machine_terminated"}
 
 func (r uncountReason) String() string { return uncountReasonNames[r] }
 
--- a/internal/core/owner/registry.go
+++ b/internal/core/owner/registry.go
@@ -21,6 +21,7 @@
 	highestToken  wire.FencingToken // that any worker has shown
 
 	endedListedAlive int // attempts that were listed alive after their end
+	restarts         int // of workers, see restart.go
 
 	urgent          map[string]bool      // machines with commands that should not wait for a heartbeat
 	toProbe         map[string]bool      // machines to be asked for their tasks
@@ -107,6 +108,9 @@
 // their end.
 func (o *Owner) EndedAttemptsListedAlive() int { return o.workers.endedListedAlive }
 
+// WorkerRestarts returns how many times workers of the block are known to have restarted.
+func (o *Owner) WorkerRestarts() int { return o.workers.restarts }
+
 // UnreconciledMachines returns how many machines may run tasks that are not known here.
 func (o *Owner) UnreconciledMachines() int {
 	n := 0
--- a/internal/edge/node/usage.go
+++ b/internal/edge/node/usage.go
@@ -20,6 +20,7 @@
 	closedIdle                              int // idle connections closed to make room, at the last log
 	bodiesRefused                           int // bodies for which there was no memory, at the last log
 	endedAlive                              int // attempts listed alive after their end, at the last log
+	workerRestarts                          int // workers that came back without their token, at the last log
 }
 
 // countEffect counts an effect that uses a limited resource.
@@ -61,10 +62,10 @@
 	metrics.Read(sample)
 	rate := func(n int) float64 { return float64(int(10*float64(n)/took.Seconds())) / 10 }
 	sockets := n.sockets.counts()
-	refused, endedAlive := n.bodies.Refused(), n.core.EndedAttemptsListedAlive()
+	refused, endedAlive, restarts := n.bodies.Refused(), n.core.EndedAttemptsListedAlive(), n.core.WorkerRestarts()
 	n.log.Info("usage", "machines", n.core.MachineCount(), "connections", sockets.open, "stale_connections", sockets.stale, "direct_connections", sockets.direct,
 		"connections_closed", sockets.closedIdle-u.closedIdle, "memory_mb", sample[0].Value.Uint64()>>20, "bodies_refused", refused-u.bodiesRefused,
 		"state_requests_per_s", rate(u.stateRequests), "state_changes_per_s", rate(u.stateChanges), "cloud_calls_per_s", rate(u.cloudCalls),
-		"commands_per_s", rate(u.commands), "ended_attempts_alive", endedAlive-u.endedAlive, "busiest_second_events", max(u.busiestSecond, u.events))
-	*u = usage{since: now, second: now, closedIdle: sockets.closedIdle, bodiesRefused: refused, endedAlive: endedAlive}
+		"commands_per_s", rate(u.commands), "ended_attempts_alive", endedAlive-u.endedAlive, "worker_restarts", restarts-u.workerRestarts, "busiest_second_events", max(u.busiestSecond, u.events))
+	*u = usage{since: now, second: now, closedIdle: sockets.closedIdle, bodiesRefused: refused, endedAlive: endedAlive, workerRestarts: restarts}
 }
