Log lines that say with which token a start went and why a forget was allowed

Cause: the records of the incident could not tell under which token, agent epoch and grant an attempt was started, nor on what its controller held the start for over when it told the worker to forget it.

Change: 'start sent' and 'forget sent' at debug, each once an attempt. The delivery of a start holds the token that it was sent with, in place of the one above it. The on-call page has the lines to follow one attempt by; a test compares those below WARN with the code as well.

--- a/docs/oncall_test.go
+++ b/docs/oncall_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -42,9 +43,35 @@
 	}
 }
 
+// TestOnCallPageNamesLoggedMessages expects each message below WARN in a table of
+// operations-oncall.md to be logged at that level.
+func TestOnCallPageNamesLoggedMessages(t *testing.T) {
+	logged := loggedMessages(t, "Debug", "Info")
+	page, err := os.ReadFile("operations-oncall.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := regexp.MustCompile("(?m)^\\| `([^`]+)` \\| (DEBUG|INFO) \\|").FindAllStringSubmatch(string(page), -1)
+	if len(rows) == 0 {
+		t.Fatal("no rows")
+	}
+	for _, row := range rows {
+		if message, level := row[1], row[2]; logged[message] != level {
+			t.Errorf("row for %q at %s, logged at %q", message, level, logged[message])
+		}
+	}
+}
+
 // loggedWarnings returns the messages that the program logs at WARN and above, with their
 // levels.
 func loggedWarnings(t *testing.T) map[string]string {
+	t.Helper()
+	return loggedMessages(t, "Warn", "Error")
+}
+
+// loggedMessages returns the messages that the program logs by some methods of a logger, with
+// their levels.
+func loggedMessages(t *testing.T, methods ...string) map[string]string {
 	t.Helper()
 	out := map[string]string{}
 	for _, root := range []string{"../internal", "../cmd"} {
@@ -61,7 +88,7 @@
 			if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return nil
 			}
-			return addWarnings(out, path)
+			return addMessages(out, path, methods)
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -70,9 +97,8 @@
 	return out
 }
 
-// addWarnings adds the messages of one file: calls of the methods Warn and Error whose first
-// argument is a text.
-func addWarnings(out map[string]string, path string) error {
+// addMessages adds the messages of one file: calls of the methods whose first argument is a text.
+func addMessages(out map[string]string, path string, methods []string) error {
 	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
 	if err != nil {
 		return err
@@ -83,7 +109,7 @@
 			return true
 		}
 		method, ok := call.Fun.(*ast.SelectorExpr)
-		if !ok || (method.Sel.Name != "Warn" && method.Sel.Name != "Error") {
+		if !ok || !slices.Contains(methods, method.Sel.Name) {
 			return true
 		}
 		text, ok := call.Args[0].(*ast.BasicLit)
--- a/internal/core/owner/attempt.go
+++ b/internal/core/owner/attempt.go
@@ -104,7 +104,7 @@
 	m := ended.machine
 	o.workers.endedListedAlive++
 	o.log.Error("ended attempt is listed alive", "task", t.Task, "attempt", t.Attempt, "machine", m.name, "state", t.State,
-		"token", hb.Token, "void_from_token", ended.delivery.voidFromToken, "epoch", hb.AgentEpoch)
+		"token", hb.Token, "way", ended.delivery.state.String(), "start_token", ended.delivery.token, "epoch", hb.AgentEpoch)
 	delete(m.attempts, ended.key())
 	a := o.adoptAttempt(m, t)
 	if a.stopping {
--- a/internal/core/owner/commands.go
+++ b/internal/core/owner/commands.go
@@ -42,6 +42,8 @@
 			continue
 		}
 		a.state, a.delivery = attemptSent, delivery
+		o.log.Debug("start sent", "task", a.task, "attempt", a.number, "machine", m.name, "way", delivery.state.String(),
+			"token", delivery.token, "shown_token", m.token, "epoch", m.agentEpoch, "grant", o.blockLease.Grant())
 		commands = append(commands, wire.Command{Op: wire.CommandStart, Task: a.task, Attempt: a.number})
 	}
 	return commands
@@ -74,7 +76,7 @@
 			// A start that may still arrive would run again after a forget: the ended
 			// entry stays until the worker has shown a higher token.
 			if o.mayForget(a) {
-				a.forgetSent = true
+				o.noteForget(a)
 				commands = append(commands, wire.Command{Op: wire.CommandForget, Task: a.task, Attempt: a.number})
 			}
 		case a.stopping && a.state != attemptQueued:
@@ -85,6 +87,15 @@
 	return commands
 }
 
+// noteForget notes that the worker is told to forget an ended attempt.
+func (o *Owner) noteForget(a *attempt) {
+	if !a.forgetSent {
+		o.log.Debug("forget sent", "task", a.task, "attempt", a.number, "machine", a.machine.name, "way", a.delivery.state.String(),
+			"token", a.delivery.token, "shown_token", a.machine.token)
+	}
+	a.forgetSent = true
+}
+
 // graceSeconds returns how long a task has to end once it is halted: the time to save a
 // checkpoint, if it writes any and is to go on elsewhere.
 func (a *attempt) graceSeconds() float64 {
--- a/internal/core/owner/delivery.go
+++ b/internal/core/owner/delivery.go
@@ -14,6 +14,11 @@
 	sentByCommand                      // may be executed, also once more, until the worker has seen a higher token
 )
 
+// String returns the state's name in the log.
+func (s deliveryState) String() string {
+	return [...]string{"not_sent", "heartbeat_answer", "command"}[s]
+}
+
 // startDelivery is how the start of an attempt was sent. It alone decides whether the start may
 // still take effect at the worker.
 //
@@ -22,7 +27,7 @@
 type startDelivery struct {
 	state            deliveryState
 	answeredSequence uint64            // sentInAnswer: the heartbeat that was answered
-	voidFromToken    wire.FencingToken // sentByCommand: a worker that has seen this token ignores the start
+	token            wire.FencingToken // it was sent with this one, or a lower one; a worker that has seen a higher one ignores it
 }
 
 // startEvidence is what the newest status of a worker proves of the starts that were sent to it.
@@ -32,20 +37,20 @@
 	source     heartbeatSource
 }
 
-// inAnswer returns the delivery of a start in the answer to a heartbeat.
-func inAnswer(sequence uint64) startDelivery {
-	return startDelivery{state: sentInAnswer, answeredSequence: sequence}
+// inAnswer returns the delivery of a start in the answer to a heartbeat, with this token.
+func inAnswer(sequence uint64, token wire.FencingToken) startDelivery {
+	return startDelivery{state: sentInAnswer, answeredSequence: sequence, token: token}
 }
 
 // byCommand returns the delivery of a start in a direct command with this token, or a lower one.
 func byCommand(token wire.FencingToken) startDelivery {
-	return startDelivery{state: sentByCommand, voidFromToken: token + 1}
+	return startDelivery{state: sentByCommand, token: token}
 }
 
 // mayArriveByCommand reports whether a direct command with the start may still be executed by a
 // worker that has shown this token.
 func (d *startDelivery) mayArriveByCommand(shownToken wire.FencingToken) bool {
-	return d.state == sentByCommand && shownToken < d.voidFromToken
+	return d.state == sentByCommand && shownToken <= d.token
 }
 
 // mayTakeEffect reports whether the start may still be executed by a worker that does not list its
--- a/internal/core/owner/heartbeat.go
+++ b/internal/core/owner/heartbeat.go
@@ -61,7 +61,7 @@
 	o.placeSoon()
 	m.answeringHeartbeat = false
 	deadline := o.answerDeadline()
-	commands := o.commandsFor(m, inAnswer(m.sequence))
+	commands := o.commandsFor(m, inAnswer(m.sequence, o.fencingToken(m)))
 	if slices.ContainsFunc(commands, func(c wire.Command) bool { return c.Op == wire.CommandStart }) {
 		deadline = o.startDeadline()
 	}
