Tests: transactions, requests to the cloud, frames and users' requests that arrive once more

Cause: the incident's class, an answer taken for proof that nothing is left on its way, may stand on other paths. Only reports, and transactions without an answer, arrived late in the simulation.

One trouble, with a share for each kind, serves these and direct commands.

--- a/internal/testkit/simtest/actors.go
+++ b/internal/testkit/simtest/actors.go
@@ -404,6 +404,9 @@
 		n.ask(build, func(r eventloop.Reply) {
 			w.after(time.Duration(1+w.rng.IntN(5))*time.Millisecond, func() { once(r) })
 		})
+		if _, question := build(0).(eventloop.QueryRequest); !question {
+			w.repeatMessage(userRequests, func() { n.ask(build, func(eventloop.Reply) {}) })
+		}
 	})
 }
 
--- a/internal/testkit/simtest/effects.go
+++ b/internal/testkit/simtest/effects.go
@@ -75,9 +75,8 @@
 func (n *simNode) sendFrame(to *simNode, f *peerpb.Frame) {
 	send := func() {
 		n.w.send(n.name, to.name, func() {
-			if to.up {
-				to.step(eventloop.PeerFrame{Frame: f})
-			}
+			n.deliverFrame(to, f)
+			n.w.repeatMessage(peerFrames, func() { n.deliverFrame(to, f) })
 		})
 	}
 	fate := answerGiven
@@ -93,6 +92,13 @@
 	}
 }
 
+// deliverFrame hands a frame to another controller, if its process lives.
+func (n *simNode) deliverFrame(to *simNode, f *peerpb.Frame) {
+	if to.up {
+		to.step(eventloop.PeerFrame{Frame: f})
+	}
+}
+
 // reply hands a reply to who waits for it: the answer is written a little after it was
 // decided.
 func (n *simNode) reply(e eventloop.Reply) {
@@ -149,6 +155,12 @@
 			if !w.answerIsLost() {
 				w.after(w.wayTo()+n.lag(), func() { call.finish(d, false) })
 			}
+			switch which {
+			case callCreate:
+				w.repeatMessage(cloudCreates, func() { execute() })
+			case callDelete:
+				w.repeatMessage(cloudDeletes, func() { execute() })
+			}
 		})
 	})
 }
@@ -214,6 +226,11 @@
 		w.after(time.Duration(w.rng.IntN(30))*time.Second, func() { w.store.txn(t) })
 	} else {
 		answer(w.store.txn(t))
+		w.repeatMessage(transactions, func() {
+			if !w.store.down(n.name) {
+				w.store.txn(t)
+			}
+		})
 	}
 }
 
--- a/internal/testkit/simtest/hang_handover_test.go
+++ b/internal/testkit/simtest/hang_handover_test.go
@@ -67,7 +67,7 @@
 		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
 	})
 	if c.repeats > 0 {
-		w.RepeatCommands(uint64(seed), c.repeats, 10*time.Minute)
+		w.Repeat(directCommands, uint64(seed), c.repeats, 10*time.Minute)
 	}
 	w.Run(3 * time.Second)
 	users := w.replicas(1, 6, "red", 3)
--- a/internal/testkit/simtest/repeated_commands_test.go
+++ b/internal/testkit/simtest/repeats_test.go
@@ -193,7 +193,7 @@
 func TestRepeatedCommands(t *testing.T) {
 	for _, percent := range []int{2, 10, 30} {
 		for seed := *first; seed < *first+*repeatSeeds; seed++ {
-			begin := func(w *World) { w.RepeatCommands(seed, percent, 10*time.Minute) }
+			begin := func(w *World) { w.Repeat(directCommands, seed, percent, 10*time.Minute) }
 			t.Run(fmt.Sprintf("%d%%, seeded day %d", percent, seed), func(t *testing.T) {
 				t.Parallel()
 				playSeededDay(t, seed, begin)
@@ -216,3 +216,21 @@
 		}
 	}
 }
+
+// TestRepeatedMessages guards against any other message that arrives once more after it was answered.
+func TestRepeatedMessages(t *testing.T) {
+	const percent = 20
+	for kind := transactions; kind < messageKinds; kind++ {
+		for seed := *first; seed < *first+*repeatSeeds/2; seed++ {
+			begin := func(w *World) { w.Repeat(kind, seed, percent, 10*time.Minute) }
+			t.Run(fmt.Sprintf("%v, seeded day %d", kind, seed), func(t *testing.T) {
+				t.Parallel()
+				playSeededDay(t, seed, begin)
+			})
+			t.Run(fmt.Sprintf("%v, bad night %d", kind, seed), func(t *testing.T) {
+				t.Parallel()
+				playNight(t, seed, begin)
+			})
+		}
+	}
+}
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -63,7 +63,7 @@
 
 	booksCheckedAt time.Duration // the controllers' books of quota
 	inFlight       []*startsInFlight
-	repeats        repeatedCommands
+	repeats        repeats
 
 	trace hash.Hash64  // of all that the cores asked for, if it is kept
 	logs  slog.Handler // of what the controllers log, if it is kept
