Tests: a raised token is shown before a direct start; an adopted attempt is fenced before it is forgotten

Cause: no test reported it when either guard of the repair was taken out.

Result: both fail without their guard, owner's tests are green with them.

--- a/internal/core/owner/fencing_test.go
+++ b/internal/core/owner/fencing_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fawncove/internal/core/eventloop"
+	"fawncove/internal/wire"
 )
 
 // TestDeafMachineIsLost: a machine reports on and on while no command reaches it. Its
@@ -126,3 +127,85 @@
 		t.Error("nothing is started")
 	}
 }
+
+// TestRaisedTokenIsShownBeforeAStart guards against a direct start that its worker refuses, as it was
+// answered with a raised token that it has not shown: a command without starts has it shown first.
+func TestRaisedTokenIsShownBeforeAStart(t *testing.T) {
+	o, machines, now := newBlock(t, 1)
+	m := machines[0]
+	at := now.Add(time.Second)
+	direct := func(effects []eventloop.Effect) (sent []eventloop.WorkerCommands) {
+		for _, e := range effects {
+			if d, ok := e.(eventloop.WorkerCommands); ok {
+				sent = append(sent, d)
+			}
+		}
+		return sent
+	}
+	answer := func(d eventloop.WorkerCommands, sequence uint64, tasks ...wire.TaskStatus) {
+		status := heartbeatOf(m, 1, sequence, d.Body.Token, tasks...)
+		complete(o, at, eventloop.Completion{ID: d.ID, Outcome: eventloop.Succeeded, Heartbeat: &status})
+	}
+	beginCurrent(o, at)
+	submitArray(o, "wk-000001", "urgent", 1, 1, at)
+	sent := direct(tick(o, at))
+	if len(sent) != 1 || len(sent[0].Body.Commands) != 1 {
+		t.Fatalf("sent %+v, want one start", sent)
+	}
+	ended := wire.TaskStatus{Task: "wk-000001/0", Attempt: sent[0].Body.Commands[0].Attempt, State: wire.TaskEnded, Reason: wire.ReasonStopped}
+	answer(sent[0], 2, ended)
+	shown := m.token
+
+	at = at.Add(time.Millisecond)
+	beginCurrent(o, at)
+	m.noTasksBefore = at.Add(time.Second)
+	sendHeartbeat(o, at, eventloop.HeartbeatRequest{Req: 2, Heartbeat: heartbeatOf(m, 1, 3, shown, ended)})
+	answers := heartbeatAnswers(o.loop.Effects())
+	if len(answers) != 1 || answers[0].Token <= shown || len(answers[0].Commands) > 0 {
+		t.Fatalf("answered with %+v, want a token above %d and no forget", answers, shown)
+	}
+
+	at = at.Add(2 * time.Second)
+	beginCurrent(o, at)
+	sent = direct(tick(o, at))
+	if len(sent) != 1 || len(sent[0].Body.Commands) != 0 || sent[0].Body.Token != answers[0].Token {
+		t.Fatalf("sent %+v, want no start and token %d", sent, answers[0].Token)
+	}
+	answer(sent[0], 4, ended)
+	sent = direct(o.loop.Effects())
+	if len(sent) != 1 || sent[0].Body.Token != answers[0].Token {
+		t.Fatalf("sent %+v, want token %d", sent, answers[0].Token)
+	}
+	var starts, forgets int
+	for _, c := range sent[0].Body.Commands {
+		switch c.Op {
+		case wire.CommandStart:
+			starts++
+		case wire.CommandForget:
+			forgets++
+		}
+	}
+	if starts != 1 || forgets != 1 {
+		t.Errorf("%d starts and %d forgets follow, want one of each: %+v", starts, forgets, sent[0].Body.Commands)
+	}
+}
+
+// TestAdoptedAttemptIsFencedBeforeItIsForgotten guards against an attempt of the same grant that is not
+// known any more, ends, and is forgotten while a copy of its start may still arrive.
+func TestAdoptedAttemptIsFencedBeforeItIsForgotten(t *testing.T) {
+	for earlierGrant, want := range map[bool]int{false: 0, true: 1} {
+		o, machines, now := newBlock(t, 1)
+		m := machines[0]
+		number := o.blockLease.Attempt()
+		if earlierGrant {
+			number = uint64(m.firstToken) - 1
+		}
+		ended := wire.TaskStatus{Task: "wk-000009/0", Attempt: number, State: wire.TaskEnded, Reason: wire.ReasonStopped}
+		beginCurrent(o, now)
+		sendHeartbeat(o, now, eventloop.HeartbeatRequest{Req: 2, Heartbeat: heartbeatOf(m, 1, 2, m.token, ended)})
+		answers := heartbeatAnswers(o.loop.Effects())
+		if len(answers) != 1 || len(answers[0].Commands) != want {
+			t.Errorf("of an earlier grant: %v, answered with %+v, want %d forgets", earlierGrant, answers, want)
+		}
+	}
+}
