A token is not raised beside a direct command; a start in an answer is void under a higher one

Cause: two things that taking the guards out showed. A token that is raised for an ended attempt while a direct start to the same machine is in flight makes that start void: its worker refuses it, and the task waits for 2 s and more. And the list of a restarted worker ended attempts by a rule of its own beside startDelivery, which no test reported missing.

Change: the raise waits for the result of the command in flight. startDelivery knows that a worker drops the answer to a heartbeat below the token that it has seen, so the rule beside it goes.

Result: TestNoRaiseBesideACommand and a row of TestStartDelivery; both fail without.

--- a/internal/core/owner/delivery.go
+++ b/internal/core/owner/delivery.go
@@ -58,7 +58,7 @@
 func (d *startDelivery) mayTakeEffect(e startEvidence) bool {
 	if d.state == sentInAnswer {
 		// The worker executes the answer, or drops it, before its next heartbeat.
-		return e.source != heartbeatReceived || e.sequence <= d.answeredSequence
+		return e.shownToken <= d.token && (e.source != heartbeatReceived || e.sequence <= d.answeredSequence)
 	}
 	return d.mayArriveByCommand(e.shownToken)
 }
--- a/internal/core/owner/delivery_test.go
+++ b/internal/core/owner/delivery_test.go
@@ -25,6 +25,7 @@
 		"in the answer to heartbeat 5, which is the newest":         {inAnswer(5, token), received(0, 5), true},
 		"in the answer to heartbeat 5, a command's answer has 6":    {inAnswer(5, token), answered(0, 6), true},
 		"in the answer to heartbeat 5, the next heartbeat has come": {inAnswer(5, token), received(0, 6), false},
+		"in the answer to heartbeat 5, a higher token is shown":     {inAnswer(5, token), received(1, 5), false},
 		"by a command, its token is the highest":                    {byCommand(token), received(0, 9), true},
 		"by a command, an answer to one shows its token":            {byCommand(token), answered(0, 9), true},
 		"by a command, a higher token is shown":                     {byCommand(token), received(1, 9), false},
--- a/internal/core/owner/fencing.go
+++ b/internal/core/owner/fencing.go
@@ -52,9 +52,11 @@
 
 // fenceEndedAttempts raises the token of a machine with ended attempts whose starts may arrive once
 // more, so that the worker can forget them once it has shown that token. One raise serves all that
-// have ended. The worker need not show it to be sent commands: the token of a lost answer is sent
-// again with the next one.
+// have ended. It waits for the result of a command in flight, whose starts it would make void.
 func (o *Owner) fenceEndedAttempts(m *machine) {
+	if m.commands.inFlight() {
+		return
+	}
 	for _, a := range m.attempts {
 		if a.ended() && a.delivery.mayArriveByCommand(o.fencingToken(m)) {
 			m.tokenIncrement++
--- a/internal/core/owner/fencing_test.go
+++ b/internal/core/owner/fencing_test.go
@@ -209,3 +209,28 @@
 		}
 	}
 }
+
+// TestNoRaiseBesideACommand guards against a direct start that its worker refuses, as the token was raised
+// for an ended attempt while the command was in flight.
+func TestNoRaiseBesideACommand(t *testing.T) {
+	o, machines, now := newBlock(t, 1)
+	m := machines[0]
+	ended := wire.TaskStatus{Task: "wk-000009/0", Attempt: o.blockLease.Attempt(), State: wire.TaskEnded, Reason: wire.ReasonStopped}
+	at := now.Add(time.Second)
+	beginCurrent(o, at)
+	submitArray(o, "wk-000001", "urgent", 1, 1, at)
+	tick(o, at)
+	if !m.commands.inFlight() {
+		t.Fatal("no command is in flight")
+	}
+	token := o.fencingToken(m)
+	for sequence, inFlight := range []bool{true, false} {
+		if !inFlight {
+			m.commands.end()
+		}
+		sendHeartbeat(o, at, eventloop.HeartbeatRequest{Req: 2, Heartbeat: heartbeatOf(m, 1, uint64(2+sequence), token, ended)})
+		if raised := o.fencingToken(m) > token; raised == inFlight {
+			t.Errorf("a command is in flight: %v, raised: %v", inFlight, raised)
+		}
+	}
+}
--- a/internal/core/owner/observe.go
+++ b/internal/core/owner/observe.go
@@ -22,9 +22,9 @@
 // observe applies a worker's status to what is known of its machine and its attempts.
 //
 // It returns false for a status that says nothing: one that is older than the newest known,
-// or below this block lease's first token, or from a worker that has restarted. Copies of heartbeats come late, by more than a
-// worker's lease, and a controller that has just taken a machine over knows no newer one:
-// from such a heartbeat it learns only the endpoint to probe.
+// below this block lease's first token, or from a worker that has restarted. Copies of
+// heartbeats come late, by more than a worker's lease, and a controller that has just taken a
+// machine over knows no newer one: from such a heartbeat it learns only the endpoint to probe.
 func (o *Owner) observe(m *machine, hb *wire.Heartbeat, source heartbeatSource) bool {
 	if !isNewer(hb, m.agentEpoch, m.sequence) {
 		return false
@@ -163,8 +163,7 @@
 	}
 }
 
-// endOfUnlisted is what proves that attempts which a worker does not list have ended, whatever their
-// starts.
+// endOfUnlisted is what ended attempts that a worker does not list.
 type endOfUnlisted struct {
 	epochEnded bool // they were killed with their agent epoch
 	reconciles bool // the status is the first under a token that makes all earlier starts void
@@ -177,7 +176,7 @@
 		if listed[key] || a.state == attemptQueued {
 			continue
 		}
-		if !end.epochEnded && !end.reconciles && !a.reported && a.delivery.mayTakeEffect(evidence) {
+		if !end.epochEnded && !a.reported && a.delivery.mayTakeEffect(evidence) {
 			continue
 		}
 		o.dropAttempt(a, a.whyUnlisted(end))
