--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # deploy/service.toml before.
 set -e
 cd "$(dirname "$0")/.."
-go build -o target/rig2 ./review/rig2
+go build -tags review -o target/rig2 ./review/rig2
--- a/review/rig2/capture.go
+++ b/review/rig2/capture.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -6,8 +8,6 @@
 	"time"
 )
 
-func init() { cases["empty-types"] = emptyTypes }
-
 // begin starts the controllers, with some machines up: spot machines, or "on-demand TYPE".
 func (w *world) begin(machines ...string) error {
 	if err := w.startNodes(); err != nil {
@@ -24,25 +24,3 @@
 	}
 	return nil
 }
-
-// emptyTypes: a user sends a job that fits no machine, as its list of allowed types is empty.
-func emptyTypes(w *world, trouble bool) error {
-	if err := w.begin("srednji-cvor", "srednji-cvor"); err != nil {
-		return err
-	}
-	body := submission("wk-000001", "prijenos", "hitni-prijenos", 2, 2, 4.2, 5)
-	body["kalupi"] = []string{"srednji-cvor"}
-	if trouble {
-		body["kalupi"] = []string{}
-	}
-	j := w.newJob(body, 5)
-	status := w.submit(j, w.roundRobin(0))
-	w.log("the submission with kalupi %v was answered with %d", body["kalupi"], status)
-	for range 15 {
-		time.Sleep(time.Second)
-		if _, state := w.poll(w.nodes[0], j); state == "done" {
-			break
-		}
-	}
-	return nil
-}
--- a/review/rig2/cloud.go
+++ b/review/rig2/cloud.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -14,11 +16,9 @@
 	w        *world
 	addr     string
 	mu       sync.Mutex
-	away     bool
 	next     int
 	machines map[string]*machine
 	requests map[string][]string
-	capacity func(typ, zone string, spot bool, held int) int // how many more; nil: any number
 }
 
 func newCloud(w *world) *cloud {
@@ -58,32 +58,17 @@
 	return out
 }
 
-func (c *cloud) isAway() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.away
-}
-
 func (c *cloud) handler() http.Handler {
 	mux := http.NewServeMux()
-	guard := func(h http.HandlerFunc) http.HandlerFunc {
-		return func(rw http.ResponseWriter, r *http.Request) {
-			if c.isAway() {
-				reply(rw, 503, object{"error": "trouble"})
-				return
-			}
-			h(rw, r)
-		}
-	}
-	mux.HandleFunc("GET /machine_types", guard(func(rw http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /machine_types", func(rw http.ResponseWriter, _ *http.Request) {
 		list := []object{}
 		for _, t := range c.w.set.types {
 			list = append(list, object{"sku": t.name, "vcpus": t.vcpus, "cards": 0.0, "memoryGb": t.memoryGb, "cacheGb": t.cacheGb, "pullGbPerS": t.pullGbPerS,
 				"hourly": t.hourly, "lowPrice": t.lowPrice, "readyS": t.readyS, "dvorista": t.zones})
 		}
 		reply(rw, 200, object{"kalupi": list})
-	}))
-	mux.HandleFunc("POST /machines", guard(func(rw http.ResponseWriter, r *http.Request) {
+	})
+	mux.HandleFunc("POST /machines", func(rw http.ResponseWriter, r *http.Request) {
 		var q object
 		if err := readBody(r, &q); err != nil {
 			reply(rw, 400, object{"error": err.Error()})
@@ -93,15 +78,6 @@
 		c.mu.Lock()
 		names, known := c.requests[id]
 		if !known {
-			held := 0
-			for _, m := range c.machines {
-				if m.typ == typ && m.zone == zone && m.spot == spot {
-					held++
-				}
-			}
-			if c.capacity != nil {
-				n = min(n, c.capacity(typ, zone, spot, held))
-			}
 			for range n {
 				names = append(names, c.rent(typ, zone, spot, c.typeOf(typ).readyS).name)
 			}
@@ -116,8 +92,8 @@
 			return
 		}
 		reply(rw, 200, object{"strojevi": names})
-	}))
-	mux.HandleFunc("POST /machines/release", guard(func(rw http.ResponseWriter, r *http.Request) {
+	})
+	mux.HandleFunc("POST /machines/release", func(rw http.ResponseWriter, r *http.Request) {
 		var q struct {
 			Names []string `msgpack:"strojevi"`
 		}
@@ -139,8 +115,8 @@
 			m.end()
 		}
 		reply(rw, 200, object{})
-	}))
-	mux.HandleFunc("GET /machines", guard(func(rw http.ResponseWriter, r *http.Request) {
+	})
+	mux.HandleFunc("GET /machines", func(rw http.ResponseWriter, r *http.Request) {
 		after := r.URL.Query().Get("after")
 		most, _ := strconv.Atoi(r.URL.Query().Get("most"))
 		list := []object{}
@@ -157,6 +133,6 @@
 			list = append(list, object{"uid": m.name, "endpoint": addr, "kalup": m.typ, "dvoriste": m.zone, "posudba": m.spot, "stanje": state, "heldS": time.Since(m.rentedAt).Seconds()})
 		}
 		reply(rw, 200, object{"strojevi": list, "more": more})
-	}))
+	})
 	return mux
 }
--- a/review/rig2/link.go
+++ b/review/rig2/link.go
@@ -1,18 +1,17 @@
+//go:build review
+
 package main
 
 import (
-	"io"
 	"net"
 	"sync"
 )
 
-// link is a proxy between two controllers that can be cut.
+// link is a proxy between two hosts that can be cut.
 type link struct {
 	from, to, addr, target string
 	mu                     sync.Mutex
 	cut                    bool // new connections are refused, open ones reset
-	hold                   bool // bytes are held back
-	held                   chan struct{}
 	conns                  map[net.Conn]bool
 }
 
@@ -65,24 +64,12 @@
 		buf := make([]byte, 64<<10)
 		for {
 			n, err := src.Read(buf)
-			for {
-				l.mu.Lock()
-				hold, held := l.hold, l.held
-				l.mu.Unlock()
-				if !hold {
-					break
-				}
-				<-held
-			}
 			if n > 0 {
 				if _, err := dst.Write(buf[:n]); err != nil {
 					break
 				}
 			}
 			if err != nil {
-				if err != io.EOF {
-					break
-				}
 				break
 			}
 		}
@@ -108,39 +95,3 @@
 		}
 	}
 }
-
-// setHold holds bytes back, or lets them go on.
-func (l *link) setHold(on bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if on && !l.hold {
-		l.hold, l.held = true, make(chan struct{})
-	} else if !on && l.hold {
-		l.hold = false
-		close(l.held)
-	}
-}
-
-// cutBetween cuts, or mends, the links between two controllers in both directions.
-func (w *world) cutBetween(a, b string, on bool) {
-	w.log("links between %s and %s cut: %v", a, b, on)
-	linksMu.Lock()
-	defer linksMu.Unlock()
-	for _, k := range []string{a + ">" + b, b + ">" + a} {
-		if l := links[k]; l != nil {
-			l.setCut(on)
-		}
-	}
-}
-
-// holdBetween holds back, or lets go on, what two controllers send each other.
-func (w *world) holdBetween(a, b string, on bool) {
-	w.log("links between %s and %s held: %v", a, b, on)
-	linksMu.Lock()
-	defer linksMu.Unlock()
-	for _, k := range []string{a + ">" + b, b + ">" + a} {
-		if l := links[k]; l != nil {
-			l.setHold(on)
-		}
-	}
-}
--- a/review/rig2/machine.go
+++ b/review/rig2/machine.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -34,12 +36,8 @@
 	changed  chan struct{}
 	hc       *http.Client
 
-	hung       bool
-	resumed    chan struct{} // closed when it goes on
-	deaf, mute bool
-	failing    bool                                                  // every task ends with an error
-	onCommands func(body object) (hold time.Duration, answered bool) // nil: at once
-	onReport   func(node *node, report object)                       // sees each report that is answered
+	hung    bool
+	resumed chan struct{} // closed when it goes on
 }
 
 // task is one attempt on a machine.
@@ -193,28 +191,16 @@
 		case <-m.changed:
 		default:
 		}
-		nd, body, session, deaf, mute := m.w.nodes[m.at], m.status(), m.session, m.deaf, m.mute
+		nd, body, session := m.w.nodes[m.at], m.status(), m.session
 		m.mu.Unlock()
 		last = time.Now()
-		status, out := 0, object(nil)
-		if mute {
-			m.sleep(4 * time.Second)
-		} else {
-			ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
-			status, out, _ = call(ctx, m.hc, "POST", "http://"+nd.clients+"/checkin", body)
-			cancel()
-			if deaf {
-				m.sleep(4*time.Second - time.Since(last))
-				status, out = 0, nil
-			}
-		}
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		status, out, _ := call(ctx, m.hc, "POST", "http://"+nd.clients+"/checkin", body)
+		cancel()
 		m.awaitResume()
 		if time.Since(last) > 4*time.Second {
 			status, out = 0, nil // a response that comes later is dropped
 		}
-		if status == 200 && m.onReport != nil {
-			m.onReport(nd, body)
-		}
 		m.mu.Lock()
 		pause := time.Duration(0)
 		switch {
@@ -399,13 +385,8 @@
 		return
 	}
 	m.note()
-	failing := m.failing
 	m.mu.Unlock()
-	runS := t.job.runS
-	if failing {
-		runS = 1
-	}
-	if !m.spend(time.Duration(runS*float64(time.Second)), stop) {
+	if !m.spend(time.Duration(t.job.runS*float64(time.Second)), stop) {
 		return
 	}
 	m.mu.Lock()
@@ -413,10 +394,6 @@
 	if t.state != "running" || m.tasks[key(t.name, t.attempt)] != t {
 		return
 	}
-	if failing {
-		m.finish(t, "error")
-		return
-	}
 	m.w.mu.Lock()
 	t.job.completed[t.index] = true
 	m.w.mu.Unlock()
@@ -465,19 +442,6 @@
 			reply(rw, 400, object{"error": "palica, smjena"})
 			return
 		}
-		m.mu.Lock()
-		decide, deaf := m.onCommands, m.deaf
-		m.mu.Unlock()
-		if deaf {
-			<-r.Context().Done()
-			return
-		}
-		answered := true
-		if decide != nil {
-			var hold time.Duration
-			hold, answered = decide(body)
-			m.sleep(hold)
-		}
 		m.awaitResume()
 		m.mu.Lock()
 		if m.gone {
@@ -496,21 +460,13 @@
 		}
 		out := m.status()
 		m.mu.Unlock()
-		if !answered {
-			<-r.Context().Done()
-			return
-		}
 		reply(rw, status, out)
 	})
-	mux.HandleFunc("GET /status", func(rw http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /status", func(rw http.ResponseWriter, _ *http.Request) {
 		m.awaitResume()
 		m.mu.Lock()
-		deaf, out := m.deaf, m.status()
+		out := m.status()
 		m.mu.Unlock()
-		if deaf {
-			<-r.Context().Done()
-			return
-		}
 		reply(rw, 200, out)
 	})
 	return mux
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -1,10 +1,14 @@
+//go:build review
+
 package main
 
 import (
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -50,6 +54,12 @@
 		w.log("out of time")
 		os.Exit(w.finish(fmt.Errorf("out of time")))
 	})
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-told
+		os.Exit(w.finish(fmt.Errorf("told to end")))
+	}()
 	go w.watchCancelled()
 	os.Exit(w.finish(play(w, trouble)))
 }
@@ -62,8 +72,7 @@
 		types: []machineType{
 			{"mali-cvor", 4, 32, 0.31, 0.13, 25, 30, 0.5, []string{"zagreb", "split"}},
 			{"srednji-cvor", 8, 32, 0.54, 0.21, 25, 60, 0.4, []string{"zagreb", "split"}},
-			{"veliki-cvor", 32, 256, 2.5, 1.03, 35, 50, 0.25, []string{"zagreb", "split"}}},
-		proxyPeers: true}
+			{"veliki-cvor", 32, 256, 2.5, 1.03, 35, 50, 0.25, []string{"zagreb", "split"}}}}
 }
 
 func init() {
--- a/review/rig2/state.go
+++ b/review/rig2/state.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -14,22 +16,15 @@
 // stateService is the small consistent store of the protocol. Each controller has an address
 // of its own there, so that it alone can be refused.
 type stateService struct {
-	w       *world
-	mu      sync.Mutex
-	changed chan struct{} // closed with every change
-	rev     uint64
-	data    map[string]entry
-	log     []change
-	addrs   map[string]string
-	// outage and refused: 503 for all, or for one.
-	outage  bool
-	refused map[string]bool
-	delay   map[string]time.Duration // before each answer, "" for all
-	// onTxn decides on a transaction of a controller: whether it is carried out now, after
-	// a time, and whether it is answered. nil: now, and answered.
-	onTxn func(node string, t *txn) (late time.Duration, answered bool)
-	// onRead, if set, decides whether a read is refused with 503.
-	onRead func(node, path string) bool
+	w         *world
+	mu        sync.Mutex
+	changed   chan struct{} // closed with every change
+	rev       uint64
+	data      map[string]entry
+	log       []change
+	addrs     map[string]string
+	lastLease string // who wrote the lease value last
+	outage    bool   // 503 for all
 }
 
 type entry struct {
@@ -56,7 +51,7 @@
 }
 
 func newStateService(w *world) *stateService {
-	return &stateService{w: w, changed: make(chan struct{}), data: map[string]entry{}, addrs: map[string]string{}, refused: map[string]bool{}, delay: map[string]time.Duration{}}
+	return &stateService{w: w, changed: make(chan struct{}), data: map[string]entry{}, addrs: map[string]string{}}
 }
 
 func (s *stateService) addrFor(node string) string {
@@ -68,10 +63,10 @@
 	return a
 }
 
-func (s *stateService) away(node string) bool {
+func (s *stateService) away() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outage || s.refused[node]
+	return s.outage
 }
 
 func (s *stateService) setOutage(on bool) {
@@ -82,29 +77,14 @@
 	s.mu.Unlock()
 }
 
-func (s *stateService) refuse(node string, on bool) {
-	s.w.log("state service refuses %s: %v", node, on)
-	s.mu.Lock()
-	s.refused[node] = on
-	s.wake()
-	s.mu.Unlock()
-}
-
 // wake has the watches look again. With mu held.
 func (s *stateService) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *stateService) slow(node string) {
-	s.mu.Lock()
-	d := s.delay[""] + s.delay[node]
-	s.mu.Unlock()
-	time.Sleep(d)
-}
-
 // execute carries a transaction out.
-func (s *stateService) execute(node string, t *txn, how string) (status int, answer object) {
+func (s *stateService) execute(node string, t *txn) (status int, answer object) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var failed []string
@@ -114,15 +94,15 @@
 		}
 	}
 	if len(failed) > 0 {
-		if how != "" {
-			s.w.log("state <- %s txn%s: failed by %v", node, how, failed)
-		}
 		return 409, object{"failed": failed, "izmjena": s.rev}
 	}
 	if len(t.Apply) > 0 {
 		s.rev++
 		var keys []string
 		for _, op := range t.Apply {
+			if op.Put == "fc/lease" {
+				s.lastLease = node
+			}
 			if op.Put != "" {
 				s.data[op.Put] = entry{append(msgpack.RawMessage(nil), op.Data...), s.rev}
 				s.log = append(s.log, change{put: op.Put, value: s.data[op.Put].value, version: s.rev})
@@ -134,7 +114,7 @@
 			}
 		}
 		s.wake()
-		s.w.log("state <- %s txn%s %d: %s", node, how, s.rev, strings.Join(keys, " "))
+		s.w.log("state <- %s txn %d: %s", node, s.rev, strings.Join(keys, " "))
 	}
 	return 200, object{"izmjena": s.rev}
 }
@@ -148,37 +128,15 @@
 			reply(rw, 400, object{"error": err.Error()})
 			return
 		}
-		s.slow(node)
-		if s.away(node) {
+		if s.away() {
 			refuse(rw)
 			return
 		}
-		s.mu.Lock()
-		decide := s.onTxn
-		s.mu.Unlock()
-		late, answered := time.Duration(0), true
-		if decide != nil {
-			late, answered = decide(node, &t)
-		}
-		if late > 0 {
-			time.AfterFunc(late, func() { s.execute(node, &t, " (late by "+late.String()+")") })
-			<-r.Context().Done()
-			return
-		}
-		how := ""
-		if !answered {
-			how = " (answer lost)"
-		}
-		status, answer := s.execute(node, &t, how)
-		if !answered {
-			<-r.Context().Done()
-			return
-		}
+		status, answer := s.execute(node, &t)
 		reply(rw, status, answer)
 	})
 	mux.HandleFunc("GET /store/{key...}", func(rw http.ResponseWriter, r *http.Request) {
-		s.slow(node)
-		if s.away(node) || (s.onRead != nil && s.onRead(node, r.URL.Path)) {
+		if s.away() {
 			refuse(rw)
 			return
 		}
@@ -193,8 +151,7 @@
 		reply(rw, 200, object{"path": r.PathValue("key"), "data": e.value, "inacica": e.version})
 	})
 	mux.HandleFunc("GET /store", func(rw http.ResponseWriter, r *http.Request) {
-		s.slow(node)
-		if s.away(node) {
+		if s.away() {
 			refuse(rw)
 			return
 		}
@@ -225,7 +182,7 @@
 		q := r.URL.Query()
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		hold, _ := strconv.Atoi(q.Get("holdMs"))
-		if s.away(node) {
+		if s.away() {
 			refuse(rw)
 			return
 		}
@@ -234,7 +191,7 @@
 		over := false
 		for {
 			s.mu.Lock()
-			away := s.outage || s.refused[node]
+			away := s.outage
 			log := []object{}
 			if !away {
 				i := sort.Search(len(s.log), func(i int) bool { return s.log[i].version > after })
@@ -252,7 +209,6 @@
 			rev, changed := s.rev, s.changed
 			s.mu.Unlock()
 			if !away && (len(log) > 0 || over) {
-				s.slow(node)
 				reply(rw, 200, object{"izmjena": rev, "log": log})
 				return
 			}
