A cancellation is stored with its time until its tasks are gone

What callers saw: a machine hangs, the job on it is cancelled, and all controllers are away for longer than lease_s.

Cause: since when a user has been told was known to processes alone. One that had just started took itself to have been away for 10 s at most, whatever the clock said, so that the return of the machine was due 24 s after its start; and it took each silent machine for one with cancelled tasks, though all that had been cancelled was gone.

Change: the transaction that ends a job as cancelled also puts a record below fc/c/: the time of day before which no user was told, and where tasks of the job may be. The job's owner removes it once no task of the job is on a machine, conditional on the lease value, and names the machines if that takes longer than 2 s. Each process reads these records when it starts, beside the lease value. What is assumed of a process that was away is gone (maxRestartTime).

Weighed: a longer constant (any is too short for some absence, and costs sound machines after each restart); the time in the end of the job (no room for "its tasks are gone", and the form would change); a lease of the state service on the record in place of its removal (after a restart all that was cancelled of late would count, gone or not).

TestCancelledBeforeTheProcessBegan asked for a return within 15 s of any silent machine of a process that knew nothing of cancellations. It now gives the process the records that it reads, and bounds the return by cancel_s for each age, also after 2 minutes; and demands that a machine on which nothing cancelled can be has the time of a zone that is cut off.

Each cancellation costs a put and a delete more.

--- a/internal/core/controller/ended.go
+++ b/internal/core/controller/ended.go
@@ -124,6 +124,9 @@
 // JobKey is where a job's record is stored.
 func (c *Core) JobKey(id string) string { return jobPrefix + id }
 
+// CancellationKey is where the cancellation record of a job is stored.
+func (c *Core) CancellationKey(id string) string { return cancellationPrefix + id }
+
 // endRetryDelay spaces the attempts to store the end of a job.
 const endRetryDelay = 300 * time.Millisecond
 
@@ -180,6 +183,9 @@
 		If:   []wire.Condition{{Key: jobPrefix + id, Version: w.job.Version}, {Key: endPrefix + id}},
 		Then: []wire.Op{{Delete: jobPrefix + id}, {Put: endPrefix + id, Value: w.end}},
 	}
+	if w.end.State == wire.Cancelled && w.core.view.Params.Levels.KnowsLevels() {
+		txn.Then = append(txn.Then, wire.Op{Put: cancellationPrefix + id, Value: owner.NewCancellationRecord(w.job, w.core.loop.Now)})
+	}
 	w.job.EndInFlight, w.expected = true, w.job.Version
 	w.core.loop.Emit(eventloop.StateTxn{Txn: txn, ID: w.core.loop.OnCompletion(w.completed)})
 }
--- a/internal/core/controller/read.go
+++ b/internal/core/controller/read.go
@@ -9,12 +9,15 @@
 )
 
 // stateReading is one reading of the whole state: its generation, all jobs page by
-// page, then the lease value.
+// page, then the cancellation records and the lease value.
 type stateReading struct {
 	core      *Core
 	startedAt time.Time       // when the first page was asked for
 	revision  wire.Revision   // of the first page; the watch goes on from there
 	seen      map[string]bool // keys of the jobs read so far
+	cancelled map[string]bool // jobs whose cancellation records were read so far
+	partsLeft int             // of those that are read side by side after the jobs
+	failed    bool
 }
 
 // readState starts to read the whole state, unless a reading is under way.
@@ -22,7 +25,7 @@
 	if !c.state.begin(c.loop.Now) {
 		return
 	}
-	r := &stateReading{core: c, seen: map[string]bool{}}
+	r := &stateReading{core: c, seen: map[string]bool{}, cancelled: map[string]bool{}}
 	c.readGeneration(r.generationRead)
 }
 
@@ -30,7 +33,10 @@
 func (r *stateReading) fail(what string, outcome eventloop.Outcome) {
 	c := r.core
 	c.log.Info("state read failed", "reading", what, "outcome", outcome)
-	c.state.fail(c.loop.Now)
+	if !r.failed {
+		r.failed = true
+		c.state.fail(c.loop.Now)
+	}
 }
 
 // generationRead goes on with the jobs.
@@ -80,9 +86,47 @@
 	}
 	r.endMissingJobs()
 	c.state.beginReadingLease()
+	r.partsLeft = 2
+	r.readCancellations("")
 	c.readLease(r.leaseRead)
 }
 
+// partRead ends the reading with its last part.
+func (r *stateReading) partRead() {
+	if r.partsLeft--; r.partsLeft == 0 && !r.failed {
+		r.complete()
+	}
+}
+
+// readCancellations reads the page of cancellation records behind a key. They follow the jobs: a job
+// that was cancelled meanwhile has one by then.
+func (r *stateReading) readCancellations(after string) {
+	c := r.core
+	c.loop.Emit(eventloop.StateRange{Prefix: cancellationPrefix, After: after, ID: c.loop.OnCompletion(r.cancellationsRead)})
+}
+
+func (r *stateReading) cancellationsRead(d eventloop.Completion) {
+	c := r.core
+	if d.Outcome != eventloop.Succeeded {
+		r.fail("cancellations", d.Outcome)
+		return
+	}
+	if r.hasMetLoss() {
+		r.fail("state lost meanwhile", d.Outcome)
+		return
+	}
+	for _, p := range d.Page.Pairs {
+		r.cancelled[p.Key[len(cancellationPrefix):]] = true
+		c.applyPut(p.Key, p.Value, p.Version)
+	}
+	if n := len(d.Page.Pairs); d.Page.More && n > 0 {
+		r.readCancellations(d.Page.Pairs[n-1].Key)
+		return
+	}
+	c.owner.NoteStoredCancellations(r.cancelled, r.revision)
+	r.partRead()
+}
+
 // endMissingJobs ends the jobs that are known here and were not read.
 func (r *stateReading) endMissingJobs() {
 	for id, j := range r.core.owner.Jobs() {
@@ -96,7 +140,7 @@
 	}
 }
 
-// leaseRead ends the reading.
+// leaseRead notes the outcome of reading the lease value.
 func (r *stateReading) leaseRead(outcome eventloop.Outcome) {
 	c := r.core
 	if !readOrAbsent(outcome) {
@@ -107,7 +151,7 @@
 		r.fail("recovery under way", outcome)
 		return
 	}
-	r.complete()
+	r.partRead()
 }
 
 // hasMetLoss reports whether the state has lost data since the reading began: its pages
--- a/internal/core/controller/read_test.go
+++ b/internal/core/controller/read_test.go
@@ -25,14 +25,19 @@
 		}
 		return id
 	}
+	// gets answers all reads but those of jobs, and returns what is asked for last.
 	var gets func(effects []eventloop.Effect) (last []eventloop.Effect)
 	gets = func(effects []eventloop.Effect) []eventloop.Effect {
+		last := effects
 		for _, e := range effects {
 			if g, ok := e.(eventloop.StateGet); ok {
-				return gets(c.Step(now, eventloop.Completion{ID: g.ID, FromStateService: true, Outcome: eventloop.NotFound}))
+				last = gets(c.Step(now, eventloop.Completion{ID: g.ID, FromStateService: true, Outcome: eventloop.NotFound}))
+			}
+			if r, ok := e.(eventloop.StateRange); ok && r.Prefix == cancellationPrefix {
+				last = gets(c.Step(now, eventloop.Completion{ID: r.ID, FromStateService: true, Outcome: eventloop.Succeeded, Page: wire.Page{Revision: 2}}))
 			}
 		}
-		return effects
+		return last
 	}
 	c.Step(now, eventloop.Tick{})
 	at(time.Second)
--- a/internal/core/controller/state.go
+++ b/internal/core/controller/state.go
@@ -14,6 +14,8 @@
 	endPrefix     = root + "t/"
 	renewalPrefix = root + "r/"
 
+	cancellationPrefix = root + "c/"
+
 	leaseKey = leasevalue.Key
 )
 
--- a/internal/core/controller/watch.go
+++ b/internal/core/controller/watch.go
@@ -62,6 +62,8 @@
 		c.applyJobRecord(key, value, version)
 	case strings.HasPrefix(key, endPrefix):
 		c.applyEndRecord(key, value, version)
+	case strings.HasPrefix(key, cancellationPrefix):
+		c.applyCancellation(key, value, version)
 	case key == generationKey:
 		c.applyGeneration(value, version)
 	case strings.HasPrefix(key, renewalPrefix):
@@ -77,11 +79,27 @@
 		if j := c.owner.Job(id); j != nil && version >= j.Version {
 			c.owner.EndJob(j)
 		}
+	} else if id, ok := strings.CutPrefix(key, cancellationPrefix); ok {
+		c.owner.NoteTasksGone(id, version)
 	} else if strings.HasPrefix(key, LevelPrefix) {
 		c.applyLevel(key, nil, version)
 	}
 }
 
+// applyCancellation applies the cancellation record of a job.
+func (c *Core) applyCancellation(key string, value []byte, version wire.Revision) {
+	var rec wire.CancellationRecord
+	err := wire.Decode(value, &rec)
+	if err == nil && rec.Form > wire.CancellationForm {
+		err = wire.FormError{What: "cancellation record", Form: rec.Form}
+	}
+	if err != nil {
+		c.log.Error("cannot decode cancellation record", "key", key, "err", err)
+		return
+	}
+	c.owner.ApplyCancellation(key[len(cancellationPrefix):], rec, version)
+}
+
 func (c *Core) applyJobRecord(key string, value []byte, version wire.Revision) {
 	env, rec, err := c.decodeJob(key, value)
 	if err != nil {
--- a/internal/core/feature/inventory.go
+++ b/internal/core/feature/inventory.go
@@ -25,6 +25,7 @@
 		{"fc/j/", 1, "envelope", "0.2", "who accepts the job; the owner, once, for form 0", "all", "leaves it alone, answers 503 for the job"},
 		{"fc/t/", 0, "", "0.1", "who ends the job", "all", "-"},
 		{"fc/t/", 1, "envelope", "0.2", "who ends the job", "all", "reads it as before"},
+		{"fc/c/", 1, "", "0.4", "who cancels the job; the job's owner, with machines", "all", "does not read it"},
 		{"fc/r/", 0, "", "0.1", "a controller that cannot reach the leader", "leader", "-"},
 		{"fc/r/", 1, "", "0.2", "a controller that cannot reach the leader", "leader", "reads it as before; an unknown form is not honoured"},
 		{"fc/g/n/", 1, "", "0.2", "each controller, of itself", "leader, operators", "does not read it"},
--- a/internal/core/owner/cancelled.go
+++ b/internal/core/owner/cancelled.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"fawncove/internal/config"
@@ -12,8 +13,8 @@
 // hangs does not end its tasks, so that its return to the cloud is the only means. Who holds the
 // machine then may know neither its tasks nor how long it has been silent: the block may have
 // changed hands since, the process may have started anew or been suspended. So the time by
-// which it is given up counts from what is known of the cancellations, not from when this
-// controller began to wait for the machine.
+// which it is given up counts from when users may have been told, which is stored with each
+// cancellation (cancelled_store.go), not from when this controller began to wait for the machine.
 
 // returnReserve is how long before a cancellation has to be in effect a silent machine is given up:
 // the leader has to learn of it, and the cloud to terminate it. Both take a second or two; a
@@ -29,38 +30,66 @@
 	// record says where its tasks may be, a copy, as the job itself is large; nil: it is not
 	// known, they may be anywhere.
 	record *wire.JobRecord
-	done   bool // it was done, as was learnt later
+	// machines are the only ones on which its tasks may be; nil: that is not known.
+	machines map[string]bool
+	// stored is the version of its cancellation record; 0: none has been seen.
+	stored      wire.Revision
+	storedAtMs  int64 // the time of day in that record
+	done        bool  // it was done, as was learnt later
+	gone        bool  // none of its tasks is on a machine any more
+	learntAt    time.Time
+	rewrittenAt time.Time // when its cancellation record was last written here
 }
 
 // mayRunOn reports whether tasks of the job may be on a machine whose tasks are not known.
 func (c *cancelledJob) mayRunOn(m *machine) bool {
-	return !c.done && (c.record == nil || m.machineType == "" || mayRunOn(c.record, m))
+	switch {
+	case c.done || c.gone:
+		return false
+	case c.machines != nil:
+		return c.machines[m.name]
+	default:
+		return c.record == nil || m.machineType == "" || mayRunOn(c.record, m)
+	}
+}
+
+// partition returns the job's ownership partition; "" if it is not known.
+func (c *cancelledJob) partition() string {
+	switch {
+	case c.record == nil:
+		return ""
+	case c.record.Shard != "":
+		return c.record.Shard
+	default:
+		return c.record.Team
+	}
 }
 
-// cancelledJobs are the jobs that were cancelled of late.
+// cancelledJobs are the jobs that were cancelled of late, and those whose tasks are not known to be
+// gone.
 type cancelledJobs struct {
 	jobs []*cancelledJob // in the order in which they were learnt of
 	byID map[string]*cancelledJob
-	// knownSince is the time before which cancellations may have been confirmed that are not
-	// known here, as the process began then; zero: the state has not been read yet.
-	knownSince time.Time
 	// readAt is the revision of the state when it was first read. What was cancelled up to it
-	// was cancelled before knownSince.
+	// has a cancellation record, unless its tasks are gone.
 	readAt wire.Revision
-	// knownUntil is the time before which all confirmed cancellations since then are known.
+	// knownUntil is the time before which all confirmed cancellations are known.
 	knownUntil time.Time
+
+	checkedAt   time.Time // when the tasks that may be left were last looked for
+	storeFlight bool      // a write of cancellation records has no answer yet
 }
 
 func newCancelledJobs() cancelledJobs { return cancelledJobs{byID: map[string]*cancelledJob{}} }
 
-// noteRead notes the revision of the state and the time as of which it was first read.
-func (c *cancelledJobs) noteRead(revision wire.Revision, at time.Time) {
-	if c.knownSince.IsZero() {
-		c.knownSince, c.readAt = at, revision
+// noteRead notes the revision as of which the state was first read.
+func (c *cancelledJobs) noteRead(revision wire.Revision) {
+	if c.readAt == 0 {
+		c.readAt = revision
 	}
 }
 
-// advance notes that all cancellations since then that were confirmed before a time are known.
+// advance notes that all cancellations that were confirmed before a time are known.
 func (c *cancelledJobs) advance(at time.Time) {
 	if at.After(c.knownUntil) {
 		c.knownUntil = at
@@ -69,16 +98,17 @@
 
 // add notes that a job was cancelled, as far as is known now. Its user was not told before all that
 // had been confirmed was last known, or it would have been known then.
-func (c *cancelledJobs) add(id string, record *wire.JobRecord, now time.Time) {
-	if c.byID[id] != nil {
-		return
+func (c *cancelledJobs) add(id string, record *wire.JobRecord, now time.Time) *cancelledJob {
+	if known := c.byID[id]; known != nil {
+		return known
 	}
 	since := now
 	if !c.knownUntil.IsZero() && c.knownUntil.Before(now) {
 		since = c.knownUntil
 	}
-	job := &cancelledJob{id: id, since: since, record: record}
+	job := &cancelledJob{id: id, since: since, record: record, learntAt: now}
 	c.jobs, c.byID[id] = append(c.jobs, job), job
+	return job
 }
 
 // markDone notes that a job was done rather than cancelled.
@@ -88,12 +118,16 @@
 	}
 }
 
-// forgetBefore forgets the jobs that were cancelled before a time.
+// forgetBefore forgets the jobs that were cancelled before a time. Those that have a cancellation
+// record are kept until that is removed.
 func (c *cancelledJobs) forgetBefore(at time.Time) {
-	for len(c.jobs) > 0 && c.jobs[0].since.Before(at) {
-		delete(c.byID, c.jobs[0].id)
-		c.jobs = c.jobs[1:]
-	}
+	c.jobs = slices.DeleteFunc(c.jobs, func(job *cancelledJob) bool {
+		forget := job.since.Before(at) && (job.stored == 0 || job.done || job.gone)
+		if forget {
+			delete(c.byID, job.id)
+		}
+		return forget
+	})
 }
 
 // NoteCancelled notes that a job was cancelled whose record may not be known here, by an end that
@@ -112,7 +146,10 @@
 // a recovery: revisions count anew since.
 func (o *Owner) InheritCancellations(earlier *Owner) {
 	o.cancelled = earlier.cancelled
-	o.cancelled.readAt = 0
+	o.cancelled.readAt, o.cancelled.storeFlight = 0, false
+	for _, job := range o.cancelled.jobs {
+		job.stored = 0
+	}
 }
 
 // forgetCancelled forgets cancellations so old that whoever held the machines then has dealt with
@@ -164,31 +201,14 @@
 	if !m.needsReconciliation {
 		return since, false
 	}
-	if o.loop.Now.Before(o.cancelled.knownSince.Add(o.cancelTime())) {
-		since, ok = o.unknownCancelledSince(), true
-	}
 	for _, job := range o.cancelled.jobs {
-		if !job.mayRunOn(m) {
-			continue
-		}
-		if !ok || job.since.Before(since) {
-			since = job.since
+		if job.mayRunOn(m) && (!ok || job.since.Before(since)) {
+			since, ok = job.since, true
 		}
-		return since, true // the others were learnt of later
 	}
 	return since, ok
 }
 
-// maxRestartTime is for how long a process is taken to have been away that has just read the state.
-// Platforms start it again within seconds; after twice that its block is another's.
-const maxRestartTime = 10 * time.Second
-
-// unknownCancelledSince returns since when users may have been told of cancellations that are not
-// known here, as this process was away.
-func (o *Owner) unknownCancelledSince() time.Time {
-	return o.cancelled.knownSince.Add(-maxRestartTime)
-}
-
 // handoverTime returns how long it takes until another controller finds a machine silent, if its
 // holder ends: the block lease lapses, and reports are missing.
 func handoverTime(workers config.Workers, params cluster.Params) time.Duration {
--- a/internal/core/owner/cancelled_test.go
+++ b/internal/core/owner/cancelled_test.go
@@ -98,16 +98,46 @@
 }
 
 // TestCancelledBeforeTheProcessBegan guards against a process that has just started and takes machines
-// for cut off on which cancelled tasks may be: what was cancelled before it read the state is not
-// known to it.
+// for cut off on which cancelled tasks may be, or waits for them anew: since when their users have been
+// told is stored, however long all controllers were away. It also guards against sound machines that
+// are returned because a controller came back: where no cancelled task can be, or all are gone, a zone
+// that is cut off has its time.
 func TestCancelledBeforeTheProcessBegan(t *testing.T) {
+	const lease, cancel, silent = 12 * time.Second, 34 * time.Second, 5 * time.Second
 	for _, c := range []struct {
-		since time.Duration
-		most  time.Duration
-	}{{2 * time.Second, 15 * time.Second}, {20 * time.Second, 6 * time.Second}} {
-		o, now := takenOver(t, c.since, func(*Owner, int) {})
-		if took := givenUpAfter(o, now); took > c.most {
-			t.Errorf("%v after the start: given up after %v, want %v at most", c.since, took, c.most)
+		name      string
+		toldSince time.Duration // before the block was given to this process; 0: nothing was cancelled
+		zone      string
+		machines  wire.NameSet
+		gone      bool
+		within    time.Duration // 0: the time of a zone that is cut off
+	}{
+		{"a moment ago", 2 * time.Second, "", nil, false, lease + 2*time.Second},
+		{"half the time ago", 20 * time.Second, "", nil, false, cancel - 20*time.Second - returnReserve + time.Second},
+		{"nearly all the time ago", 30 * time.Second, "", nil, false, silent + time.Second},
+		{"too long ago", 2 * time.Minute, "", nil, false, silent + time.Second},
+		{"on this machine", 20 * time.Second, "", wire.NameSet{"host-000003"}, false, cancel - 20*time.Second - returnReserve + time.Second},
+		{"on another machine", 20 * time.Second, "", wire.NameSet{"host-000009"}, false, 0},
+		{"in another zone", 20 * time.Second, "y", nil, false, 0},
+		{"and gone", 20 * time.Second, "", nil, true, 0},
+		{"nothing", 0, "", nil, false, 0},
+	} {
+		o, now := takenOver(t, 2*time.Second, func(o *Owner, left int) {
+			if c.toldSince == 0 || left != 2 {
+				return
+			}
+			told := o.loop.Now.Add(2*time.Second - c.toldSince)
+			o.ApplyCancellation("wk-000001", wire.CancellationRecord{Form: 1, CancelledAtMs: told.UnixMilli(), Team: "free", Zone: c.zone, Spot: true, Machines: c.machines}, 3)
+			if c.gone {
+				o.NoteTasksGone("wk-000001", 4)
+			}
+		})
+		took := givenUpAfter(o, now)
+		if c.within > 0 && took > c.within {
+			t.Errorf("cancelled %s: given up after %v, want %v at most", c.name, took, c.within)
+		}
+		if c.within == 0 && took < lease+cutOffExtension {
+			t.Errorf("cancelled %s: given up after %v, before a zone that is cut off", c.name, took)
 		}
 	}
 }
--- a/internal/core/owner/helpers_test.go
+++ b/internal/core/owner/helpers_test.go
@@ -21,6 +21,7 @@
 func (noRecords) HasEnded(string) bool                          { return false }
 func (noRecords) StoreEnd(*Job, string, int, func(stored bool)) {}
 func (noRecords) JobKey(id string) string                       { return "fc/j/" + id }
+func (noRecords) CancellationKey(id string) string              { return "fc/c/" + id }
 func (noRecords) LeaseUnchanged() []wire.Condition              { return nil }
 func (noRecords) UserWrites() (int, time.Time)                  { return 0, time.Time{} }
 
--- a/internal/core/owner/owner.go
+++ b/internal/core/owner/owner.go
@@ -18,8 +18,8 @@
 // The code by concern:
 //
 //	workers       registry.go, machine.go, heartbeat.go, observe.go, attempt.go, commands.go,
-//	              probe.go, fencing.go, foreign.go, health.go, cancelled.go, failure.go,
-//	              watermark.go
+//	              probe.go, fencing.go, foreign.go, health.go, cancelled.go,
+//	              cancelled_store.go, failure.go, watermark.go
 //	jobs          job.go, job_state.go, job_end.go, run_time.go, completion_log.go,
 //	              completion_read.go, record_upgrade.go, snapshot.go
 //	placement     order.go, placement.go, filter.go, score.go, reservation.go, preemption.go
@@ -53,6 +53,8 @@
 	StoreEnd(j *Job, state string, retries int, done func(stored bool))
 	// JobKey returns the key of a job's record.
 	JobKey(id string) string
+	// CancellationKey returns the key of a job's cancellation record.
+	CancellationKey(id string) string
 	// LeaseUnchanged returns the conditions under which the lease value is still the one
 	// known here.
 	LeaseUnchanged() []wire.Condition
@@ -113,6 +115,7 @@
 func (o *Owner) StorePending() {
 	o.readPages()
 	o.storeJobEnds()
+	o.storeTasksGone()
 	o.upgradePages()
 	o.moveJobs()
 	o.flushPages()
--- a/internal/core/owner/watermark.go
+++ b/internal/core/owner/watermark.go
@@ -50,7 +50,7 @@
 // have been applied.
 func (o *Owner) ChangesKnown(revision wire.Revision, at time.Time) {
 	o.known.advance(revision, at)
-	o.cancelled.noteRead(revision, at)
+	o.cancelled.noteRead(revision)
 	o.cancelled.advance(at)
 }
 
--- a/internal/testkit/simtest/effects.go
+++ b/internal/testkit/simtest/effects.go
@@ -49,11 +49,15 @@
 			}
 		}
 	case eventloop.StateTxn:
-		n.callState(e.ID, n.stateTimeout(), func(answer func(eventloop.Completion)) { n.executeTxn(e.Txn, answer) })
+		w.doAside(isCancellationWrite(e.Txn), func() {
+			n.callState(e.ID, n.stateTimeout(), func(answer func(eventloop.Completion)) { n.executeTxn(e.Txn, answer) })
+		})
 	case eventloop.StateGet:
 		n.callState(e.ID, n.stateTimeout(), w.store.guard(n.name, func() eventloop.Completion { return w.store.get(e.Key) }))
 	case eventloop.StateRange:
-		n.callState(e.ID, n.stateTimeout(), w.store.guard(n.name, func() eventloop.Completion { return w.store.page(e.Prefix, e.After) }))
+		w.doAside(e.Prefix == cancellationPrefix, func() {
+			n.callState(e.ID, n.stateTimeout(), w.store.guard(n.name, func() eventloop.Completion { return w.store.page(e.Prefix, e.After) }))
+		})
 	case eventloop.StateWatch:
 		n.callState(e.ID, e.Hold+callTimeout, func(answer func(eventloop.Completion)) {
 			w.store.watch(n.name, e.Prefix, e.After, w.now+e.Hold, w.lagging(n.name, answer))
@@ -140,7 +144,12 @@
 }
 
 // wayTo is how long a request takes to a regional service.
-func (w *World) wayTo() time.Duration { return time.Duration(1+w.rng.IntN(5)) * time.Millisecond }
+func (w *World) wayTo() time.Duration {
+	if w.aside.active {
+		return time.Millisecond
+	}
+	return time.Duration(1+w.rng.IntN(5)) * time.Millisecond
+}
 
 // answerIsLost reports whether an answer of a regional service gets lost.
 func (w *World) answerIsLost() bool { return w.chance(400) }
@@ -178,11 +187,16 @@
 	if w.night.slow > 0 {
 		way += time.Duration(w.rng.Float64() * float64(w.night.slow))
 	}
+	aside := w.aside.active
 	w.after(way, func() {
-		serve(func(d eventloop.Completion) {
-			if back, lost := n.stateAnswer(); !lost {
-				w.after(back, func() { call.finish(d, true) })
-			}
+		w.doAside(aside, func() {
+			serve(func(d eventloop.Completion) {
+				w.doAside(aside, func() {
+					if back, lost := n.stateAnswer(); !lost {
+						w.after(back, func() { call.finish(d, true) })
+					}
+				})
+			})
 		})
 	})
 }
--- a/internal/testkit/simtest/hang_handover_test.go
+++ b/internal/testkit/simtest/hang_handover_test.go
@@ -18,26 +18,41 @@
 	hangsAll  = flag.Bool("hangs-all", false, "play twice as many courses of TestHangAcrossHandovers")
 )
 
-// handoverTroubles are what makes the machines of a controller change hands, or its clocks begin
-// anew. i is the controller that holds them.
-var handoverTroubles = []struct {
+// handoverTroubles are the troubles of TestHangAcrossHandovers.
+var handoverTroubles = []handoverTrouble{
+	{name: "crashes, back after 4 s", begin: func(w *World, i int) { w.Crash(i, 4*time.Second) }},
+	{name: "crashes, back after 40 s", begin: func(w *World, i int) { w.Crash(i, 40*time.Second) }},
+	{name: "all crash", any: true, begin: func(w *World, _ int) { w.crashAll(2 * time.Second) }},
+	{name: "stands still for 12 s", begin: func(w *World, i int) { w.Freeze(i, 12*time.Second) }},
+	{name: "stands still for 40 s", begin: func(w *World, i int) { w.Freeze(i, 40*time.Second) }},
+	{name: "is refused by the state service", begin: func(w *World, i int) { w.Outage(25*time.Second, w.nodes[i].name) }},
+	{name: "is cut from state service and controllers", begin: func(w *World, i int) { w.Isolate(i, 25*time.Second) }},
+	{name: "is cut from all workers", begin: func(w *World, i int) { w.Desert(i, 25*time.Second) }},
+	{name: "is cut from all", begin: func(w *World, i int) { w.Vanish(i, 25*time.Second) }},
+	{name: "the state service is away for 8 s", begin: func(w *World, _ int) { w.Outage(8*time.Second, "") }},
+	{name: "all crash, back after 18 s", any: true, begin: func(w *World, _ int) { w.crashAll(18 * time.Second) }},
+	{name: "all stand still for 18 s", any: true, begin: func(w *World, _ int) { w.freezeAll(18 * time.Second) }},
+}
+
+// handoverTrouble is what makes the machines of controller i change hands, or its clocks begin anew.
+type handoverTrouble struct {
 	name  string
+	any   bool // it is the same whoever leads
 	begin func(w *World, i int)
-}{
-	{"crashes, back after 4 s", func(w *World, i int) { w.Crash(i, 4*time.Second) }},
-	{"crashes, back after 40 s", func(w *World, i int) { w.Crash(i, 40*time.Second) }},
-	{"all crash", func(w *World, _ int) {
-		for i := range w.nodes {
-			w.Crash(i, 2*time.Second+time.Duration(i)*time.Second)
-		}
-	}},
-	{"stands still for 12 s", func(w *World, i int) { w.Freeze(i, 12*time.Second) }},
-	{"stands still for 40 s", func(w *World, i int) { w.Freeze(i, 40*time.Second) }},
-	{"is refused by the state service", func(w *World, i int) { w.Outage(25*time.Second, w.nodes[i].name) }},
-	{"is cut from state service and controllers", func(w *World, i int) { w.Isolate(i, 25*time.Second) }},
-	{"is cut from all workers", func(w *World, i int) { w.Desert(i, 25*time.Second) }},
-	{"is cut from all", func(w *World, i int) { w.Vanish(i, 25*time.Second) }},
-	{"the state service is away for 8 s", func(w *World, _ int) { w.Outage(8*time.Second, "") }},
+}
+
+// crashAll ends all controllers, which are back one after the other from a time on.
+func (w *World) crashAll(back time.Duration) {
+	for i := range w.nodes {
+		w.Crash(i, back+time.Duration(i)*time.Second)
+	}
+}
+
+// freezeAll makes all controllers stand still for a time.
+func (w *World) freezeAll(d time.Duration) {
+	for i := range w.nodes {
+		w.Freeze(i, d)
+	}
 }
 
 // hangCourse is one course of TestHangAcrossHandovers. Times count from the cancellation.
@@ -76,7 +91,7 @@
 	}
 	w.Run(4 * time.Second)
 	holder := w.busiest()
-	if leader := w.leading(); (holder == leader) != c.leads && c.trouble != 2 {
+	if leader := w.leading(); (holder == leader) != c.leads && !handoverTroubles[c.trouble].any {
 		return nil, false
 	}
 	var hung []*worker
--- a/internal/testkit/simtest/world.go
+++ b/internal/testkit/simtest/world.go
@@ -23,6 +23,7 @@
 // World is one deployment.
 type World struct {
 	rng        *rand.Rand
+	aside      aside
 	now        time.Duration
 	queue      events
 	order      uint64
@@ -162,6 +163,7 @@
 func newWorld(seed uint64, most int, cfg config.Cluster) *World {
 	w := &World{
 		rng:      rand.New(rand.NewPCG(seed, 7)),
+		aside:    aside{rng: rand.New(rand.NewPCG(seed, 11))},
 		workers:  map[string]*worker{},
 		users:    map[string]*user{},
 		cuts:     map[[2]string]time.Duration{},
--- a/internal/wire/golden_test.go
+++ b/internal/wire/golden_test.go
@@ -12,6 +12,7 @@
 func TestGoldenForms(t *testing.T) {
 	t.Run("job record", golden.RoundTrip[wire.JobRecord]("job-record"))
 	t.Run("end record", golden.RoundTrip[wire.EndRecord]("end-record"))
+	t.Run("cancellation record", golden.RoundTrip[wire.CancellationRecord]("cancellation-record"))
 	t.Run("lease record", golden.RoundTrip[wire.LeaseRecord]("lease-record"))
 	t.Run("controller record", golden.RoundTrip[wire.ControllerRecord]("controller-record"))
 	t.Run("operator request", golden.RoundTrip[wire.OperatorRequest]("operator-request"))
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -105,6 +105,23 @@
 	Done  int    `msgpack:"done"`
 }
 
+// CancellationRecord is the stored form of a cancelled job whose tasks are not known to be gone yet. It
+// is stored together with the end of the job, before any user is told, and removed by the job's owner.
+type CancellationRecord struct {
+	Form int `msgpack:"f"`
+	// CancelledAtMs is the time of day, in milliseconds, before which no user was told.
+	CancelledAtMs int64 `msgpack:"at_ms"`
+	// Team and Shard name the job's partition.
+	Team  string `msgpack:"vlasnik"`
+	Shard string `msgpack:"part,omitempty"`
+	// Types, Zone and Spot are where the job's tasks may run.
+	Types []string `msgpack:"kalupi"`
+	Zone  string   `msgpack:"dvoriste"`
+	Spot  bool     `msgpack:"posudba"`
+	// Machines are the only ones on which tasks of the job may be; empty: that is not known.
+	Machines NameSet `msgpack:"machines,omitempty"`
+}
+
 // LeaseRecord is the one value that holds leadership, all block leases and partitions.
 type LeaseRecord struct {
 	Term        Term        `msgpack:"term"`
@@ -134,6 +151,9 @@
 // EndForm is the newest form of the records of jobs that have ended.
 const EndForm = 1
 
+// CancellationForm is the newest form of cancellation records.
+const CancellationForm = 1
+
 // ControllerForm is the newest form of controllers' records and of the operator's request.
 const ControllerForm = 1
 
