Any controller returns a machine that answers nobody and may run cancelled tasks

Cause, the same for both: one process alone could return the machine, by a right and by evidence that end with it. The leader may return machines for 20 s after its last stored write. The silence of a machine counted from when its holder's process had it, so that a restart every few seconds put it off for ever, and nobody else looked.

Change: each controller has a guard (package termination). From 8 s before a cancellation has to be in effect, less the reserve of 5 s, it asks each machine on which a task of the job may be for its status. A machine that leaves two queries unanswered, of which no controller in reach has heard, is returned: at once by its holder, somewhat later by any other. The evidence counts for 5 s from when the last query was sent, is checked again once the request limit lets the request to the cloud out, and is void after a suspension. No lease is needed, as a machine that is gone breaks no rule. Frames say which machines their sender hears while that may decide. While the state service is out they also say which machines are due, for processes that start and can read nothing; where no informed controller is in reach, machines that answer nobody are returned once the lease of each worker has ended.

Weighed: the word of all other controllers as proof that nobody else leads (fails where one of them has ended); shorter times of silence (cost sound machines after each restart); a block lease that ends sooner (ends work wherever a renewal is late).

A request to the cloud that its limit never let out counts as not sent, also for the leader.

--- a/internal/core/cluster/peer.go
+++ b/internal/core/cluster/peer.go
@@ -39,6 +39,12 @@
 	// ForeignWorkers how many machines of this controller's block report there instead.
 	NoHeartbeats   bool
 	ForeignWorkers int
+	// HeardMachines are the machines that it has heard of lately, whoever holds them, by its
+	// last frame. It says so only while that may decide whether one is terminated.
+	HeardMachines map[string]bool
+	HeardAt       time.Time
+	// InformedAt is when it last said that it has read the state.
+	InformedAt time.Time
 
 	// Generation is that of the state it works with, 0 if it cannot recover it. StateLost
 	// says that it has found that this generation lost data, StateRestored that it has
--- a/internal/core/controller/controller.go
+++ b/internal/core/controller/controller.go
@@ -21,6 +21,7 @@
 	"fawncove/internal/core/leader"
 	"fawncove/internal/core/owner"
 	"fawncove/internal/core/recovery"
+	"fawncove/internal/core/termination"
 	"fawncove/internal/wire"
 )
 
@@ -36,6 +37,7 @@
 	blockLease *blocklease.Holder
 	owner      *owner.Owner
 	leader     *leader.Leader // nil while another controller leads
+	guard      *termination.Guard
 
 	// The copy of the state service, and the users who read and change it.
 	state      stateReader
@@ -97,6 +99,7 @@
 	c.ended = newEndedJobs()
 	c.leaseReader.pages.FormsBeforeLevels = !view.Params.Levels.KnowsLevels()
 	c.owner = owner.New(&c.loop, c.view, c.blockLease, c, log)
+	c.guard = termination.New(&c.loop, guardHost{c}, log)
 }
 
 // Step handles one event and returns what is to be done.
@@ -139,6 +142,7 @@
 	if gap := now.Sub(c.lastStepAt); gap > maxStepGap && !c.lastStepAt.IsZero() {
 		c.log.Info("resumed after suspension", "duration", gap.Round(time.Millisecond))
 		c.owner.ResumedAfter(gap)
+		c.guard.Reset()
 		c.resumedAt = now
 	}
 	c.lastStepAt = now
@@ -167,6 +171,7 @@
 // tick does what is due by time alone.
 func (c *Core) tick() {
 	c.tickConfirmations()
+	c.guardCancellations()
 	if c.recovery != nil {
 		c.stepRecovery()
 		return
--- a/internal/core/controller/peers.go
+++ b/internal/core/controller/peers.go
@@ -56,6 +56,7 @@
 	f.ForeignWorkers = c.owner.ForeignWorkersByHolder()
 	c.addFreshnessRequest(f)
 	c.addRecentChanges(f)
+	c.addTerminations(f)
 	for _, name := range cluster.SortedKeys(c.view.Peers) {
 		c.loop.Emit(eventloop.PeerSend{To: name, Frame: f})
 	}
@@ -70,6 +71,7 @@
 	switch {
 	case f.GetHello():
 		p.ConfirmsJobs, p.LastHello = f.GetConfirmsJobs(), c.loop.Now
+		c.noteTerminations(p, f)
 		c.loop.Emit(eventloop.PeerSend{To: f.GetFrom(), Frame: c.newFrame()})
 		return
 	case f.GetJobClaims() != nil:
@@ -89,6 +91,9 @@
 		c.owner.ResendCounts()
 	}
 	c.updatePeer(p, f)
+	if f.GetCancelledRevision() > 0 || f.GetStateLost() {
+		p.InformedAt = c.loop.Now
+	}
 	c.handleFreshnessReplies(p, f)
 	for _, count := range f.GetProgress() {
 		if j := c.owner.Job(count.GetId()); j != nil {
@@ -141,6 +146,7 @@
 	if f.GetRenewal() == nil {
 		p.SpareCPUs = f.GetSpareCpus()
 		p.UpdateFreeSlots(f.GetFreeSlots())
+		c.noteTerminations(p, f)
 		p.NoHeartbeats, p.ForeignWorkers = f.GetNoHeartbeats(), int(f.GetForeignWorkers()[c.view.Self])
 	}
 	p.UpdateTeamUse(f.GetTeams())
--- a/internal/core/controller/startup.go
+++ b/internal/core/controller/startup.go
@@ -101,6 +101,7 @@
 func (c *Core) sendHello() {
 	f := c.newFrame()
 	f.Hello = true
+	c.addTerminations(f)
 	for _, name := range cluster.SortedKeys(c.view.Peers) {
 		c.loop.Emit(eventloop.PeerSend{To: name, Frame: f})
 	}
--- a/internal/core/eventloop/effects.go
+++ b/internal/core/eventloop/effects.go
@@ -83,10 +83,12 @@
 	Request wire.InstanceRequest
 }
 
-// CloudDelete has the cloud delete instances.
+// CloudDelete has the cloud delete instances. After Until, if set, the right to do so has ended,
+// and nothing is sent.
 type CloudDelete struct {
 	ID    uint64
 	Names []string
+	Until time.Time
 }
 
 // CloudList reads a page of the cloud's instances, those behind After.
@@ -104,6 +106,12 @@
 	Until    time.Time
 }
 
+// WorkerStatus asks a worker for its status, which changes nothing there.
+type WorkerStatus struct {
+	ID       uint64
+	Endpoint string
+}
+
 // PeerSend sends a frame to a peer. It has no completion.
 type PeerSend struct {
 	To    string
--- a/internal/core/leader/instances.go
+++ b/internal/core/leader/instances.go
@@ -95,7 +95,7 @@
 	a.nextDelete = l.loop.Now.Add(deleteInterval)
 	if outcome != eventloop.Succeeded {
 		a.nextDelete = l.loop.Now.Add(deleteRetryAfter)
-		if outcome == eventloop.Throttled || outcome == eventloop.Unavailable { // not executed
+		if outcome == eventloop.Throttled || outcome == eventloop.Unavailable || outcome == eventloop.NotSent { // not executed
 			for _, name := range unreachable {
 				a.unreachable[name] = true
 			}
--- a/internal/core/owner/cancelled.go
+++ b/internal/core/owner/cancelled.go
@@ -155,18 +155,18 @@
 // forgetCancelled forgets cancellations so old that whoever held the machines then has dealt with
 // them: they are in effect after cancel_s, or their block has changed hands after a lease.
 func (o *Owner) forgetCancelled() {
-	o.cancelled.forgetBefore(o.loop.Now.Add(-o.cancelTime() - o.view.Params.LeaseDuration))
+	o.cancelled.forgetBefore(o.loop.Now.Add(-o.CancelTime() - o.view.Params.LeaseDuration))
 }
 
-// cancelTime returns the time after which a cancellation has to be in effect.
-func (o *Owner) cancelTime() time.Duration {
+// CancelTime returns the time after which a cancellation has to be in effect.
+func (o *Owner) CancelTime() time.Duration {
 	return config.Seconds(o.view.Settings.Cluster.Workers.CancelS)
 }
 
 // returnDue returns when a silent machine is to be given up because of cancelled tasks; ok is false
 // if no such task may be there.
 func (o *Owner) returnDue(m *machine) (due time.Time, ok bool) {
-	inTime := o.cancelTime() - returnReserve
+	inTime := o.CancelTime() - returnReserve
 	since, listed := o.listedCancelledSince(m)
 	if listed {
 		due = since.Add(inTime)
--- a/internal/core/owner/cancelled_test.go
+++ b/internal/core/owner/cancelled_test.go
@@ -87,7 +87,7 @@
 			}
 		})
 		took := givenUpAfter(o, now)
-		due := o.cancelTime() - cancelledBefore*time.Second - returnReserve + 2*time.Second // of a tick, and of a watch
+		due := o.CancelTime() - cancelledBefore*time.Second - returnReserve + 2*time.Second // of a tick, and of a watch
 		if c.late && took < lease+cutOffExtension {
 			t.Errorf("%s is cancelled: given up after %v, before a zone that is cut off", c.name, took)
 		}
@@ -171,8 +171,8 @@
 	o.loop.Begin(resumed)
 	o.ResumedAfter(suspended)
 	took := givenUpAfter(o, resumed)
-	if late := suspended + took; late > o.cancelTime()-returnReserve/2 {
-		t.Errorf("given up %v after the cancellation, which is to be in effect after %v", late, o.cancelTime())
+	if late := suspended + took; late > o.CancelTime()-returnReserve/2 {
+		t.Errorf("given up %v after the cancellation, which is to be in effect after %v", late, o.CancelTime())
 	}
 	if len(all) != 4 {
 		t.Fatalf("%d machines", len(all))
--- a/internal/core/owner/health.go
+++ b/internal/core/owner/health.go
@@ -110,6 +110,7 @@
 		o.releaseIfDrained(m)
 	}
 	o.forgetForeign()
+	o.forgetRefused()
 }
 
 // countSilent counts the machines of each zone, and those of the block that have become late
--- a/internal/core/owner/heartbeat.go
+++ b/internal/core/owner/heartbeat.go
@@ -26,7 +26,9 @@
 		o.loop.Reply(e.Req, eventloop.ReplyInvalid, wire.ErrorAnswer{Error: "stroj and smjena are needed"})
 		return
 	}
+	o.workers.lastReport = o.loop.Now
 	if !o.records.WorkersServed() || !o.loop.Now.Before(o.answerDeadline()) {
+		o.noteRefused(hb)
 		o.loop.Unavailable(e.Req)
 		return
 	}
@@ -52,6 +54,32 @@
 	o.answerOwnWorker(e.Req, m)
 }
 
+// refusedReport is a heartbeat that could not be answered. It still shows that its machine works.
+type refusedReport struct {
+	agentEpoch, sequence uint64
+	at                   time.Time
+}
+
+// noteRefused notes a heartbeat that cannot be answered, unless it is a late copy.
+func (o *Owner) noteRefused(hb *wire.Heartbeat) {
+	last := o.workers.refused[hb.Machine]
+	if m := o.workers.machines[hb.Machine]; m != nil && !isNewer(hb, m.agentEpoch, m.sequence) {
+		return
+	}
+	if isNewer(hb, last.agentEpoch, last.sequence) {
+		o.workers.refused[hb.Machine] = refusedReport{hb.AgentEpoch, hb.Sequence, o.loop.Now}
+	}
+}
+
+// forgetRefused forgets heartbeats that were refused long ago.
+func (o *Owner) forgetRefused() {
+	for name, report := range o.workers.refused {
+		if o.loop.Now.Sub(report.at) > foreignForgetAfter {
+			delete(o.workers.refused, name)
+		}
+	}
+}
+
 // answerOwnWorker answers the newest heartbeat of a machine of the block, with commands.
 func (o *Owner) answerOwnWorker(req uint64, m *machine) {
 	o.fenceOverdueCommand(m)
--- a/internal/core/owner/machine.go
+++ b/internal/core/owner/machine.go
@@ -37,6 +37,7 @@
 	agentEpoch    uint64 // 0: none yet
 	sequence      uint64
 	lastHeartbeat time.Time // of one that proves that the worker is alive
+	lastStatus    time.Time // when a status last came, in whichever way; zero: none yet
 
 	// Fencing, see fencing.go.
 	token          wire.FencingToken // highest that the worker has reported
--- a/internal/core/owner/observe.go
+++ b/internal/core/owner/observe.go
@@ -44,6 +44,7 @@
 		o.raiseToken(m) // its lease ended although it was answered: it does not receive answers
 	}
 	m.agentEpoch, m.sequence, m.token = hb.AgentEpoch, hb.Sequence, max(m.token, hb.Token)
+	m.lastStatus = o.loop.Now
 	o.observeLiveness(m, source)
 	o.observeMachine(m, hb)
 	o.observeReclaimNotice(m, hb)
--- a/internal/core/owner/registry.go
+++ b/internal/core/owner/registry.go
@@ -16,9 +16,11 @@
 	sortStale bool
 	foreign   map[string]*foreignWorker
 
-	lastHeartbeat time.Time         // of any machine of the block
-	unheardSince  time.Time         // since when machines of the block need reconciliation; zero: none does
-	highestToken  wire.FencingToken // that any worker has shown
+	lastHeartbeat time.Time                // of any machine of the block
+	lastReport    time.Time                // when any worker last reported here, whether it was answered or not
+	refused       map[string]refusedReport // the newest reports that could not be answered, by machine
+	unheardSince  time.Time                // since when machines of the block need reconciliation; zero: none does
+	highestToken  wire.FencingToken        // that any worker has shown
 
 	endedListedAlive int // attempts that were listed alive after their end
 	restarts         int // of workers, see restart.go
@@ -33,6 +35,7 @@
 	return workerRegistry{
 		machines:        map[string]*machine{},
 		foreign:         map[string]*foreignWorker{},
+		refused:         map[string]refusedReport{},
 		urgent:          map[string]bool{},
 		toProbe:         map[string]bool{},
 		zoneCutOffUntil: map[string]time.Time{},
--- a/internal/edge/cloud/cloud.go
+++ b/internal/edge/cloud/cloud.go
@@ -80,9 +80,18 @@
 	return client.OutcomeOf(status), out, err
 }
 
-// Delete returns machines to the cloud. With Succeeded they are gone for good.
-func (c *Cloud) Delete(ctx context.Context, names []string) (eventloop.Outcome, error) {
-	status, err := c.do(ctx, "POST", "/machines/release", wire.Names{Machines: names}, nil)
+// Delete returns machines to the cloud. With Succeeded they are gone for good. The right to do so
+// ends at until, if that is set: it is checked once the request limit lets the request out.
+func (c *Cloud) Delete(ctx context.Context, names []string, until time.Time) (eventloop.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := c.limit.Wait(ctx); err != nil {
+		return eventloop.NotSent, fmt.Errorf("cloud budget: %w", err)
+	}
+	if !until.IsZero() && !time.Now().Before(until) {
+		return eventloop.NotSent, nil
+	}
+	status, err := c.client.Do(ctx, "POST", c.base+"/machines/release", wire.Names{Machines: names}, nil, 200)
 	return client.OutcomeOf(status), err
 }
 
--- a/internal/edge/node/node.go
+++ b/internal/edge/node/node.go
@@ -15,6 +15,7 @@
 	"fawncove/internal/core/controller"
 	"fawncove/internal/core/eventloop"
 	"fawncove/internal/core/owner"
+	"fawncove/internal/core/termination"
 	"fawncove/internal/edge/client"
 	"fawncove/internal/edge/cloud"
 	"fawncove/internal/edge/membudget"
@@ -199,8 +200,11 @@
 	if completion, ok = n.callCloud(ctx, effect); ok {
 		return completion, true
 	}
-	if e, isCommands := effect.(eventloop.WorkerCommands); isCommands {
+	switch e := effect.(type) {
+	case eventloop.WorkerCommands:
 		return n.sendCommands(ctx, e), true
+	case eventloop.WorkerStatus:
+		return n.askStatus(ctx, e), true
 	}
 	return completion, false
 }
@@ -246,7 +250,7 @@
 		done.Names = created.Machines
 	case eventloop.CloudDelete:
 		what, done.ID = "release", e.ID
-		done.Outcome, err = n.cloud.Delete(ctx, e.Names)
+		done.Outcome, err = n.cloud.Delete(ctx, e.Names, e.Until)
 	case eventloop.CloudList:
 		what, done.ID = "list", e.ID
 		done.Outcome, done.Machines, err = n.cloud.List(ctx, e.After)
@@ -272,6 +276,17 @@
 	return eventloop.Completion{ID: e.ID, Outcome: outcome, Heartbeat: &heartbeat}
 }
 
+// askStatus asks a worker for its status.
+func (n *Node) askStatus(ctx context.Context, e eventloop.WorkerStatus) eventloop.Completion {
+	ctx, cancel := context.WithTimeout(ctx, termination.QueryTimeout)
+	defer cancel()
+	var heartbeat wire.Heartbeat
+	status, err := n.workers.Do(ctx, http.MethodGet, "http://"+e.Endpoint+"/status", nil, &heartbeat, http.StatusOK)
+	outcome := client.OutcomeOf(status)
+	n.logFailure("status", outcome, err)
+	return eventloop.Completion{ID: e.ID, Outcome: outcome, Heartbeat: &heartbeat}
+}
+
 // logFailure logs a call that failed.
 func (n *Node) logFailure(what string, outcome eventloop.Outcome, err error) {
 	switch outcome {
--- a/internal/edge/node/usage.go
+++ b/internal/edge/node/usage.go
@@ -33,7 +33,7 @@
 		u.stateRequests++
 	case eventloop.CloudTypes, eventloop.CloudCreate, eventloop.CloudDelete, eventloop.CloudList:
 		u.cloudCalls++
-	case eventloop.WorkerCommands:
+	case eventloop.WorkerCommands, eventloop.WorkerStatus:
 		u.commands++
 	}
 }
--- a/internal/peerpb/golden_test.go
+++ b/internal/peerpb/golden_test.go
@@ -19,6 +19,7 @@
 	{"frame-recent-changes", 30},
 	{"frame-job-frames", 34},
 	{"frame-job-claims", 39},
+	{"frame-overdue-machines", 41},
 }
 
 // TestGoldenFrame holds the frame between controllers, with all its parts, to the bytes
--- a/internal/testkit/loopback/loopback_test.go
+++ b/internal/testkit/loopback/loopback_test.go
@@ -120,7 +120,7 @@
 	h.mu.Lock()
 	open := len(h.machines)
 	h.mu.Unlock()
-	if _, err := c.Delete(ctx, names.Machines); err != nil || open != 2 {
+	if _, err := c.Delete(ctx, names.Machines, time.Time{}); err != nil || open != 2 {
 		t.Errorf("%d machines have sockets, %v", open, err)
 	}
 	h.Look(func(w *simtest.Driven) {
--- a/internal/testkit/simtest/effects.go
+++ b/internal/testkit/simtest/effects.go
@@ -66,7 +66,13 @@
 		n.callCloud(e.ID, callTypes, w.cloud.types)
 	case eventloop.CloudCreate:
 		n.callCloud(e.ID, callCreate, func() eventloop.Completion { return w.cloud.rent(e.Request) })
+	case eventloop.WorkerStatus:
+		n.askStatus(e)
 	case eventloop.CloudDelete:
+		if !e.Until.IsZero() && !n.clock().Before(e.Until) {
+			n.callCloud(e.ID, callDelete, func() eventloop.Completion { return eventloop.Completion{Outcome: eventloop.NotSent} })
+			return
+		}
 		n.callCloud(e.ID, callDelete, func() eventloop.Completion { return w.cloud.remove(e.Names) })
 	case eventloop.CloudList:
 		n.callCloud(e.ID, callList, w.cloud.list)
@@ -278,6 +284,23 @@
 	}
 }
 
+// askStatus asks a worker for its status.
+func (n *simNode) askStatus(e eventloop.WorkerStatus) {
+	w, call := n.w, &serviceCall{node: n, life: n.life, id: e.ID}
+	w.after(callTimeout, func() { call.finish(eventloop.Completion{}, false) })
+	name := workerAt(e.Endpoint)
+	w.send(n.name, name, func() {
+		k := w.workers[name]
+		if k == nil || k.gone || w.now < k.deaf {
+			return
+		}
+		k.whenAwake(func() {
+			status := k.body()
+			w.send(name, n.name, func() { call.finish(eventloop.Completion{Outcome: eventloop.Succeeded, Heartbeat: &status}, false) })
+		})
+	})
+}
+
 // workerAt names the worker with this address; "" if there is none.
 func workerAt(endpoint string) (name string) {
 	if _, err := fmt.Sscanf(endpoint, "worker-%s", &name); err == nil {
--- a/internal/testkit/simtest/hang_handover_test.go
+++ b/internal/testkit/simtest/hang_handover_test.go
@@ -32,6 +32,55 @@
 	{name: "the state service is away for 8 s", begin: func(w *World, _ int) { w.Outage(8*time.Second, "") }},
 	{name: "all crash, back after 18 s", any: true, begin: func(w *World, _ int) { w.crashAll(18 * time.Second) }},
 	{name: "all stand still for 18 s", any: true, begin: func(w *World, _ int) { w.freezeAll(18 * time.Second) }},
+	{name: "the state service is away for 45 s", begin: func(w *World, _ int) { w.Outage(45*time.Second, "") }},
+	{name: "the state service is away for 45 s, crashes 3 s later", begin: func(w *World, i int) {
+		w.Outage(45*time.Second, "")
+		w.after(3*time.Second, func() { w.Crash(i, 4*time.Second) })
+	}},
+	{name: "the state service is away for 45 s, all others crash", begin: func(w *World, i int) {
+		w.Outage(45*time.Second, "")
+		for other := range w.nodes {
+			if other != i {
+				w.Crash(other, 4*time.Second)
+			}
+		}
+	}},
+	{name: "the state service is away for 45 s, stands still", begin: func(w *World, i int) {
+		w.Outage(45*time.Second, "")
+		w.Freeze(i, 20*time.Second)
+	}},
+	{name: "the state service is away for 45 s, all crash", any: true, begin: func(w *World, _ int) {
+		w.Outage(45*time.Second, "")
+		w.crashAll(2 * time.Second)
+	}},
+	{name: "the state service is away for 45 s, another crashes every 4 s", any: true, begin: func(w *World, _ int) {
+		w.Outage(45*time.Second, "")
+		w.crashAgain(9, 4*time.Second, func(turn int) int { return turn % len(w.nodes) })
+	}},
+	{name: "the state service refuses it, then all", begin: func(w *World, i int) {
+		w.Outage(8*time.Second, w.nodes[i].name)
+		w.after(time.Second, func() { w.Outage(45*time.Second, "") })
+	}},
+	{name: "crashes every 9 s, back after 3 s", begin: func(w *World, i int) { w.crashAgain(4, 9*time.Second, func(int) int { return i }) }},
+	{name: "another crashes every 4 s, back after 3 s", any: true, begin: func(w *World, _ int) {
+		w.crashAgain(9, 4*time.Second, func(turn int) int { return turn % len(w.nodes) })
+	}},
+	{name: "the leader crashes every 10 s, back after 3 s", any: true, begin: func(w *World, _ int) {
+		w.crashAgain(4, 10*time.Second, func(int) int { return w.leading() })
+	}},
+	{name: "crashes, and who takes over", begin: func(w *World, i int) {
+		w.Crash(i, time.Minute)
+		w.after(21500*time.Millisecond, func() { w.Crash(w.busiest(), time.Minute) })
+	}},
+	{name: "crashes, and so does another", begin: func(w *World, i int) {
+		w.Crash(i, time.Minute)
+		w.Crash((i+1)%len(w.nodes), time.Minute)
+	}},
+	{name: "all stand still again and again", any: true, begin: func(w *World, _ int) {
+		for k := range 5 {
+			w.after(time.Duration(k)*9*time.Second, func() { w.freezeAll(3 * time.Second) })
+		}
+	}},
 }
 
 // handoverTrouble is what makes the machines of controller i change hands, or its clocks begin anew.
@@ -48,6 +97,13 @@
 	}
 }
 
+// crashAgain ends a controller, which is back after 3 s, several times.
+func (w *World) crashAgain(times int, every time.Duration, which func(turn int) int) {
+	for turn := range times {
+		w.after(time.Duration(turn)*every, func() { w.Crash(which(turn), 3*time.Second) })
+	}
+}
+
 // freezeAll makes all controllers stand still for a time.
 func (w *World) freezeAll(d time.Duration) {
 	for i := range w.nodes {
