Jobs and cancellation records are read page by page in one place

The same reading stood twice since cancellation records are read, too. No change of behaviour; the tests of the controller, the owner and the pages pass.

--- a/internal/core/controller/read.go
+++ b/internal/core/controller/read.go
@@ -14,8 +14,7 @@
 	core      *Core
 	startedAt time.Time       // when the first page was asked for
 	revision  wire.Revision   // of the first page; the watch goes on from there
-	seen      map[string]bool // keys of the jobs read so far
-	cancelled map[string]bool // jobs whose cancellation records were read so far
+	seen      map[string]bool // keys of the records read so far
 	partsLeft int             // of those that are read side by side after the jobs
 	failed    bool
 }
@@ -25,7 +24,7 @@
 	if !c.state.begin(c.loop.Now) {
 		return
 	}
-	r := &stateReading{core: c, seen: map[string]bool{}, cancelled: map[string]bool{}}
+	r := &stateReading{core: c, seen: map[string]bool{}}
 	c.readGeneration(r.generationRead)
 }
 
@@ -52,45 +51,55 @@
 	}
 	c.state.beginReadingJobs()
 	r.startedAt = c.loop.Now
-	r.readJobs("")
+	r.readRecords(jobPrefix, "", r.jobsRead)
 }
 
-// readJobs reads the page of jobs behind a key.
-func (r *stateReading) readJobs(after string) {
+// readRecords reads the records below a prefix, from the page behind a key on, and then calls done.
+func (r *stateReading) readRecords(prefix, after string, done func()) {
 	c := r.core
-	c.loop.Emit(eventloop.StateRange{Prefix: jobPrefix, After: after, ID: c.loop.OnCompletion(r.jobsRead)})
+	c.loop.Emit(eventloop.StateRange{Prefix: prefix, After: after, ID: c.loop.OnCompletion(func(d eventloop.Completion) {
+		if d.Outcome != eventloop.Succeeded {
+			r.fail(prefix, d.Outcome)
+			return
+		}
+		if r.hasMetLoss() {
+			r.fail("state lost meanwhile", d.Outcome)
+			return
+		}
+		// Changes made while the pages are read come again with the watch, which starts
+		// at the revision of the first page.
+		if r.revision == 0 {
+			r.revision = d.Page.Revision
+		}
+		for _, p := range d.Page.Pairs {
+			r.seen[p.Key] = true
+			c.applyPut(p.Key, p.Value, p.Version)
+		}
+		if n := len(d.Page.Pairs); d.Page.More && n > 0 {
+			r.readRecords(prefix, d.Page.Pairs[n-1].Key, done)
+			return
+		}
+		done()
+	})})
 }
 
-func (r *stateReading) jobsRead(d eventloop.Completion) {
+// jobsRead goes on with the cancellation records and the lease value, side by side. A job that was
+// cancelled while the jobs were read has a cancellation record by then.
+func (r *stateReading) jobsRead() {
 	c := r.core
-	if d.Outcome != eventloop.Succeeded {
-		r.fail("jobs", d.Outcome)
-		return
-	}
-	if r.hasMetLoss() {
-		r.fail("state lost meanwhile", d.Outcome)
-		return
-	}
-	// Changes made while the pages are read come again with the watch, which starts
-	// at the revision of the first page.
-	if r.revision == 0 {
-		r.revision = d.Page.Revision
-	}
-	for _, p := range d.Page.Pairs {
-		r.seen[p.Key] = true
-		c.applyPut(p.Key, p.Value, p.Version)
-	}
-	if n := len(d.Page.Pairs); d.Page.More && n > 0 {
-		r.readJobs(d.Page.Pairs[n-1].Key)
-		return
-	}
 	r.endMissingJobs()
 	c.state.beginReadingLease()
 	r.partsLeft = 2
-	r.readCancellations("")
+	r.readRecords(cancellationPrefix, "", r.cancellationsRead)
 	c.readLease(r.leaseRead)
 }
 
+func (r *stateReading) cancellationsRead() {
+	isStored := func(id string) bool { return r.seen[cancellationPrefix+id] }
+	r.core.owner.NoteStoredCancellations(isStored, r.revision)
+	r.partRead()
+}
+
 // partRead ends the reading with its last part.
 func (r *stateReading) partRead() {
 	if r.partsLeft--; r.partsLeft == 0 && !r.failed {
@@ -98,35 +107,6 @@
 	}
 }
 
-// readCancellations reads the page of cancellation records behind a key. They follow the jobs: a job
-// that was cancelled meanwhile has one by then.
-func (r *stateReading) readCancellations(after string) {
-	c := r.core
-	c.loop.Emit(eventloop.StateRange{Prefix: cancellationPrefix, After: after, ID: c.loop.OnCompletion(r.cancellationsRead)})
-}
-
-func (r *stateReading) cancellationsRead(d eventloop.Completion) {
-	c := r.core
-	if d.Outcome != eventloop.Succeeded {
-		r.fail("cancellations", d.Outcome)
-		return
-	}
-	if r.hasMetLoss() {
-		r.fail("state lost meanwhile", d.Outcome)
-		return
-	}
-	for _, p := range d.Page.Pairs {
-		r.cancelled[p.Key[len(cancellationPrefix):]] = true
-		c.applyPut(p.Key, p.Value, p.Version)
-	}
-	if n := len(d.Page.Pairs); d.Page.More && n > 0 {
-		r.readCancellations(d.Page.Pairs[n-1].Key)
-		return
-	}
-	c.owner.NoteStoredCancellations(r.cancelled, r.revision)
-	r.partRead()
-}
-
 // endMissingJobs ends the jobs that are known here and were not read.
 func (r *stateReading) endMissingJobs() {
 	for id, j := range r.core.owner.Jobs() {
--- a/internal/core/owner/cancelled_store.go
+++ b/internal/core/owner/cancelled_store.go
@@ -87,9 +87,9 @@
 
 // NoteStoredCancellations notes which jobs have a cancellation record, as of a reading of the whole
 // state whose first page was of a revision.
-func (o *Owner) NoteStoredCancellations(ids map[string]bool, revision wire.Revision) {
+func (o *Owner) NoteStoredCancellations(isStored func(id string) bool, revision wire.Revision) {
 	for _, job := range o.cancelled.jobs {
-		if job.stored != 0 && job.stored <= revision && !ids[job.id] {
+		if job.stored != 0 && job.stored <= revision && !isStored(job.id) {
 			job.gone = true
 		}
 	}
