A machine is not idle while work waits until another one is reconciled

What callers saw: after all controllers had been away for longer than lease_s, sound machines were returned as idle 5 to 8 s after the controllers were back, and others rented in their place, while a job waited for them: it might run on the one machine that was silent.

Cause: how long a machine is idle counted from when its holder's process had it, whether or not there was work that could not be placed yet.

Change: while a job waits for reconciliation no machine of the block counts as idle.

--- a/internal/core/owner/block_test.go
+++ b/internal/core/owner/block_test.go
@@ -38,3 +38,33 @@
 		t.Error("not released though it is known to be empty")
 	}
 }
+
+// TestIdleMachineStaysWhileWorkAwaitsReconciliation guards against sound machines that are returned as idle
+// after a restart of all controllers, though there is work for them: it waits until it is known what
+// runs on a machine that is silent.
+func TestIdleMachineStaysWhileWorkAwaitsReconciliation(t *testing.T) {
+	o, all, now := newBlock(t, 2)
+	longestIdle := func(at time.Time) (longest time.Duration) {
+		o.loop.Begin(at)
+		o.EachMachine(func(_ string, idle time.Duration, _, _ bool) { longest = max(longest, idle) })
+		return longest
+	}
+	later := now.Add(20 * time.Second)
+	if longestIdle(later) < 15*time.Second {
+		t.Fatal("no machine is idle without work")
+	}
+	all[1].needsReconciliation = true
+	o.workers.noteUnreconciled(now)
+	if longestIdle(later) < 15*time.Second {
+		t.Error("a silent machine keeps others though no work waits")
+	}
+	o.ApplyJob(cancelledRecord(""), RecordInfo{Version: 2, FirstVersion: 2}) // stored before the block was this controller's
+	if idle := longestIdle(later); idle > 0 {
+		t.Errorf("idle for %v while work waits", idle)
+	}
+	all[1].needsReconciliation = false
+	o.workers.takeAllReconciled(later)
+	if longestIdle(later) < 15*time.Second {
+		t.Error("no machine is idle once all are reconciled")
+	}
+}
--- a/internal/core/owner/registry.go
+++ b/internal/core/owner/registry.go
@@ -137,15 +137,36 @@
 
 // EachMachine calls f for each machine of the block, in order of name.
 func (o *Owner) EachMachine(f func(name string, idle time.Duration, quarantined, unreachable bool)) {
+	idle := o.idleTimes()
 	for _, m := range o.workers.machinesByName() {
-		f(m.name, o.idleTime(m), m.quarantined, m.unreachable())
+		f(m.name, idle(m), m.quarantined, m.unreachable())
 	}
 }
 
-// idleTime returns for how long a machine that has reported has had no task.
-func (o *Owner) idleTime(m *machine) time.Duration {
-	if m.idleSince.IsZero() || m.agentEpoch == 0 {
-		return 0
+// idleTimes returns a function that returns for how long a machine that has reported has had no task,
+// while there was none for it. Work that waits until it is known what runs on other machines is not
+// there yet only because their holder has changed.
+func (o *Owner) idleTimes() func(m *machine) time.Duration {
+	workWaits := o.workWaitsForReconciliation()
+	return func(m *machine) time.Duration {
+		if workWaits || m.idleSince.IsZero() || m.agentEpoch == 0 {
+			return 0
+		}
+		return o.loop.Now.Sub(m.idleSince)
+	}
+}
+
+// workWaitsForReconciliation reports whether a job waits until it is known what runs on some machines.
+func (o *Owner) workWaitsForReconciliation() bool {
+	if o.workers.unheardSince.IsZero() {
+		return false
+	}
+	unreconciled := o.workers.unreconciled()
+	for _, j := range o.jobs {
+		waits := len(j.queue) > 0 || j.awaitsPages()
+		if waits && !j.Ended && o.Owns(j) && o.waitsForReconciliation(j, unreconciled) {
+			return true
+		}
 	}
-	return o.loop.Now.Sub(m.idleSince)
+	return false
 }
--- a/internal/core/owner/renewal.go
+++ b/internal/core/owner/renewal.go
@@ -23,6 +23,7 @@
 // reportMachines reports the machines of the block.
 func (o *Owner) reportMachines(r *peerpb.Renewal) {
 	var released, unreachable, withoutEndpoint, onDemandOnly []string
+	idle := o.idleTimes()
 	for _, m := range o.workers.machinesByName() {
 		switch {
 		case m.released():
@@ -43,7 +44,7 @@
 			Name:        m.name,
 			Quarantined: m.quarantined,
 			Departing:   !m.reclaimAt.IsZero() || m.suspected(),
-			IdleS:       o.idleTime(m).Seconds(),
+			IdleS:       idle(m).Seconds(),
 		}
 		if use.Quarantined || use.Departing || use.IdleS > minReportedIdleS {
 			r.MachineUse = append(r.MachineUse, use)
