Where a majority is out of reach, others may know of cancellations

Cause: a process that starts while the state service is out took it that nobody knows of a cancellation as soon as no informed controller was in reach, also if it was itself cut off: machines in a zone that is cut off, which work for a controller there, would have been returned once their leases had to be over. Found by going through the code.

Change: it takes that only with a majority in reach, none of which has read the state. One name for the check, which the end of a recovery uses, too.

--- a/internal/core/controller/quorum.go
+++ b/internal/core/controller/quorum.go
@@ -77,9 +77,9 @@
 	return names
 }
 
-// mayEndRecovery reports whether a majority of the controllers is in reach. One that has started and
-// waits for the recovery says hello.
-func (c *Core) mayEndRecovery() bool {
+// reachesMajority reports whether a majority of the controllers is in reach. One that has started and
+// is yet to read the state says hello.
+func (c *Core) reachesMajority() bool {
 	q, inReach := c.quorum(), 1
 	for _, name := range q.members {
 		waits := c.loop.Now.Sub(c.view.Peers[name].LastHello) < cluster.PeerTimeout
--- a/internal/core/controller/recovery.go
+++ b/internal/core/controller/recovery.go
@@ -161,7 +161,7 @@
 		return stepWait
 	case !r.restored && c.isTurnToRestore():
 		return stepRestore
-	case r.restored && c.isFirstOfRecovering() && c.mayEndRecovery():
+	case r.restored && c.isFirstOfRecovering() && c.reachesMajority():
 		return stepWriteLease
 	default:
 		return stepWait
--- a/internal/core/controller/termination.go
+++ b/internal/core/controller/termination.go
@@ -56,11 +56,12 @@
 func (h guardHost) Informed() bool { return h.core.state.loaded() || h.core.recovery != nil }
 
 // UnknownDue returns when machines are due of which nothing is known: when the leases of all workers
-// have ended that another process answered before this one began.
+// have ended that another process answered before this one began. Without a majority in reach
+// others may know.
 func (h guardHost) UnknownDue() (due time.Time, ok bool) {
 	c := h.core
-	if c.stateReachable() {
-		return due, false // it is being read
+	if c.stateReachable() || !c.reachesMajority() {
+		return due, false
 	}
 	for _, p := range c.view.Peers {
 		if c.loop.Now.Sub(p.InformedAt) < cluster.PeerTimeout {
--- a/internal/core/termination/termination.go
+++ b/internal/core/termination/termination.go
@@ -151,7 +151,7 @@
 // candidates returns the candidates that are not gone yet.
 func (g *Guard) candidates() []Candidate {
 	var left []Candidate
-	for _, c := range g.known(AskAhead) {
+	for _, c := range g.Known(AskAhead) {
 		if !g.terminated[c.Machine] && g.loop.Now.After(c.Due.Add(-AskAhead)) {
 			left = append(left, c)
 		}
@@ -159,9 +159,10 @@
 	return left
 }
 
-// known returns the candidates that are due within a time, by name: those of the host, or, while that
-// is not informed, what others have told and all of which nobody knows.
-func (g *Guard) known(within time.Duration) []Candidate {
+// Known returns the candidates that are due within a time, by name: those of the host, or, while that
+// is not informed, what others have told and all of which nobody knows. Others are told of them, should
+// this process end.
+func (g *Guard) Known(within time.Duration) []Candidate {
 	if g.host.Informed() {
 		clear(g.inherited)
 		return g.host.TerminationCandidates(within, g.inventory.locate)
@@ -182,9 +183,6 @@
 	return candidates
 }
 
-// Known returns the candidates that others are to know of, should this process end.
-func (g *Guard) Known(within time.Duration) []Candidate { return g.known(within) }
-
 // Inherit notes what another controller knows.
 func (g *Guard) Inherit(c Candidate) {
 	if known, ok := g.inherited[c.Machine]; !ok || c.Due.Before(known.Due) {
