Cancellation records are removed without a look at the lease value

Cause: the removal of a record was conditional on the lease value, which a large fleet changes several times a second: nearly each removal failed, and was tried again in vain. While the state service is out, jobs whose records had not been seen, or were beyond the first six, were not found gone at all, and tasks on a machine that the guard had terminated counted as left until the cloud told the leader.

Change: records are removed under the block lease, by the owner's clock, without a condition: what is gone stays gone, however late the removal is carried out. A record that names machines is put under the version that was read. All jobs are looked at each time, whether or not they can be written. A machine that the cloud has confirmed here as terminated has no tasks. The log says which jobs have tasks left, and where.

--- a/internal/core/owner/cancelled_store.go
+++ b/internal/core/owner/cancelled_store.go
@@ -103,12 +103,13 @@
 
 // cancellationWrite is a write of cancellation records under way.
 type cancellationWrite struct {
-	ops     []wire.Op
-	removed []*cancelledJob
+	conditions []wire.Condition
+	ops        []wire.Op
+	removed    []*cancelledJob
 }
 
-// storeTasksGone removes the records of cancelled jobs of this controller's partitions whose tasks are
-// gone, and names the machines of those whose tasks are not.
+// storeTasksGone finds the cancelled jobs of this controller's partitions whose tasks are gone and removes
+// their records, and names the machines of those whose tasks are not.
 func (o *Owner) storeTasksGone() {
 	c := &o.cancelled
 	if c.storeFlight || o.loop.Now.Sub(c.checkedAt) < tasksGoneInterval || !o.blockLease.Held() {
@@ -117,12 +118,8 @@
 	c.checkedAt = o.loop.Now
 	var left *tasksLeft
 	var w cancellationWrite
-	most := min(maxRecordsPerWrite, o.view.Settings.Cluster.State.TxnOps)
 	for _, job := range c.jobs {
-		if len(w.ops) >= most {
-			break
-		}
-		if job.stored == 0 || job.gone || !o.settles(job) {
+		if job.done || job.gone || !o.settles(job) {
 			continue
 		}
 		if left == nil {
@@ -130,35 +127,40 @@
 		}
 		o.settle(job, left, &w)
 	}
-	if len(w.ops) > 0 {
+	if len(w.ops) > 0 && o.blockLease.MayStart(o.loop.Now) {
 		o.writeCancellations(w)
 	}
 }
 
-// settle decides what becomes of the record of a cancelled job.
+// settle finds whether tasks of a cancelled job are left, and decides what becomes of its record, which
+// may not have been seen yet.
 func (o *Owner) settle(job *cancelledJob, left *tasksLeft, w *cancellationWrite) {
 	job.foundGone = false
 	names := o.machinesLeft(job, left)
 	job.foundGone = len(names) == 0
 	key := o.records.CancellationKey(job.id)
 	switch {
+	case job.stored == 0 || len(w.ops) >= min(maxRecordsPerWrite, o.view.Settings.Cluster.State.TxnOps):
 	case job.foundGone && o.usersAwaitWrites() && o.loop.Now.Sub(job.learntAt) < maxUserPriority:
 	case job.foundGone:
 		w.ops, w.removed = append(w.ops, wire.Op{Delete: key}), append(w.removed, job)
 	case o.namesMachines(job, names):
 		job.rewrittenAt = o.loop.Now
+		o.log.Info("tasks of cancelled job left", "job", job.id, "duration", o.loop.Now.Sub(job.since).Round(time.Millisecond), "machines", []string(names))
 		rec := cancellationRecord(job.record, job.storedAtMs)
 		rec.Machines = names
 		w.ops = append(w.ops, wire.Op{Put: key, Value: rec})
+		w.conditions = append(w.conditions, wire.Condition{Key: key, Version: job.stored})
 	}
 }
 
-// writeCancellations writes cancellation records, and removes some, provided that this controller
-// still owns the jobs.
+// writeCancellations writes cancellation records, and removes some. Under its block lease this controller
+// alone knows where tasks of its jobs are, and what is gone stays so: a removal needs no condition,
+// however late it is carried out.
 func (o *Owner) writeCancellations(w cancellationWrite) {
 	c := &o.cancelled
 	c.storeFlight = true
-	o.loop.Emit(eventloop.StateTxn{Txn: wire.Txn{If: o.records.LeaseUnchanged(), Then: w.ops}, ID: o.loop.OnCompletion(func(d eventloop.Completion) {
+	o.loop.Emit(eventloop.StateTxn{Txn: wire.Txn{If: w.conditions, Then: w.ops}, ID: o.loop.OnCompletion(func(d eventloop.Completion) {
 		c.storeFlight = false
 		if d.Outcome != eventloop.Succeeded {
 			return
@@ -209,6 +211,9 @@
 func (o *Owner) findTasksLeft() *tasksLeft {
 	left := &tasksLeft{unknown: map[string][]string{}}
 	for _, m := range o.workers.machinesByName() {
+		if m.terminated {
+			continue
+		}
 		if m.needsReconciliation {
 			left.unreconciled = append(left.unreconciled, m)
 		}
@@ -230,7 +235,9 @@
 	names := map[string]bool{}
 	if j := o.jobs[job.id]; j != nil {
 		for _, a := range j.attempts {
-			names[a.machine.name] = true
+			if !a.machine.terminated {
+				names[a.machine.name] = true
+			}
 		}
 	}
 	for _, name := range left.unknown[job.id] {
--- a/internal/core/owner/machine.go
+++ b/internal/core/owner/machine.go
@@ -57,6 +57,7 @@
 	// Health.
 	state       blockState
 	liveness    liveness
+	terminated  bool            // the cloud has confirmed here that it is gone
 	quarantined bool            // fails its tasks, see failure.go
 	failedTasks map[string]bool // tasks, or faulty jobs, that failed on it since one last completed
 	reclaimAt   time.Time       // when the cloud takes it; zero: no notice
--- a/internal/core/owner/termination.go
+++ b/internal/core/owner/termination.go
@@ -167,6 +167,7 @@
 func (o *Owner) GiveUpTerminated(name string) {
 	if m := o.workers.machines[name]; m != nil {
 		m.giveUp()
+		m.terminated = true
 		o.blockLease.RequestRenewal()
 	}
 }
