What the guard of cancelled tasks wrote twice stands once

Cause: reading the change once more. The partition of a record, the time by which a machine is given up, the question whether a cancellation is due, the way of a request to the cloud, and the world and the beginning of the new simulations each stood in two to four places; whether tasks are left was mixed with where they may be, so that it had to be unset to ask.

Change: partitionOf, returnBy, isDue, over and allows; the cloud client's do takes the end of a right; newHangWorld. What a peer says of itself is noted in updatePeer. No test lost an assertion.

--- a/internal/core/cluster/peer.go
+++ b/internal/core/cluster/peer.go
@@ -39,12 +39,12 @@
 	// ForeignWorkers how many machines of this controller's block report there instead.
 	NoHeartbeats   bool
 	ForeignWorkers int
-	// HeardMachines are the machines that it has heard of lately, whoever holds them, by its
-	// last frame. It says so only while that may decide whether one is terminated.
+	// HeardMachines are the machines that it had heard of lately at HeardAt, whoever holds them.
+	// It says so only while that may decide whether one is terminated.
 	HeardMachines map[string]bool
+	HeardAt       time.Time
 	// KeepsCancellations says that it removes cancellation records and says what it hears.
 	KeepsCancellations bool
-	HeardAt            time.Time
 	// InformedAt is when it last said that it has read the state.
 	InformedAt time.Time
 
--- a/internal/core/controller/peers.go
+++ b/internal/core/controller/peers.go
@@ -91,9 +91,6 @@
 		c.owner.ResendCounts()
 	}
 	c.updatePeer(p, f)
-	if f.GetCancelledRevision() > 0 || f.GetStateLost() {
-		p.InformedAt = c.loop.Now
-	}
 	c.handleFreshnessReplies(p, f)
 	for _, count := range f.GetProgress() {
 		if j := c.owner.Job(count.GetId()); j != nil {
@@ -137,6 +134,9 @@
 	if f.GetStateOk() && (!p.StateReachable || c.loop.Now.Sub(p.LastFrame) > cluster.PeerTimeout) {
 		p.StateReachableSince = c.loop.Now
 	}
+	if f.GetCancelledRevision() > 0 || f.GetStateLost() {
+		p.InformedAt = c.loop.Now
+	}
 	p.LastFrame, p.StateReachable = c.loop.Now, f.GetStateOk()
 	p.LeaseForm, p.AcceptsRaisedTokens, p.AcceptsJobMoves = f.GetLeaseForm(), f.GetAcceptsRaisedTokens(), f.GetAcceptsJobMoves()
 	p.ConfirmsJobs, p.KeepsCancellations = f.GetConfirmsJobs(), f.GetKeepsCancellations()
--- a/internal/core/owner/cancelled.go
+++ b/internal/core/owner/cancelled.go
@@ -42,28 +42,26 @@
 	rewrittenAt time.Time // when its cancellation record was last written here
 }
 
+// over reports whether no task of the job is left, as far as is known.
+func (c *cancelledJob) over() bool { return c.done || c.gone || c.foundGone }
+
 // mayRunOn reports whether tasks of the job may be on a machine whose tasks are not known.
-func (c *cancelledJob) mayRunOn(m *machine) bool {
-	switch {
-	case c.done || c.gone || c.foundGone:
-		return false
-	case c.machines != nil:
+func (c *cancelledJob) mayRunOn(m *machine) bool { return !c.over() && c.allows(m) }
+
+// allows reports whether tasks of the job may have come to a machine.
+func (c *cancelledJob) allows(m *machine) bool {
+	if c.machines != nil {
 		return c.machines[m.name]
-	default:
-		return c.record == nil || m.machineType == "" || mayRunOn(c.record, m)
 	}
+	return c.record == nil || m.machineType == "" || mayRunOn(c.record, m)
 }
 
 // partition returns the job's ownership partition; "" if it is not known.
 func (c *cancelledJob) partition() string {
-	switch {
-	case c.record == nil:
+	if c.record == nil {
 		return ""
-	case c.record.Shard != "":
-		return c.record.Shard
-	default:
-		return c.record.Team
 	}
+	return partitionOf(c.record)
 }
 
 // cancelledJobs are the jobs that were cancelled of late, and those whose tasks are not known to be
@@ -77,8 +75,8 @@
 	// knownUntil is the time before which all confirmed cancellations are known.
 	knownUntil time.Time
 
-	checkedAt   time.Time // when the tasks that may be left were last looked for
-	storeFlight bool      // a write of cancellation records has no answer yet
+	checkedAt     time.Time // when the tasks that may be left were last looked for
+	storeInFlight bool      // a write of cancellation records has no answer yet
 }
 
 func newCancelledJobs() cancelledJobs { return cancelledJobs{byID: map[string]*cancelledJob{}} }
@@ -147,7 +145,7 @@
 // a recovery: revisions count anew since.
 func (o *Owner) InheritCancellations(earlier *Owner) {
 	o.cancelled = earlier.cancelled
-	o.cancelled.readAt, o.cancelled.storeFlight = 0, false
+	o.cancelled.readAt, o.cancelled.storeInFlight = 0, false
 	for _, job := range o.cancelled.jobs {
 		job.stored = 0
 	}
@@ -164,13 +162,18 @@
 	return config.Seconds(o.view.Settings.Cluster.Workers.CancelS)
 }
 
+// returnBy returns when a machine is to be given up on which a task of a job may be whose user may have
+// been told since a time.
+func (o *Owner) returnBy(since time.Time) time.Time {
+	return since.Add(o.CancelTime() - returnReserve)
+}
+
 // returnDue returns when a silent machine is to be given up because of cancelled tasks; ok is false
 // if no such task may be there.
 func (o *Owner) returnDue(m *machine) (due time.Time, ok bool) {
-	inTime := o.CancelTime() - returnReserve
 	since, listed := o.listedCancelledSince(m)
 	if listed {
-		due = since.Add(inTime)
+		due = o.returnBy(since)
 		if m.commands.unanswered > 0 {
 			// It does not answer direct commands either. Another controller, should this
 			// one end, is to have the time to find it silent and return it: until the
@@ -178,8 +181,8 @@
 			due = due.Add(-handoverTime(o.view.Settings.Cluster.Workers, o.view.Params))
 		}
 	}
-	if since, possible := o.possiblyCancelledSince(m); possible && (!listed || since.Add(inTime).Before(due)) {
-		return since.Add(inTime), true
+	if since, possible := o.possiblyCancelledSince(m); possible && (!listed || o.returnBy(since).Before(due)) {
+		return o.returnBy(since), true
 	}
 	return due, listed
 }
--- a/internal/core/owner/cancelled_store.go
+++ b/internal/core/owner/cancelled_store.go
@@ -112,7 +112,7 @@
 // their records, and names the machines of those whose tasks are not.
 func (o *Owner) storeTasksGone() {
 	c := &o.cancelled
-	if c.storeFlight || o.loop.Now.Sub(c.checkedAt) < tasksGoneInterval || !o.blockLease.Held() {
+	if c.storeInFlight || o.loop.Now.Sub(c.checkedAt) < tasksGoneInterval || !o.blockLease.Held() {
 		return
 	}
 	c.checkedAt = o.loop.Now
@@ -135,7 +135,6 @@
 // settle finds whether tasks of a cancelled job are left, and decides what becomes of its record, which
 // may not have been seen yet.
 func (o *Owner) settle(job *cancelledJob, left *tasksLeft, w *cancellationWrite) {
-	job.foundGone = false
 	names := o.machinesLeft(job, left)
 	job.foundGone = len(names) == 0
 	key := o.records.CancellationKey(job.id)
@@ -159,9 +158,9 @@
 // however late it is carried out.
 func (o *Owner) writeCancellations(w cancellationWrite) {
 	c := &o.cancelled
-	c.storeFlight = true
+	c.storeInFlight = true
 	o.loop.Emit(eventloop.StateTxn{Txn: wire.Txn{If: w.conditions, Then: w.ops}, ID: o.loop.OnCompletion(func(d eventloop.Completion) {
-		c.storeFlight = false
+		c.storeInFlight = false
 		if d.Outcome != eventloop.Succeeded {
 			return
 		}
@@ -244,7 +243,7 @@
 		names[name] = true
 	}
 	for _, m := range left.unreconciled {
-		if job.mayRunOn(m) {
+		if job.allows(m) {
 			names[m.name] = true
 		}
 	}
--- a/internal/core/owner/job.go
+++ b/internal/core/owner/job.go
@@ -92,11 +92,14 @@
 
 // partition returns the job's ownership partition, a key of the lease value: its team, or
 // the shard of the team that it is filed under.
-func (j *Job) partition() string {
-	if j.Record.Shard != "" {
-		return j.Record.Shard
+func (j *Job) partition() string { return partitionOf(&j.Record) }
+
+// partitionOf returns the ownership partition of a job by its record.
+func partitionOf(record *wire.JobRecord) string {
+	if record.Shard != "" {
+		return record.Shard
 	}
-	return j.Record.Team
+	return record.Team
 }
 
 // Started reports whether a task of the job was started, as far as is known here.
--- a/internal/core/owner/termination.go
+++ b/internal/core/owner/termination.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"fawncove/internal/core/cluster"
@@ -8,30 +9,29 @@
 	"fawncove/internal/wire"
 )
 
-// cancellationsDue returns the jobs whose cancellation has to be in effect within a time beside the
-// reserve, and whose tasks may be on a machine. While the state service does not answer the owner of
-// a job cannot say that its tasks are gone.
+// cancellationsDue returns the jobs whose tasks may be on a machine, and have to be given up there
+// within a time.
 func (o *Owner) cancellationsDue(within time.Duration) []*cancelledJob {
 	var due []*cancelledJob
-	toldBefore := o.loop.Now.Add(within + returnReserve - o.CancelTime())
 	for _, job := range o.cancelled.jobs {
-		if !job.done && !job.gone && !job.foundGone && !job.since.After(toldBefore) {
+		if !job.over() && o.isDue(job, within) {
 			due = append(due, job)
 		}
 	}
 	return due
 }
 
-// CancellationsDue reports whether there are cancellations that have to be in effect within a time
-// beside the reserve, and whose tasks may be on a machine, as far as any controller knows.
+// isDue reports whether machines are to be given up within a time for the tasks of a job.
+func (o *Owner) isDue(job *cancelledJob, within time.Duration) bool {
+	return !o.returnBy(job.since).After(o.loop.Now.Add(within))
+}
+
+// CancellationsDue reports whether any controller may take it that machines are to be given up within a
+// time. While the state service does not answer, others may not know which tasks are gone.
 func (o *Owner) CancellationsDue(within time.Duration, stateReachable bool) bool {
-	toldBefore := o.loop.Now.Add(within + returnReserve - o.CancelTime())
-	for _, job := range o.cancelled.jobs {
-		if !job.done && !(job.gone && stateReachable) && !job.since.After(toldBefore) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(o.cancelled.jobs, func(job *cancelledJob) bool {
+		return !job.done && !(job.gone && stateReachable) && o.isDue(job, within)
+	})
 }
 
 // TerminationCandidates returns the machines of all blocks on which tasks of cancelled jobs may be
@@ -79,7 +79,7 @@
 		if c.Endpoint == "" && found {
 			c.Endpoint = listed.Endpoint
 		}
-		c.Due = since.Add(o.CancelTime() - returnReserve)
+		c.Due = o.returnBy(since)
 		return c, cancelled
 	}
 	m := &machine{name: name, machineType: listed.Type, zone: listed.Zone, spot: listed.Spot}
@@ -88,7 +88,7 @@
 		if (job.stored == 0 && stateReachable) || !job.mayRunOn(m) {
 			continue
 		}
-		if at := job.since.Add(o.CancelTime() - returnReserve); !ok || at.Before(c.Due) {
+		if at := o.returnBy(job.since); !ok || at.Before(c.Due) {
 			c.Due, ok = at, true
 		}
 	}
--- a/internal/edge/cloud/cloud.go
+++ b/internal/edge/cloud/cloud.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/url"
 	"strconv"
@@ -46,14 +47,21 @@
 // call.
 func (c *Cloud) LimitMemory(bodies *membudget.Bodies) { c.client.LimitMemory(bodies) }
 
-// do sends a request that may change something. It is never repeated.
-func (c *Cloud) do(ctx context.Context, method, path string, in, out any) (int, error) {
+// errNotSent says that a request has not left.
+var errNotSent = errors.New("request not sent")
+
+// do sends a request that may change something. It is never repeated. The right to send it ends at until,
+// if that is set: it is checked once the request limit lets the request out.
+func (c *Cloud) do(ctx context.Context, until time.Time, path string, in, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := c.limit.Wait(ctx); err != nil {
-		return 0, fmt.Errorf("cloud budget: %w", err)
+		return 0, fmt.Errorf("%w: cloud budget: %w", errNotSent, err)
 	}
-	return c.client.Do(ctx, method, c.base+path, in, out, 200)
+	if !until.IsZero() && !time.Now().Before(until) {
+		return 0, fmt.Errorf("%w: the right to do so has ended", errNotSent)
+	}
+	return c.client.Do(ctx, "POST", c.base+path, in, out, 200)
 }
 
 // read sends a request that only reads.
@@ -76,22 +84,17 @@
 // Create rents machines.
 func (c *Cloud) Create(ctx context.Context, r wire.InstanceRequest) (eventloop.Outcome, wire.Names, error) {
 	var out wire.Names
-	status, err := c.do(ctx, "POST", "/machines", r, &out)
+	status, err := c.do(ctx, time.Time{}, "/machines", r, &out)
 	return client.OutcomeOf(status), out, err
 }
 
-// Delete returns machines to the cloud. With Succeeded they are gone for good. The right to do so
-// ends at until, if that is set: it is checked once the request limit lets the request out.
+// Delete returns machines to the cloud, unless that cannot be asked for before until, if that is set. With
+// Succeeded they are gone for good.
 func (c *Cloud) Delete(ctx context.Context, names []string, until time.Time) (eventloop.Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if err := c.limit.Wait(ctx); err != nil {
-		return eventloop.NotSent, fmt.Errorf("cloud budget: %w", err)
-	}
-	if !until.IsZero() && !time.Now().Before(until) {
-		return eventloop.NotSent, nil
+	status, err := c.do(ctx, until, "/machines/release", wire.Names{Machines: names}, nil)
+	if errors.Is(err, errNotSent) {
+		return eventloop.NotSent, err
 	}
-	status, err := c.client.Do(ctx, "POST", c.base+"/machines/release", wire.Names{Machines: names}, nil, 200)
 	return client.OutcomeOf(status), err
 }
 
--- a/internal/testkit/simtest/came_back_test.go
+++ b/internal/testkit/simtest/came_back_test.go
@@ -5,9 +5,6 @@
 	"log/slog"
 	"testing"
 	"time"
-
-	"fawncove/internal/config"
-	"fawncove/internal/core/cluster"
 )
 
 // comeBackTroubles are the ways in which all controllers come back at once.
@@ -33,10 +30,6 @@
 			for _, mute := range []time.Duration{0, 4 * time.Second} {
 				for seed := *hangFirst; seed < *hangFirst+5**hangSeeds; seed++ {
 					w := newCameBackWorld(seed)
-					cancelled := w.replicas(101, 6, "red", 1)
-					w.Run(12 * time.Second)
-					w.cancelAll(cancelled)
-					w.Run(5 * time.Second)
 					trouble.begin(w, away)
 					w.Run(away)
 					muted := 0
@@ -63,10 +56,6 @@
 	for _, trouble := range comeBackTroubles {
 		for seed := *hangFirst; seed < *hangFirst+8**hangSeeds; seed++ {
 			w := newCameBackWorld(seed)
-			cancelled := w.replicas(101, 6, "red", 1)
-			w.Run(12 * time.Second)
-			w.cancelAll(cancelled)
-			w.Run(5 * time.Second)
 			var early lossesOfCancelled
 			w.logs = &early
 			trouble.begin(w, 4*time.Second)
@@ -102,18 +91,16 @@
 	return nil
 }
 
-// newCameBackWorld returns a world whose machines have work.
+// newCameBackWorld returns a world whose machines have work, some seconds after other jobs there were
+// cancelled.
 func newCameBackWorld(seed int) *World {
-	par := cluster.Defaults()
-	par.SinglePartitionBelow = 0
-	w := build(uint64(seed), 3, 60, par, config.Cluster{
-		InitialSize: 3, Zones: []string{"x", "y"}, ClockErrorMs: 50, Teams: []config.Team{{Name: "red"}},
-		Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
-		State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
-		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
-	})
+	w := newHangWorld(seed)
 	w.Run(3 * time.Second)
 	w.replicas(1, 6, "red", 3)
 	w.Run(40 * time.Second)
+	cancelled := w.replicas(101, 6, "red", 1)
+	w.Run(12 * time.Second)
+	w.cancelAll(cancelled)
+	w.Run(5 * time.Second)
 	return w
 }
--- a/internal/testkit/simtest/hang_handover_test.go
+++ b/internal/testkit/simtest/hang_handover_test.go
@@ -129,14 +129,7 @@
 // play plays the course and returns what broke. played is false where the machines of the leader,
 // or of another, are not those that the course is about: another seed has it.
 func (c hangCourse) play(seed int) (broken []string, played bool) {
-	par := cluster.Defaults()
-	par.SinglePartitionBelow = 0
-	w := build(uint64(seed), 3, 60, par, config.Cluster{
-		InitialSize: 3, Zones: []string{"x", "y"}, ClockErrorMs: 50, Teams: []config.Team{{Name: "red"}},
-		Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
-		State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
-		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
-	})
+	w := newHangWorld(seed)
 	if c.repeats > 0 {
 		w.Repeat(directCommands, uint64(seed), c.repeats, 10*time.Minute)
 	}
@@ -179,6 +172,18 @@
 	return w.Broken(), true
 }
 
+// newHangWorld returns a world of three controllers whose machines are spread over all of them.
+func newHangWorld(seed int) *World {
+	par := cluster.Defaults()
+	par.SinglePartitionBelow = 0
+	return build(uint64(seed), 3, 60, par, config.Cluster{
+		InitialSize: 3, Zones: []string{"x", "y"}, ClockErrorMs: 50, Teams: []config.Team{{Name: "red"}},
+		Workers: config.Workers{ReportS: 2, LeaseS: 12, CancelS: 34},
+		State:   config.State{RPS: 100, WriteRPS: 50, ValueKB: 8, TxnOps: 12},
+		Cloud:   config.Cloud{RPS: 5, ListLagS: 4},
+	})
+}
+
 // TestHangAcrossHandovers guards against a machine that hangs with cancelled tasks and is waited for
 // anew whenever it changes hands or its holder's clocks begin anew, until after cancel_s.
 func TestHangAcrossHandovers(t *testing.T) {
